Lay out the module, value types, platform interfaces and the inner protocol

Cause: the repository is empty and every later part needs the same identities, clock, fault kinds and messages. Conclusion: packages can now be written side by side against fixed types.

--- /dev/null
+++ b/internal/base/sets/sets.go
@@ -0,0 +1,49 @@
+// Package sets holds a small generic set.
+//
+// # Usage
+//
+//	s := sets.Of("a", "b")
+//	s.Add("c")
+//	if s.Has("a") { ... }
+//
+// A set is not safe for concurrent writes.
+package sets
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Set holds distinct values of type T.
+type Set[T cmp.Ordered] map[T]struct{}
+
+// Of returns a set of the given values.
+func Of[T cmp.Ordered](vs ...T) Set[T] {
+	s := make(Set[T], len(vs))
+	for _, v := range vs {
+		s.Add(v)
+	}
+	return s
+}
+
+// Add puts a value into the set.
+func (s Set[T]) Add(v T) { s[v] = struct{}{} }
+
+// Del removes a value from the set.
+func (s Set[T]) Del(v T) { delete(s, v) }
+
+// Has reports whether the set holds the value.
+func (s Set[T]) Has(v T) bool {
+	_, ok := s[v]
+	return ok
+}
+
+// Sorted returns the values in ascending order.
+func (s Set[T]) Sorted() []T {
+	vs := make([]T, 0, len(s))
+	for v := range s {
+		vs = append(vs, v)
+	}
+	slices.Sort(vs)
+	return vs
+}
--- /dev/null
+++ b/internal/inner/wire/msgs.go
@@ -0,0 +1,245 @@
+package wire
+
+// Protocol is the version of the inner protocol. Peers with another one are
+// refused.
+const Protocol = 1
+
+// Hello opens each call: it proves the key and tells the sender's protocol.
+type Hello struct {
+	Protocol int
+	Node     string
+	Boot     uint64 // incarnation of the sender
+}
+
+// Fault is a fault on the wire; an empty Kind is success.
+type Fault struct {
+	Kind   string
+	Detail string
+	After  int64 // ms to wait
+}
+
+// Claim names the log record that allows a call that may run at most once.
+type Claim struct {
+	Stream string
+	Offset int64
+	Key    string // caller and idempotency key, hashed
+	Boot   uint64 // incarnation of the agent that may run it
+}
+
+// Sample names the place of an answer in a round.
+type Sample struct {
+	Round   string
+	Ordinal int
+	Floor   uint64 // oldest version that may make it
+}
+
+// Job is one attempt that an entry hands to an agent.
+type Job struct {
+	Attempt   string
+	Request   string
+	Class     string
+	Service   string
+	Call      bool // a call of a plain service, else a generation
+	Once      bool // may run at most once; Claim is set
+	Claim     Claim
+	Sample    Sample // set for samples of a round
+	Body      []byte
+	Prefix    string
+	Seed      int64
+	MaxTokens int
+	Resume    []uint32
+	Spans     []Span // versions of the tokens in Resume
+	Priority  int
+	Short     bool  // may use a reserved slot
+	Suspect   bool  // ran at a crash before
+	Left      int64 // ms left to the deadline, 0 for none
+}
+
+// Span is a run of tokens made by one version, [From, To).
+type Span struct {
+	Version uint64
+	From    int
+	To      int
+}
+
+// SubmitArgs asks an agent to start a job.
+type SubmitArgs struct {
+	Hello Hello
+	Job   Job
+}
+
+// SubmitReply tells whether the job was admitted. A fault here proves that it
+// was not run.
+type SubmitReply struct {
+	Fault Fault
+}
+
+// FetchArgs reads on in the answer of an attempt.
+type FetchArgs struct {
+	Hello   Hello
+	Attempt string
+	From    int   // tokens already read
+	Wait    int64 // ms to wait for more
+}
+
+// FetchReply is a part of the answer. With Done and no fault the answer is
+// whole.
+type FetchReply struct {
+	Fault  Fault
+	Tokens []uint32
+	Body   []byte
+	Spans  []Span // all versions so far; set with Done
+	Proven bool   // the versions are proven; set with Done
+	Score  float64
+	Done   bool
+	Moves  bool // the agent is leaving; go on elsewhere from the tokens read
+}
+
+// CancelArgs ends an attempt.
+type CancelArgs struct {
+	Hello   Hello
+	Attempt string
+}
+
+// Ack is an answer that holds only a fault.
+type Ack struct {
+	Fault Fault
+}
+
+// SettleArgs asks an agent what became of a claim. The agent tells the
+// outcome, or records a refusal first and then says that it was not run.
+type SettleArgs struct {
+	Hello Hello
+	Claim Claim
+}
+
+// SettleReply is the outcome of a claim: "running", "done", "refused" or
+// "unknown".
+type SettleReply struct {
+	Fault   Fault
+	State   string
+	Body    []byte
+	Attempt string
+}
+
+// OrderArgs tells an agent which version of a model to load.
+type OrderArgs struct {
+	Hello   Hello
+	Model   string
+	Version uint64
+	Fence   int64 // of the placement plan; 0 for a swap within the plan in force
+}
+
+// HeldArgs asks for the finished samples of a round.
+type HeldArgs struct {
+	Hello Hello
+	Round string
+	Drop  []int // ordinals that the trainer has; the agent may forget them
+	All   bool  // drop the whole round
+}
+
+// HeldSample is one finished sample.
+type HeldSample struct {
+	Ordinal int
+	Attempt string
+	Tokens  []uint32
+	Spans   []Span
+}
+
+// HeldReply lists finished samples and ordinals still running.
+type HeldReply struct {
+	Fault   Fault
+	Samples []HeldSample
+	Running []int
+}
+
+// Hosted is what a backend server offers.
+type Hosted struct {
+	Service string
+	Call    bool
+	Version uint64
+	Loading bool
+}
+
+// ReportArgs is an agent's lease and load report to an entry.
+type ReportArgs struct {
+	Hello   Hello
+	Addr    string
+	Zone    string
+	Region  string
+	Seq     uint64
+	Hosted  Hosted
+	Running int
+	Waiting int
+	Slots   int
+	Rate    float64 // tokens a second of one stream, measured by the agent
+	First   int64   // ms to the first token, measured by the agent
+	Leaving bool
+	Config  int64   // configuration offset in force
+	Crashes []Crash // crashes of the backend server since the last report
+}
+
+// Crash tells which requests ran when a backend server crashed.
+type Crash struct {
+	ID       string // names the crash on every entry
+	Requests []string
+}
+
+// ReportReply carries what the agent must learn.
+type ReportReply struct {
+	Fault    Fault
+	Config   Snapshot // set if newer than the agent's
+	Versions []Announced
+}
+
+// Snapshot is a configuration with the log offset that it covers.
+type Snapshot struct {
+	Offset int64
+	Data   []byte
+}
+
+// Announced is the newest version of a model.
+type Announced struct {
+	Model   string
+	Version uint64
+}
+
+// PeerArgs is an entry's message to another entry.
+type PeerArgs struct {
+	Hello    Hello
+	Addr     string
+	Zone     string
+	Region   string
+	Leaving  bool
+	Config   int64
+	Fresh    int64 // ms since the sender last read the log to its end
+	Versions []Announced
+	Crashes  []Crash
+	Lifted   []string // requests whose quarantine an operator lifted
+}
+
+// PeerReply is the answer to a peer.
+type PeerReply struct {
+	Fault    Fault
+	Config   Snapshot
+	Fresh    int64
+	Boot     uint64
+	Versions []Announced
+	Crashes  []Crash
+	Lifted   []string
+}
+
+// ForwardArgs carries a call of a caller or trainer to the entry that owns it.
+type ForwardArgs struct {
+	Hello  Hello
+	Caller string
+	Path   string
+	Body   []byte
+	Wait   int64 // ms the sender waits
+}
+
+// ForwardReply is the owner's answer.
+type ForwardReply struct {
+	Fault Fault
+	Body  []byte
+}
--- /dev/null
+++ b/internal/prod/cmds/cmds.go
@@ -0,0 +1,34 @@
+// Package cmds is the command line of the product.
+//
+// # Usage
+//
+//	os.Exit(cmds.Run(os.Args[1:], os.Stdout, os.Stderr))
+//
+// Run returns 0 on success and 1 after an error, which it prints with its
+// remedy.
+package cmds
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Run executes one command line and returns the exit status.
+func Run(args []string, out, errOut io.Writer) int {
+	root := &cobra.Command{
+		Use:           "jujuberamp",
+		Short:         "Rollout service for reinforcement learning",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(errOut, "jujuberamp:", err)
+		return 1
+	}
+	return 0
+}
