--- /dev/null
+++ b/cmd/rampdemo/main.go
@@ -0,0 +1,11 @@
+// Command rampdemo runs a whole deployment on loopback and reports which
+// promises it kept.
+package main
+
+import (
+	"os"
+
+	"github.com/jujuberamp/jujuberamp/internal/proof/demo"
+)
+
+func main() { os.Exit(demo.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/decide/proof/proof.go
@@ -0,0 +1,53 @@
+// Package proof decides which version made a run of tokens.
+//
+// Rules:
+//
+//  1. The engine is asked for its state before and after each run of tokens.
+//  2. A run is proven if both states name the same start of the engine, the
+//     same model and the same version, and neither is loading.
+//  3. A run beside which an order was given is not proven, whatever the
+//     states say: the order may have taken effect and been undone.
+//  4. While an order of an earlier agent may still be running, nothing is
+//     proven.
+//
+// # Usage
+//
+//	p := proof.Begin(before, orders)
+//	v, err := p.End(after, orders)
+package proof
+
+import (
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+)
+
+// Run is an open run of tokens.
+type Run struct {
+	before plat.Status
+	orders uint64
+}
+
+// Begin opens a run with the engine's state and the number of orders given so
+// far.
+func Begin(before plat.Status, orders uint64) Run { return Run{before: before, orders: orders} }
+
+// Version returns the version at the beginning of the run.
+func (r Run) Version() ident.Version { return r.before.Version }
+
+// End returns the version that made the run, or a fault of the kind
+// [fault.Unproven].
+func (r Run) End(after plat.Status, orders uint64) (ident.Version, error) {
+	b := r.before
+	switch {
+	case b.Boot != after.Boot: // rule 2
+		return 0, fault.New(fault.Unproven, "the engine was restarted")
+	case b.Model != after.Model || b.Version != after.Version: // rule 2
+		return 0, fault.New(fault.Unproven, "the engine changed its version")
+	case b.Loading || after.Loading: // rules 2 and 4
+		return 0, fault.New(fault.Unproven, "the engine was loading")
+	case r.orders != orders: // rule 3
+		return 0, fault.New(fault.Unproven, "an order was given meanwhile")
+	}
+	return b.Version, nil
+}
--- /dev/null
+++ b/internal/decide/spread/spread.go
@@ -0,0 +1,57 @@
+// Package spread decides which nodes a node talks to, by rendezvous hashing:
+// each pair of a key and a node has a weight, and the nodes with the highest
+// weights are chosen. A node that comes or goes moves only the keys that it
+// had or gets.
+//
+// # Usage
+//
+//	owner, ok := spread.First("round/"+id, entries)
+//	three := spread.Top("agent-7", entries, 3)
+package spread
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+)
+
+func weight(key string, n ident.Node) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(n))
+	return mix(h.Sum64())
+}
+
+// mix spreads the bits of an FNV sum; without it names that differ in the
+// last letter get neighbouring weights.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Top returns up to n nodes for a key, highest weight first.
+func Top(key string, nodes []ident.Node, n int) []ident.Node {
+	out := slices.Clone(nodes)
+	slices.SortFunc(out, func(a, b ident.Node) int {
+		if c := cmp.Compare(weight(key, b), weight(key, a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return out[:min(n, len(out))]
+}
+
+// First returns the node with the highest weight for a key.
+func First(key string, nodes []ident.Node) (ident.Node, bool) {
+	top := Top(key, nodes, 1)
+	if len(top) == 0 {
+		return "", false
+	}
+	return top[0], true
+}
--- /dev/null
+++ b/internal/edge/client/engine.go
@@ -0,0 +1,75 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+)
+
+// Engine is one model engine.
+type Engine struct{ base }
+
+// NewEngine returns a client of the engine at a URL.
+func NewEngine(u string) *Engine { return &Engine{newBase(u)} }
+
+// Generate implements [plat.Engine]. A stream that ends without its last
+// line is an error of the kind [fault.Broken], never a short success.
+func (e *Engine) Generate(ctx context.Context, w plat.Work, sink func(plat.Chunk) error) error {
+	body, err := json.Marshal(codec.FromWork(w))
+	if err != nil {
+		return errors.Wrap(err, "encode work")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url+"/generate", bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	resp, err := e.http.Do(r)
+	if err != nil {
+		return errors.Wrap(err, "generate")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode/100 != 2 {
+		return readFault(resp)
+	}
+	return readStream(resp.Body, sink)
+}
+
+func readStream(r io.Reader, sink func(plat.Chunk) error) error {
+	dec := json.NewDecoder(r)
+	for {
+		var m codec.Chunk
+		if err := dec.Decode(&m); err != nil {
+			return fault.Wrap(fault.Broken, err, "stream of the engine broke")
+		}
+		if m.Fault != nil {
+			return m.Fault.Err()
+		}
+		if err := sink(plat.Chunk{Tokens: m.Tokens, Done: m.Done}); err != nil {
+			return err
+		}
+		if m.Done {
+			return nil
+		}
+	}
+}
+
+// Status implements [plat.Engine].
+func (e *Engine) Status(ctx context.Context) (plat.Status, error) {
+	var out codec.Status
+	err := e.call(ctx, http.MethodGet, "/status", nil, &out)
+	return codec.ToStatus(out), err
+}
+
+// Load implements [plat.Engine].
+func (e *Engine) Load(ctx context.Context, o plat.Order) error {
+	m := codec.Order{Model: string(o.Model), Version: uint64(o.Version), Fence: int64(o.Fence)}
+	return e.call(ctx, http.MethodPost, "/load", m, nil)
+}
--- /dev/null
+++ b/internal/node/agent/agent.go
@@ -0,0 +1,175 @@
+// Package agent is the process beside one backend server, and the only way
+// from the system to it.
+//
+// It admits work up to a limit, runs it, keeps the answers until they are
+// fetched, proves which versions made them, carries out orders to load
+// weights, and reports load to entries. It keeps nothing that must last.
+//
+// # Usage
+//
+//	a, err := agent.New(agent.Params{Node: "agent-1", Engine: eng, ...})
+//	go a.Run(ctx)      // reports until the context ends
+//	a.Shutdown(ctx)    // finishes the work in progress
+//
+// The methods Submit, Fetch, Cancel, Settle, Order and Held are the inner
+// protocol; they are registered as "Agent".
+package agent
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+)
+
+// Params are what an agent needs to run. Exactly one of Engine and Plain is
+// set.
+type Params struct {
+	Node    ident.Node
+	Zone    ident.Zone
+	Region  ident.Region
+	Listen  string // inner address, IP:port
+	Key     []byte
+	Slots   int           // work that runs at once
+	Service ident.Service // the plain service, if Plain is set
+	Report  clock.Millis  // between reports
+	Keep    clock.Millis  // an answer that nobody fetches is kept so long
+	Clock   clock.Clock
+	Log     zerolog.Logger
+
+	Engine  plat.Engine
+	Plain   plat.Plain
+	VMs     plat.VMs
+	Weights plat.Weights
+}
+
+// Agent is one running agent.
+type Agent struct {
+	p      Params
+	boot   ident.Incarnation
+	server *wire.Server
+	pool   *wire.Pool
+	ln     net.Listener
+	ctx    context.Context // of the work; ends last
+	stop   context.CancelFunc
+
+	mu      sync.Mutex
+	jobs    map[ident.Attempt]*job
+	open    int // jobs that are not done
+	leaving bool
+
+	swap    swapper
+	status  atomic.Pointer[plat.Status]
+	config  atomic.Pointer[wire.Snapshot]
+	crashes crashes
+	speed   speed
+	seq     atomic.Uint64
+}
+
+// New opens the inner listener and returns the agent.
+func New(p Params) (*Agent, error) {
+	ln, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return nil, fault.Wrap(fault.BadSetting, err, "inner-listen")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	a := &Agent{
+		p:      p,
+		boot:   ident.NewIncarnation(),
+		server: wire.NewServer(p.Key),
+		pool:   wire.NewPool(p.Key),
+		ln:     ln,
+		ctx:    ctx,
+		stop:   stop,
+		jobs:   make(map[ident.Attempt]*job),
+	}
+	a.swap.init()
+	a.status.Store(&plat.Status{})
+	a.config.Store(&wire.Snapshot{})
+	if err := a.server.Register("Agent", &service{a}); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// Addr returns the inner address.
+func (a *Agent) Addr() string { return a.ln.Addr().String() }
+
+// Boot returns the incarnation of this process.
+func (a *Agent) Boot() ident.Incarnation { return a.boot }
+
+// Run serves and reports until the context ends.
+func (a *Agent) Run(ctx context.Context) {
+	go func() { _ = a.server.Serve(a.ln) }()
+	t := time.NewTicker(a.p.Report.Duration())
+	defer t.Stop()
+	for {
+		a.watch(ctx)
+		a.report(ctx)
+		a.forget(a.p.Clock.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// errStopped ends the work that is left after a shutdown.
+var errStopped = errors.New("agent stopped")
+
+// drainPoll is how often a shutdown looks whether all work has ended.
+const drainPoll = 20 * time.Millisecond
+
+// Shutdown refuses new work and returns when all answers were fetched, or
+// when the context ends.
+func (a *Agent) Shutdown(ctx context.Context) error {
+	a.mu.Lock()
+	a.leaving = true
+	a.mu.Unlock()
+	a.report(ctx)
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for a.busy() {
+		select {
+		case <-ctx.Done():
+			a.Close()
+			return errors.Wrap(ctx.Err(), "shutdown with work in progress")
+		case <-t.C:
+		}
+	}
+	a.Close()
+	return nil
+}
+
+func (a *Agent) busy() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, j := range a.jobs {
+		if !j.isFetched() {
+			return true
+		}
+	}
+	return false
+}
+
+// Close ends everything at once, as the death of the process does.
+func (a *Agent) Close() {
+	a.stop()
+	_ = a.ln.Close()
+	a.server.Close()
+	a.pool.Close()
+}
+
+// hello opens a message of this agent.
+func (a *Agent) hello() wire.Hello { return wire.NewHello(a.p.Node, a.boot) }
--- /dev/null
+++ b/internal/node/agent/report.go
@@ -0,0 +1,193 @@
+package agent
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+)
+
+// watch asks the backend server for its state.
+func (a *Agent) watch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.p.Report.Duration())
+	defer cancel()
+	if a.p.Plain != nil {
+		a.watchPlain(ctx)
+		return
+	}
+	st, err := a.p.Engine.Status(ctx)
+	if err != nil {
+		a.status.Store(&plat.Status{})
+		return
+	}
+	a.status.Store(&st)
+}
+
+func (a *Agent) watchPlain(ctx context.Context) {
+	boot, err := a.p.Plain.Boot(ctx)
+	if err != nil {
+		a.status.Store(&plat.Status{})
+		return
+	}
+	a.status.Store(&plat.Status{Boot: boot, Model: a.p.Service})
+}
+
+// report sends the lease and the load to all entries that the VM list shows.
+func (a *Agent) report(ctx context.Context) {
+	vms, err := a.p.VMs.List(ctx)
+	if err != nil {
+		a.p.Log.Warn().Err(err).Msg("VM list failed.")
+		return
+	}
+	args := a.state()
+	var wg sync.WaitGroup
+	for _, vm := range vms {
+		if vm.Role == plat.RoleEntry {
+			wg.Go(func() { a.reportTo(ctx, vm.Addr, args) })
+		}
+	}
+	wg.Wait()
+}
+
+func (a *Agent) reportTo(ctx context.Context, addr string, args wire.ReportArgs) {
+	ctx, cancel := context.WithTimeout(ctx, a.p.Report.Duration())
+	defer cancel()
+	var reply wire.ReportReply
+	if err := a.pool.Call(ctx, addr, "Entry.Report", &args, &reply); err != nil {
+		a.p.Log.Debug().Err(err).Str("entry", addr).Msg("Report failed.")
+		return
+	}
+	if reply.Config.Offset > a.config.Load().Offset {
+		a.config.Store(&reply.Config)
+	}
+}
+
+// state returns the report of this moment.
+func (a *Agent) state() wire.ReportArgs {
+	st := a.status.Load()
+	rate, first := a.speed.get()
+	a.mu.Lock()
+	open, leaving := a.open, a.leaving
+	a.mu.Unlock()
+	return wire.ReportArgs{
+		Hello:  a.hello(),
+		Addr:   a.Addr(),
+		Zone:   string(a.p.Zone),
+		Region: string(a.p.Region),
+		Seq:    a.seq.Add(1),
+		Hosted: wire.Hosted{
+			Service: string(st.Model),
+			Call:    a.p.Plain != nil,
+			Version: uint64(st.Version),
+			Loading: st.Loading || a.swap.isClosed(),
+		},
+		Running: open,
+		Slots:   a.p.Slots,
+		Rate:    rate,
+		First:   int64(first),
+		Leaving: leaving,
+		Config:  a.config.Load().Offset,
+		Crashes: a.crashes.list(),
+	}
+}
+
+// crashes remembers which requests ran when the backend server crashed.
+type crashes struct {
+	mu      sync.Mutex
+	boot    ident.Incarnation
+	running map[string]int
+	last    []wire.Crash
+}
+
+// maxCrashes bounds the crashes kept for the next reports.
+const maxCrashes = 32
+
+func (c *crashes) enter(boot ident.Incarnation, request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running == nil {
+		c.running = make(map[string]int)
+	}
+	c.boot = boot
+	c.running[request]++
+}
+
+func (c *crashes) leave(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[request]--
+	if c.running[request] <= 0 {
+		delete(c.running, request)
+	}
+}
+
+// note records a crash once for each start of the backend server.
+func (c *crashes) note(n ident.Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id := string(n) + "/" + strconv.FormatUint(uint64(c.boot), 16)
+	for _, k := range c.last {
+		if k.ID == id {
+			return
+		}
+	}
+	k := wire.Crash{ID: id}
+	for r := range c.running {
+		k.Requests = append(k.Requests, r)
+	}
+	c.last = append(c.last, k)
+	if len(c.last) > maxCrashes {
+		c.last = c.last[1:]
+	}
+}
+
+func (c *crashes) list() []wire.Crash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]wire.Crash(nil), c.last...)
+}
+
+// speed is the agent's own measure of the engine's progress.
+type speed struct {
+	mu    sync.Mutex
+	rate  float64      // tokens/s of one stream, smoothed
+	first clock.Millis // to the first token, smoothed
+}
+
+// smoothing is the weight of a new measurement.
+const smoothing = 0.2
+
+type meter struct {
+	s       *speed
+	began   clock.Millis
+	firstAt clock.Millis
+	lastAt  clock.Millis
+}
+
+func (s *speed) begin(now clock.Millis) *meter { return &meter{s: s, began: now} }
+
+func (m *meter) add(now clock.Millis, tokens int) {
+	s := m.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.firstAt == 0 {
+		m.firstAt, m.lastAt = now, now
+		s.first += clock.Millis(smoothing * float64(now-m.began-s.first))
+		return
+	}
+	if now > m.lastAt && tokens > 0 {
+		r := float64(tokens) / (now - m.lastAt).Seconds()
+		s.rate += smoothing * (r - s.rate)
+		m.lastAt = now
+	}
+}
+
+func (s *speed) get() (rate float64, first clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rate, s.first
+}
--- /dev/null
+++ b/internal/node/agent/serve.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/base/sets"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+)
+
+// service is the agent as its peers see it over net/rpc.
+type service struct{ a *Agent }
+
+// maxWait bounds how long one Fetch waits.
+const maxWait = 10 * clock.Second
+
+// sleep waits for a span; it returns false if the context ended first.
+func sleep(ctx context.Context, d clock.Millis) bool {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Submit implements the inner protocol.
+func (s *service) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
+	err := args.Hello.Check()
+	if err == nil {
+		err = s.a.admit(args.Job)
+	}
+	reply.Fault = wire.ToFault(err)
+	return nil
+}
+
+// Fetch implements the inner protocol.
+func (s *service) Fetch(args *wire.FetchArgs, reply *wire.FetchReply) error {
+	j, ok := s.a.find(args.Attempt)
+	if !ok {
+		reply.Fault = wire.ToFault(fault.New(fault.Lost, "agent "+string(s.a.p.Node)+" does not know attempt "+args.Attempt))
+		return nil
+	}
+	t := time.NewTimer(min(clock.Millis(args.Wait), maxWait).Duration())
+	defer t.Stop()
+	for {
+		r, grown := j.read(args.From)
+		if r.Done || len(r.Tokens) > 0 {
+			*reply = r
+			return nil
+		}
+		select {
+		case <-grown:
+		case <-t.C:
+			*reply = r
+			return nil
+		case <-s.a.ctx.Done():
+			reply.Fault = wire.ToFault(fault.Wrap(fault.Lost, errStopped, "agent "+string(s.a.p.Node)))
+			return nil
+		}
+	}
+}
+
+// Cancel implements the inner protocol.
+func (s *service) Cancel(args *wire.CancelArgs, reply *wire.Ack) error {
+	if err := args.Hello.Check(); err != nil {
+		reply.Fault = wire.ToFault(err)
+		return nil
+	}
+	j, ok := s.a.find(args.Attempt)
+	if !ok {
+		return nil
+	}
+	j.cancel()
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	if j.isDone() {
+		delete(s.a.jobs, ident.Attempt(args.Attempt))
+	}
+	return nil
+}
+
+// Held implements the inner protocol.
+func (s *service) Held(args *wire.HeldArgs, reply *wire.HeldReply) error {
+	if err := args.Hello.Check(); err != nil {
+		reply.Fault = wire.ToFault(err)
+		return nil
+	}
+	drop := sets.Of(args.Drop...)
+	s.a.mu.Lock()
+	defer s.a.mu.Unlock()
+	for id, j := range s.a.jobs {
+		if j.msg.Sample.Round != args.Round {
+			continue
+		}
+		if args.All || drop.Has(j.msg.Sample.Ordinal) {
+			j.cancel()
+			delete(s.a.jobs, id)
+			continue
+		}
+		j.list(reply)
+	}
+	return nil
+}
+
+// list adds the job to an answer about a round.
+func (j *job) list(reply *wire.HeldReply) {
+	r, _ := j.read(0)
+	o := j.msg.Sample.Ordinal
+	switch {
+	case !r.Done:
+		reply.Running = append(reply.Running, o)
+	case r.Fault.Kind == "" && r.Proven:
+		reply.Samples = append(reply.Samples, wire.HeldSample{
+			Ordinal: o,
+			Attempt: j.msg.Attempt,
+			Tokens:  r.Tokens,
+			Spans:   r.Spans,
+		})
+	}
+}
+
+// Settle implements the inner protocol.
+func (s *service) Settle(args *wire.SettleArgs, reply *wire.SettleReply) error {
+	err := args.Hello.Check()
+	if err == nil {
+		err = fault.New(fault.NotFound, "claims are not served yet")
+	}
+	reply.Fault = wire.ToFault(err)
+	return nil
+}
--- /dev/null
+++ b/internal/node/agent/swap.go
@@ -0,0 +1,162 @@
+package agent
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+)
+
+// errSwap interrupts runs of tokens before a swap.
+var errSwap = errors.New("swap of weights")
+
+// swapper keeps runs of tokens and orders to the engine apart: runs share it,
+// an order has it alone.
+type swapper struct {
+	mu     sync.Mutex
+	free   *sync.Cond
+	runs   map[*context.CancelCauseFunc]struct{}
+	closed bool // an order runs or waits for the runs to end
+	given  uint64
+}
+
+func (s *swapper) init() {
+	s.free = sync.NewCond(&s.mu)
+	s.runs = make(map[*context.CancelCauseFunc]struct{})
+}
+
+// enter waits until no order runs and returns the context of one run.
+func (s *swapper) enter(parent context.Context) (context.Context, func(), error) {
+	stop := context.AfterFunc(parent, s.free.Broadcast)
+	defer stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.closed {
+		if err := parent.Err(); err != nil {
+			return nil, nil, errors.Wrap(err, "wait for a swap")
+		}
+		s.free.Wait()
+	}
+	ctx, cancel := context.WithCancelCause(parent)
+	k := &cancel
+	s.runs[k] = struct{}{}
+	return ctx, func() { s.leave(k) }, nil
+}
+
+func (s *swapper) leave(k *context.CancelCauseFunc) {
+	(*k)(nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.runs, k)
+	s.free.Broadcast()
+}
+
+// begin interrupts all runs and waits until they have ended. It refuses a
+// second order beside the first.
+func (s *swapper) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.closed = true
+	for k := range s.runs {
+		(*k)(errSwap)
+	}
+	for len(s.runs) > 0 {
+		s.free.Wait()
+	}
+	s.given++
+	return true
+}
+
+func (s *swapper) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = false
+	s.free.Broadcast()
+}
+
+func (s *swapper) orders() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.given
+}
+
+func (s *swapper) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// maxSwap bounds one order; an engine that is still loading then is asked for
+// its state until it has ended.
+const (
+	maxSwap  = 2 * clock.Minute
+	settleIn = 100 * clock.Milli
+)
+
+// order carries out one order to load a version.
+func (a *Agent) order(o plat.Order) error {
+	if a.p.Engine == nil {
+		return fault.New(fault.BadRequest, "agent "+string(a.p.Node)+" has no engine")
+	}
+	st := a.status.Load()
+	if st.Model == o.Model && o.Version <= st.Version {
+		return fault.New(fault.StaleOrder, "the engine already holds this or a newer version")
+	}
+	if err := a.p.Weights.Fetch(a.ctx, o.Model, o.Version); err != nil {
+		return err
+	}
+	if !a.swap.begin() {
+		return fault.New(fault.Overloaded, "another order is running").After(clock.Second)
+	}
+	defer a.swap.end()
+	ctx, cancel := context.WithTimeout(a.ctx, maxSwap.Duration())
+	defer cancel()
+	err := a.p.Engine.Load(ctx, o)
+	a.settle()
+	return errors.Wrap(err, "load weights")
+}
+
+// settle waits until the engine says that no order is running, so that a
+// failed or lost order can't take effect beside later work.
+func (a *Agent) settle() {
+	for {
+		st, err := a.p.Engine.Status(a.ctx)
+		if err != nil {
+			return
+		}
+		if !st.Loading {
+			a.status.Store(&st)
+			return
+		}
+		if !sleep(a.ctx, settleIn) {
+			return
+		}
+	}
+}
+
+// Order implements the inner protocol. It returns when the order has ended.
+func (s *service) Order(args *wire.OrderArgs, reply *wire.Ack) error {
+	if err := args.Hello.Check(); err != nil {
+		reply.Fault = wire.ToFault(err)
+		return nil
+	}
+	err := s.a.order(plat.Order{
+		Model:   ident.Service(args.Model),
+		Version: ident.Version(args.Version),
+		Fence:   ident.Offset(args.Fence),
+	})
+	if err != nil {
+		s.a.p.Log.Warn().Err(err).Str("model", args.Model).Uint64("version", args.Version).Msg("Order failed.")
+	}
+	reply.Fault = wire.ToFault(err)
+	return nil
+}
--- /dev/null
+++ b/internal/node/entry/entry.go
@@ -0,0 +1,210 @@
+// Package entry is the process that callers, trainers and operators reach. It
+// wires the parts of an entry together and serves them.
+//
+// An entry keeps nothing that must last and may be replaced at any time.
+//
+// # Usage
+//
+//	e, err := entry.New(entry.Params{Node: "entry-1", HTTP: "127.0.0.1:7400", ...})
+//	go e.Run(ctx)
+//	e.Shutdown(ctx)
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
+	"github.com/jujuberamp/jujuberamp/internal/edge/httpd"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/node/calls"
+	"github.com/jujuberamp/jujuberamp/internal/node/follow"
+	"github.com/jujuberamp/jujuberamp/internal/node/peers"
+	"github.com/jujuberamp/jujuberamp/internal/node/rounds"
+	"github.com/jujuberamp/jujuberamp/internal/node/swaps"
+)
+
+// Params are what an entry needs to run.
+type Params struct {
+	Node    ident.Node
+	Zone    ident.Zone
+	Region  ident.Region
+	HTTP    string // outer address, IP:port
+	Listen  string // inner address, IP:port
+	Key     []byte
+	Tokens  []httpd.Token
+	Poll    clock.Millis // between looks at the VM list and messages to peers
+	Delay   clock.Millis // the balancer's delay at a shutdown
+	Policy  match.Policy
+	Swap    swap.Policy
+	Clock   clock.Clock
+	Log     zerolog.Logger
+	Metrics http.Handler
+
+	Source plat.Log
+	VMs    plat.VMs
+	Scorer func(s ident.Service) (plat.Scorer, error)
+}
+
+// Entry is one running entry.
+type Entry struct {
+	p       Params
+	boot    ident.Incarnation
+	server  *wire.Server
+	pool    *wire.Pool
+	ln      net.Listener
+	httpLn  net.Listener
+	http    *http.Server
+	ctx     context.Context // of the work; ends last
+	stop    context.CancelFunc
+	leaving atomic.Bool
+
+	config *follow.Follower
+	peers  *peers.Peers
+	calls  *calls.Calls
+	swaps  *swaps.Swaps
+	rounds *rounds.Rounds
+
+	mu    sync.Mutex
+	nodes map[ident.Node]wire.ReportArgs
+	heard map[ident.Node]clock.Millis
+}
+
+// New opens the listeners and returns the entry.
+func New(p Params) (*Entry, error) {
+	ln, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return nil, fault.Wrap(fault.BadSetting, err, "inner-listen")
+	}
+	httpLn, err := net.Listen("tcp", p.HTTP)
+	if err != nil {
+		_ = ln.Close()
+		return nil, fault.Wrap(fault.BadSetting, err, "http-listen")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	e := &Entry{
+		p:      p,
+		boot:   ident.NewIncarnation(),
+		server: wire.NewServer(p.Key),
+		pool:   wire.NewPool(p.Key),
+		ln:     ln,
+		httpLn: httpLn,
+		ctx:    ctx,
+		stop:   stop,
+		nodes:  make(map[ident.Node]wire.ReportArgs),
+		heard:  make(map[ident.Node]clock.Millis),
+	}
+	e.wire()
+	e.http = &http.Server{Handler: httpd.New(e, p.Tokens, p.Metrics), ReadHeaderTimeout: headerFor}
+	return e, e.server.Register("Entry", &service{e})
+}
+
+const (
+	headerFor = 5 * time.Second
+	peerFor   = 2 * clock.Second
+)
+
+// wire builds the parts and gives each what it needs of the others.
+func (e *Entry) wire() {
+	p := e.p
+	part := func(name string) zerolog.Logger { return p.Log.With().Str("part", name).Logger() }
+	e.config = follow.New(follow.Params{Node: p.Node, Boot: e.boot, Source: p.Source, Clock: p.Clock, Log: part("config")})
+	e.peers = peers.New(peers.Params{Node: p.Node, Addr: e.Addr(), Poll: p.Poll, VMs: p.VMs, Clock: p.Clock, Log: part("peers")})
+	e.calls = calls.New(calls.Params{Node: p.Node, Boot: e.boot, Policy: p.Policy, Pool: e.pool, Clock: p.Clock, Log: part("calls")})
+	e.swaps = swaps.New(swaps.Params{
+		Node:    p.Node,
+		Boot:    e.boot,
+		Policy:  p.Swap,
+		Owns:    func(m ident.Service) bool { _, mine := e.peers.Owner("model/" + string(m)); return mine },
+		Servers: e.serversOf,
+		Pool:    e.pool,
+		Clock:   p.Clock,
+		Log:     part("swaps"),
+	})
+	e.rounds = rounds.New(e.ctx, rounds.Params{
+		Node:    p.Node,
+		Boot:    e.boot,
+		Key:     p.Key,
+		Calls:   e.calls,
+		Pool:    e.pool,
+		Servers: e.serversOf,
+		Scorer:  p.Scorer,
+		Clock:   p.Clock,
+		Log:     part("rounds"),
+	})
+}
+
+// serversOf returns the agents that host a service.
+func (e *Entry) serversOf(m ident.Service) []match.Server {
+	var out []match.Server
+	e.calls.Servers(func(mt *match.Matcher) { out = mt.Hosts(e.p.Clock.Now(), m) })
+	return out
+}
+
+// Addr returns the inner address.
+func (e *Entry) Addr() string { return e.ln.Addr().String() }
+
+// URL returns the outer address as a URL.
+func (e *Entry) URL() string { return "http://" + e.httpLn.Addr().String() }
+
+// Run serves until the context ends.
+func (e *Entry) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	go func() { _ = e.server.Serve(e.ln) }()
+	go func() { _ = e.http.Serve(e.httpLn) }()
+	wg.Go(func() { e.config.Run(ctx) })
+	wg.Go(func() { e.peers.Run(ctx) })
+	wg.Go(func() { e.calls.Run(ctx) })
+	wg.Go(func() { e.swaps.Run(ctx) })
+	wg.Go(func() { e.gossip(ctx) })
+	wg.Wait()
+}
+
+// Ready reports whether the entry takes work.
+func (e *Entry) Ready() error {
+	switch {
+	case e.leaving.Load():
+		return fault.New(fault.Leaving, "entry "+string(e.p.Node)+" is shutting down")
+	case e.config.Fresh() == 0 && e.config.State().Offset() == 0:
+		return fault.New(fault.NotReady, "entry "+string(e.p.Node)+" has no configuration yet").After(clock.Second)
+	}
+	return nil
+}
+
+// Shutdown stops being ready, serves on for the balancer's delay, and returns
+// when all work in progress has ended.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.leaving.Store(true)
+	t := time.NewTimer(e.p.Delay.Duration())
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	err := e.http.Shutdown(ctx)
+	e.Close()
+	return errors.Wrap(err, "shutdown with work in progress")
+}
+
+// Close ends everything at once, as the death of the process does.
+func (e *Entry) Close() {
+	e.stop()
+	_ = e.http.Close()
+	_ = e.ln.Close()
+	e.server.Close()
+	e.pool.Close()
+}
+
+func (e *Entry) hello() wire.Hello { return wire.NewHello(e.p.Node, e.boot) }
--- /dev/null
+++ b/internal/node/entry/serve.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/class"
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
+	"github.com/jujuberamp/jujuberamp/internal/edge/httpd"
+	"github.com/jujuberamp/jujuberamp/internal/node/calls"
+)
+
+// classOf returns a declared class of one of the given kinds.
+func (e *Entry) classOf(name string, kinds ...class.Kind) (class.Class, error) {
+	if err := e.Ready(); err != nil && !e.leaving.Load() {
+		return class.Class{}, err
+	}
+	en, ok := e.config.State().Find(ident.Class(name))
+	if !ok {
+		return class.Class{}, fault.New(fault.UnknownClass, "class "+name+" is not declared")
+	}
+	for _, k := range kinds {
+		if en.Class.Kind() == k {
+			return en.Class, nil
+		}
+	}
+	return class.Class{}, fault.New(fault.BadRequest, "class "+name+" has the kind "+string(en.Class.Kind())+", which this call does not serve")
+}
+
+// Request implements [httpd.Service].
+func (e *Entry) Request(ctx context.Context, who ident.Caller, m codec.Request, sink httpd.Sink) error {
+	c, err := e.classOf(m.Class, class.Draft, class.Lookup, class.Action)
+	if err != nil {
+		return err
+	}
+	w, err := e.work(c, who, m)
+	if err != nil {
+		return err
+	}
+	ans, err := e.calls.Do(ctx, w, func(ts []uint32) error { return sink(codec.Chunk{Tokens: ts}) })
+	if err != nil {
+		return err
+	}
+	return sink(codec.Chunk{Done: true, Body: ans.Body, Count: len(ans.Tokens), Spans: codec.FromSpans(ans.Spans)})
+}
+
+// work checks a request and fills in what the class says.
+func (e *Entry) work(c class.Class, who ident.Caller, m codec.Request) (calls.Work, error) {
+	if m.DeadlineMS < 0 {
+		return calls.Work{}, fault.New(fault.PastDeadline, "deadline-ms is in the past")
+	}
+	if m.MaxTokens < 0 {
+		return calls.Work{}, fault.New(fault.BadRequest, "max-tokens must not be negative")
+	}
+	if !c.Kind().IsIdempotent() {
+		return calls.Work{}, fault.New(fault.NotReady, "actions are not served yet")
+	}
+	limit := c.MaxTokens()
+	if m.MaxTokens > 0 {
+		limit = min(limit, m.MaxTokens)
+	}
+	now := e.p.Clock.Now()
+	w := calls.Work{
+		Request:   requestID(who, m),
+		Class:     c,
+		Body:      []byte(m.Body),
+		Prefix:    m.Prefix,
+		Seed:      m.Seed,
+		MaxTokens: limit,
+		Priority:  priority(c),
+	}
+	if m.DeadlineMS > 0 {
+		w.Deadline = now + clock.Millis(m.DeadlineMS)
+	}
+	return w, nil
+}
+
+// priority of callers' work at the engine is above that of rounds.
+func priority(c class.Class) int {
+	if c.Kind() == class.Round {
+		return 0
+	}
+	return 1
+}
+
+// requestID is the same for the same request of a caller on every entry.
+func requestID(who ident.Caller, m codec.Request) ident.Request {
+	h := sha256.New()
+	for _, s := range []string{string(who), m.Class, m.Key, m.Body} {
+		h.Write([]byte(s))
+		h.Write([]byte{0})
+	}
+	return ident.Request(hex.EncodeToString(h.Sum(nil)[:16]))
+}
+
+// forwardWait is the time beyond a call's own wait that its owner may take.
+const forwardWait = 5 * clock.Second
+
+// owned runs a call at the entry that owns a round. If that entry can't be
+// reached the call runs here: two owners cost work, but no sample is repeated.
+func owned[In, Out any](ctx context.Context, e *Entry, id, path string, wait clock.Millis, m In, local func(context.Context, In) (Out, error)) (Out, error) {
+	vm, mine := e.peers.Owner("round/" + id)
+	if mine {
+		return local(ctx, m)
+	}
+	out, err := forward[In, Out](ctx, e, vm.Addr, path, wait, m)
+	if fault.Is(err, fault.NoBackend) || fault.Is(err, fault.BadPeer) || fault.Is(err, fault.Lost) {
+		return local(ctx, m)
+	}
+	return out, err
+}
+
+func forward[In, Out any](ctx context.Context, e *Entry, addr, path string, wait clock.Millis, m In) (Out, error) {
+	var out Out
+	body, err := json.Marshal(m)
+	if err != nil {
+		return out, errors.Wrap(err, "encode call")
+	}
+	wait += forwardWait
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	args := fwdArgs(e, path, body, wait)
+	var reply fwdReply
+	if err := e.pool.Call(ctx, addr, "Entry.Forward", &args, &reply); err != nil {
+		return out, err
+	}
+	if err := reply.Fault.Err(); err != nil {
+		return out, err
+	}
+	return out, errors.Wrap(json.Unmarshal(reply.Body, &out), "decode answer")
+}
--- a/internal/prod/cmds/cmds.go
+++ b/internal/prod/cmds/cmds.go
@@ -1,4 +1,5 @@
-// Package cmds is the command line of the product.
+// Package cmds is the command line of the product: the entry and the agent,
+// and the commands of operators.
 //
 // # Usage
 //
@@ -23,6 +24,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(entryCmd(), agentCmd(), checkCmd(), planCmd(), applyCmd(), showCmd(), auditCmd(), statusCmd())
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
--- /dev/null
+++ b/internal/prod/cmds/nodes.go
@@ -0,0 +1,149 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
+	"github.com/jujuberamp/jujuberamp/internal/edge/client"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/node/agent"
+	"github.com/jujuberamp/jujuberamp/internal/node/entry"
+	"github.com/jujuberamp/jujuberamp/internal/prod/setup"
+	"github.com/jujuberamp/jujuberamp/internal/prod/telem"
+)
+
+// node is a process that serves until it is told to stop.
+type node interface {
+	Run(ctx context.Context)
+	Shutdown(ctx context.Context) error
+}
+
+// nodeCmd returns the command that runs one kind of node.
+func nodeCmd(role setup.Role, short string, build func(*setup.Settings, zerolog.Logger) (node, error)) *cobra.Command {
+	var file string
+	var show bool
+	cmd := &cobra.Command{
+		Use:   string(role) + " --settings FILE",
+		Short: short,
+		Long:  short + ".\n\nSettings:\n" + setup.Help(role),
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := setup.Load(file, role)
+			if err != nil {
+				return err
+			}
+			if show {
+				fmt.Fprint(cmd.OutOrStdout(), s.Print())
+				return nil
+			}
+			log := telem.Logger(cmd.ErrOrStderr(), s.LogLevel(), string(role))
+			n, err := build(s, log)
+			if err != nil {
+				return err
+			}
+			return serve(n, s.DrainFor()+s.DrainDelay(), log)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", string(role)+".toml", "settings file")
+	cmd.Flags().BoolVar(&show, "print-settings", false, "print the settings in force and exit")
+	return cmd
+}
+
+// serve runs a node until an interrupt or a termination signal, then lets it
+// finish the work in progress.
+func serve(n node, drain clock.Millis, log zerolog.Logger) error {
+	sig, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	run, end := context.WithCancel(context.Background())
+	defer end()
+	go n.Run(run)
+	log.Info().Msg("Started.")
+	<-sig.Done()
+	stop() // A second signal ends the process at once.
+	log.Info().Msg("Shutting down.")
+	ctx, cancel := context.WithTimeout(context.Background(), drain.Duration())
+	defer cancel()
+	return n.Shutdown(ctx)
+}
+
+func entryCmd() *cobra.Command {
+	return nodeCmd(setup.RoleEntry, "Run an entry, which callers, trainers and operators reach", buildEntry)
+}
+
+func buildEntry(s *setup.Settings, log zerolog.Logger) (node, error) {
+	m, err := telem.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	policy := match.Standard()
+	policy.Lease = s.Lease()
+	return entry.New(entry.Params{
+		Node:    s.Node(),
+		Zone:    s.Zone(),
+		Region:  s.Region(),
+		HTTP:    s.HTTPListen(),
+		Listen:  s.InnerListen(),
+		Key:     s.InnerKey(),
+		Tokens:  s.Tokens(),
+		Poll:    s.Poll(),
+		Delay:   s.DrainDelay(),
+		Policy:  policy,
+		Swap:    swap.Standard(),
+		Clock:   clock.NewSystem(),
+		Log:     log,
+		Metrics: m.Handler(),
+		Source:  client.NewLog(s.LogURL()),
+		VMs:     client.NewVMs(s.VMsURL()),
+		Scorer:  scorers(s),
+	})
+}
+
+func scorers(s *setup.Settings) func(ident.Service) (plat.Scorer, error) {
+	return func(n ident.Service) (plat.Scorer, error) {
+		u, ok := s.Scorer(n)
+		if !ok {
+			return nil, fault.New(fault.NotFound, "scoring service "+string(n)+" has no [[scorer]] table in the settings")
+		}
+		return client.NewScorer(u), nil
+	}
+}
+
+func agentCmd() *cobra.Command {
+	return nodeCmd(setup.RoleAgent, "Run the agent beside one backend server", buildAgent)
+}
+
+func buildAgent(s *setup.Settings, log zerolog.Logger) (node, error) {
+	p := agent.Params{
+		Node:    s.Node(),
+		Zone:    s.Zone(),
+		Region:  s.Region(),
+		Listen:  s.InnerListen(),
+		Key:     s.InnerKey(),
+		Slots:   s.Slots(),
+		Service: s.PlainName(),
+		Report:  s.Report(),
+		Keep:    s.Keep(),
+		Clock:   clock.NewSystem(),
+		Log:     log,
+		VMs:     client.NewVMs(s.VMsURL()),
+	}
+	if s.EngineURL() != "" {
+		p.Engine = client.NewEngine(s.EngineURL())
+		p.Weights = client.NewWeights(s.WeightsURL())
+	} else {
+		p.Plain = client.NewPlain(s.PlainURL())
+	}
+	a, err := agent.New(p)
+	return a, errors.Wrap(err, "start agent")
+}
--- /dev/null
+++ b/internal/prod/telem/telem.go
@@ -0,0 +1,57 @@
+// Package telem sets up the logs and metrics of a process.
+//
+// # Usage
+//
+//	log := telem.Logger(os.Stderr, "info", "entry")
+//	m, err := telem.NewMetrics()
+//	http.Handle("/metrics", m.Handler())
+//
+// Each log line carries the fixed prefix of its part in the field "part", so
+// that one part can be followed with a text search.
+package telem
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Logger returns the log of one part at a level; an unknown level is info.
+func Logger(w io.Writer, level, part string) zerolog.Logger {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	return zerolog.New(w).Level(l).With().Timestamp().Str("part", part).Logger()
+}
+
+// Metrics are the metrics of one process.
+type Metrics struct {
+	registry *prometheus.Registry
+	provider *sdk.MeterProvider
+}
+
+// NewMetrics returns an empty set of metrics.
+func NewMetrics() (*Metrics, error) {
+	reg := prometheus.NewRegistry()
+	exp, err := otelprom.New(otelprom.WithRegisterer(reg))
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics exporter")
+	}
+	return &Metrics{registry: reg, provider: sdk.NewMeterProvider(sdk.WithReader(exp))}, nil
+}
+
+// Meter returns the source of a part's instruments.
+func (m *Metrics) Meter(part string) metric.Meter { return m.provider.Meter("jujuberamp/" + part) }
+
+// Handler serves the metrics as Prometheus text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/proof/demo/users.go
@@ -0,0 +1,221 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/proof/invar"
+	"github.com/jujuberamp/jujuberamp/internal/stand/oracle"
+	"github.com/jujuberamp/jujuberamp/trainer"
+)
+
+const (
+	callerCount = 6
+	callerPause = 60 * time.Millisecond
+	draftTokens = 256
+)
+
+// callers send drafts and lookups until the context ends.
+func (r *run) callers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i := range callerCount {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(r.o.Seed, uint64(i)))
+			for n := 0; ctx.Err() == nil; n++ {
+				r.oneCall(ctx, fmt.Sprintf("caller %d request %d", i, n), rng)
+				time.Sleep(callerPause)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (r *run) oneCall(ctx context.Context, body string, rng *rand.Rand) {
+	urls := r.w.urls()
+	u := urls[rng.IntN(len(urls))]
+	if rng.IntN(3) == 0 {
+		r.lookup(ctx, u, body)
+		return
+	}
+	seed := rng.Int64()
+	began := time.Now()
+	ans, err := send(ctx, u, codec.Request{Class: "live-draft", Body: body, Seed: seed, MaxTokens: draftTokens})
+	if ctx.Err() != nil || err != nil {
+		return // Refused or failed openly: nothing was claimed.
+	}
+	want := oracle.Answer([]byte(body), seed, draftTokens)
+	r.counts.Check(invar.WholeAnswer, slices.Equal(ans.tokens, want), fmt.Sprintf("%s got %d of %d tokens", body, len(ans.tokens), len(want)))
+	r.meas.draft(time.Since(began), len(want))
+}
+
+func (r *run) lookup(ctx context.Context, u, body string) {
+	began := time.Now()
+	ans, err := send(ctx, u, codec.Request{Class: "closure-record", Body: body})
+	if ctx.Err() != nil || err != nil {
+		return
+	}
+	r.counts.Check(invar.WholeAnswer, bytes.Equal(ans.body, oracle.Reply([]byte(body))), body+" got another answer")
+	r.meas.lookup(time.Since(began))
+}
+
+type answer struct {
+	tokens []uint32
+	body   []byte
+}
+
+// send makes one request and reads its answer to the last line.
+func send(ctx context.Context, u string, m codec.Request) (answer, error) {
+	b, err := json.Marshal(m)
+	if err != nil {
+		return answer{}, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u+"/v1/requests", bytes.NewReader(b))
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+callerToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	dec := json.NewDecoder(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		var f codec.Fault
+		if err := dec.Decode(&f); err != nil {
+			return answer{}, err
+		}
+		return answer{}, f.Err()
+	}
+	var a answer
+	for {
+		var c codec.Chunk
+		if err := dec.Decode(&c); err != nil {
+			return a, errors.Wrap(err, "answer ended without its last line")
+		}
+		if c.Fault != nil {
+			return a, c.Fault.Err()
+		}
+		a.tokens = append(a.tokens, c.Tokens...)
+		if c.Done {
+			a.body = c.Body
+			return a, nil
+		}
+	}
+}
+
+// Size of a step of the demonstration's trainer.
+const (
+	steps      = 4
+	groups     = 8
+	perGroup   = 8
+	stepTokens = 512
+	trainFor   = 300 * time.Millisecond // the trainer's own work in a step
+	bound      = 1                      // versions; as declared
+)
+
+// train runs the steps of one trainer, with new weights after each.
+func (r *run) train(ctx context.Context) error {
+	c := trainer.New(r.w.urls(), trainerToken)
+	for step := 1; step <= steps; step++ {
+		version := uint64(step)
+		if err := c.Announce(ctx, model, version); err != nil {
+			return err
+		}
+		began := time.Now()
+		if err := r.step(ctx, c, version); err != nil {
+			return err
+		}
+		took := time.Since(began)
+		r.say("step %d: %d samples in %s", step, groups*perGroup, took.Round(time.Millisecond))
+		time.Sleep(trainFor)
+		r.meas.step(took, trainFor)
+	}
+	return nil
+}
+
+func (r *run) step(ctx context.Context, c *trainer.Client, version uint64) error {
+	spec := trainer.Spec{
+		Name:    fmt.Sprintf("step-%d", version),
+		Class:   "train-notices",
+		Version: version,
+		Samples: perGroup,
+		Seed:    int64(r.o.Seed)*1000 + int64(version)*100,
+	}
+	for g := range groups {
+		spec.Prompts = append(spec.Prompts, fmt.Sprintf("step %d group %d: draft a closure notice", version, g))
+	}
+	rd, err := c.Open(ctx, spec)
+	if err != nil {
+		return err
+	}
+	got := make(map[int]int)
+	for !rd.Whole() {
+		samples, err := rd.Read(ctx, version)
+		if err != nil {
+			return err
+		}
+		for _, s := range samples {
+			got[s.Ordinal]++
+			r.judge(spec, version, s)
+		}
+	}
+	for o := range groups * perGroup {
+		r.counts.Check(invar.SampleOnce, got[o] == 1, fmt.Sprintf("%s ordinal %d came %d times", spec.Name, o, got[o]))
+	}
+	return rd.Cancel(ctx)
+}
+
+// judge compares one sample with the stand-ins' own records.
+func (r *run) judge(spec trainer.Spec, version uint64, s trainer.Sample) {
+	name := fmt.Sprintf("%s ordinal %d", spec.Name, s.Ordinal)
+	want := oracle.Answer([]byte(spec.Prompts[s.Ordinal/perGroup]), spec.Seed+int64(s.Ordinal), stepTokens)
+	r.counts.Check(invar.WholeAnswer, slices.Equal(s.Tokens, want), name+" is not its own answer")
+	oldest := version
+	for _, sp := range s.Spans {
+		oldest = min(oldest, sp.Version)
+	}
+	r.counts.Check(invar.FreshSample, oldest+bound >= version, fmt.Sprintf("%s was made by version %d, wanted %d", name, oldest, version))
+	r.meas.stale(int(version - oldest))
+	r.counts.Check(invar.TrueVersion, r.isTrue(s), fmt.Sprintf("%s claims %v", name, s.Spans))
+}
+
+// isTrue reports whether the engine's record confirms the versions of the
+// tokens that it made.
+func (r *run) isTrue(s trainer.Sample) bool {
+	e := r.w.engineOf(s.Node)
+	if e == nil || len(s.Spans) == 0 || s.Spans[len(s.Spans)-1].To != len(s.Tokens) {
+		return false
+	}
+	claimed := versions(codec.ToSpans(s.Spans), len(s.Tokens))
+	for _, sp := range e.Record(idOf(s)) {
+		for i := sp.From; i < sp.To; i++ {
+			if claimed[i] != uint64(sp.Version) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// versions lists the version of each token.
+func versions(spans []plat.Span, n int) []uint64 {
+	out := make([]uint64, n)
+	for _, s := range spans {
+		for i := s.From; i < s.To && i < n; i++ {
+			out[i] = uint64(s.Version)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stand/plain/plain.go
@@ -0,0 +1,133 @@
+// Package plain is a stand-in plain service with calls that may not be
+// repeated.
+//
+// It counts how often each body that may not be repeated was run, over all
+// servers that share one [Ledger]; an observer reads the count.
+//
+// # Usage
+//
+//	l := plain.NewLedger()
+//	s := plain.New(l, 3*clock.Milli)
+//	body, err := s.Do(ctx, plat.Call{Body: b, Once: true})
+package plain
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/stand/oracle"
+)
+
+// Poison in a body crashes the server that runs it, after the effect.
+var Poison = []byte("crash-the-service")
+
+// ErrCrashed is returned by every call on a crashed server.
+var ErrCrashed = errors.New("service: crashed")
+
+// Ledger holds the lasting effects of all servers of one service.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{runs: make(map[string]int)} }
+
+// Runs returns how often a body was run.
+func (l *Ledger) Runs(body string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[body]
+}
+
+// Max returns the largest count and the number of distinct bodies.
+func (l *Ledger) Max() (most, bodies int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, n := range l.runs {
+		most = max(most, n)
+	}
+	return most, len(l.runs)
+}
+
+func (l *Ledger) add(body string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[body]++
+}
+
+// Service is one server.
+type Service struct {
+	ledger *Ledger
+	took   clock.Millis
+
+	mu   sync.Mutex
+	boot ident.Incarnation
+	down bool
+}
+
+// New returns a server whose calls take a fixed time.
+func New(l *Ledger, took clock.Millis) *Service {
+	return &Service{ledger: l, took: took, boot: ident.NewIncarnation()}
+}
+
+// Do implements [plat.Plain].
+func (s *Service) Do(ctx context.Context, c plat.Call) ([]byte, error) {
+	if s.isDown() {
+		return nil, ErrCrashed
+	}
+	if c.Once {
+		s.ledger.add(string(c.Body))
+	}
+	if bytes.Contains(c.Body, Poison) {
+		s.Crash()
+		return nil, ErrCrashed
+	}
+	select {
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "call")
+	case <-time.After(s.took.Duration()):
+	}
+	if s.isDown() {
+		return nil, ErrCrashed
+	}
+	return oracle.Reply(c.Body), nil
+}
+
+// Boot implements [plat.Plain].
+func (s *Service) Boot(context.Context) (ident.Incarnation, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, ErrCrashed
+	}
+	return s.boot, nil
+}
+
+func (s *Service) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// Crash takes the server down until Restart.
+func (s *Service) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = true
+}
+
+// Restart brings the server back under a new incarnation.
+func (s *Service) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = false
+	s.boot = ident.NewIncarnation()
+}
