Take in every job that the stand-in engine's model finishes

Change: one method advances the model and takes in what finished. Conclusion: the fault was in the stand-in, not in the system.

--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -113,6 +113,16 @@
 		return
 	}
 	now := e.clock.Now()
+	e.advance(now)
+	if now-e.loadAt >= e.p.Lag {
+		e.load = plat.Load{Running: e.core.Running(), Waiting: e.core.Waiting(), Slots: e.p.Batch.Slots}
+		e.loadAt = now
+	}
+}
+
+// advance moves all streams up to an instant. It is the only caller of the
+// model's Advance, so that no finished job goes unnoticed.
+func (e *Engine) advance(now clock.Millis) {
 	done := make(map[ident.Attempt]bool)
 	for _, id := range e.core.Advance(now) {
 		done[ident.Attempt(id)] = true
@@ -124,10 +134,6 @@
 		}
 		e.progress(id, j, made)
 	}
-	if now-e.loadAt >= e.p.Lag {
-		e.load = plat.Load{Running: e.core.Running(), Waiting: e.core.Waiting(), Slots: e.p.Batch.Slots}
-		e.loadAt = now
-	}
 }
 
 func (e *Engine) progress(id ident.Attempt, j *job, made int) {
@@ -201,7 +207,7 @@
 	e.jobs[w.Attempt] = j
 	e.starts[w.Attempt]++
 	now := e.clock.Now()
-	e.core.Advance(now)
+	e.advance(now)
 	e.core.Add(now, batch.Job{
 		ID:       string(w.Attempt),
 		Prompt:   len(w.Prompt),
@@ -286,6 +292,7 @@
 		return ErrCrashed
 	}
 	e.loading--
+	e.advance(e.clock.Now())
 	if e.p.SwapFail {
 		return errors.New("engine: load failed")
 	}
@@ -330,6 +337,7 @@
 func (e *Engine) SetSpeed(s float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.advance(e.clock.Now())
 	e.core.SetSpeed(s)
 }
 
