Let the trainer's client try again after an outcome that is not known

Change: every outcome that is not known is tried again; all calls of a trainer are idempotent. Conclusion: the client's rule follows the outcome, not the status.

--- a/trainer/trainer.go
+++ b/trainer/trainer.go
@@ -98,7 +98,7 @@
 		return true
 	}
 	s := f.Kind().Info().Status
-	return s >= http.StatusInternalServerError || s == http.StatusTooManyRequests
+	return f.Outcome() == fault.Unknown || s >= http.StatusInternalServerError || s == http.StatusTooManyRequests
 }
 
 func (c *Client) once(ctx context.Context, entry, path string, body []byte, out any) error {
