--- a/internal/decide/proof/proof.go
+++ b/internal/decide/proof/proof.go
@@ -19,25 +19,25 @@
 import (
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/base/model"
 )
 
 // Run is an open run of tokens.
 type Run struct {
-	before plat.Status
+	before model.Status
 	orders uint64
 }
 
 // Begin opens a run with the engine's state and the number of orders given so
 // far.
-func Begin(before plat.Status, orders uint64) Run { return Run{before: before, orders: orders} }
+func Begin(before model.Status, orders uint64) Run { return Run{before: before, orders: orders} }
 
 // Version returns the version at the beginning of the run.
 func (r Run) Version() ident.Version { return r.before.Version }
 
 // End returns the version that made the run, or a fault of the kind
 // [fault.Unproven].
-func (r Run) End(after plat.Status, orders uint64) (ident.Version, error) {
+func (r Run) End(after model.Status, orders uint64) (ident.Version, error) {
 	b := r.before
 	switch {
 	case b.Boot != after.Boot: // rule 2
--- a/internal/decide/round/round.go
+++ b/internal/decide/round/round.go
@@ -20,7 +20,7 @@
 
 import (
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/base/model"
 )
 
 // Spec is what the trainer asked for.
@@ -63,7 +63,7 @@
 	Attempt ident.Attempt
 	Node    ident.Node // the agent that holds it
 	Tokens  []uint32
-	Spans   []plat.Span
+	Spans   []model.Span
 	Score   float64
 }
 
--- a/internal/edge/plat/plat.go
+++ b/internal/edge/plat/plat.go
@@ -22,6 +22,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/base/model"
 )
 
 // Record is one entry of a stream of the log.
@@ -73,21 +74,10 @@
 }
 
 // Load is an engine's lagging report of its load.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
+type Load = model.Load
 
 // Status is what an engine says of itself at this moment.
-type Status struct {
-	Boot    ident.Incarnation // changes with each start of the engine
-	Model   ident.Service     // the model loaded, empty for none
-	Version ident.Version     // the version loaded
-	Loading bool              // an order is running
-	Fence   ident.Offset      // highest fencing number obeyed, 0 if the engine ignores them
-	Load    Load              // lagging
-}
+type Status = model.Status
 
 // Work is one piece of work for an engine.
 type Work struct {
@@ -100,12 +90,8 @@
 	Priority  int      // higher runs first
 }
 
-// Span is a run of tokens made by one version, [From, To).
-type Span struct {
-	Version ident.Version
-	From    int
-	To      int
-}
+// Span is a run of tokens made by one version.
+type Span = model.Span
 
 // Chunk is a part of a stream of tokens.
 type Chunk struct {
