--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	h := httpd.New(svc, tokens, metrics)
+//	h := httpd.New(svc, tokens, meter, metrics)
 //	srv := &http.Server{Handler: h}
 //
 // Every error answer is a [codec.Fault].
@@ -17,6 +17,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
@@ -25,6 +26,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
+	"github.com/jujuberamp/jujuberamp/internal/edge/meter"
 )
 
 // Role tells what a token allows.
@@ -70,19 +72,19 @@
 type none struct{}
 
 // New returns the handler of an entry.
-func New(s Service, tokens []Token, metrics http.Handler) http.Handler {
+func New(s Service, tokens []Token, m *meter.Meter, metrics http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	g := guard{tokens: tokens}
-	mux.Handle("POST /v1/requests", stream(g, RoleCaller, s.Request))
-	mux.Handle("POST /v1/versions", unary(g, RoleTrainer, noReply(s.Announce)))
-	mux.Handle("POST /v1/rounds", unary(g, RoleTrainer, noReply(s.OpenRound)))
-	mux.Handle("POST /v1/rounds/read", unary(g, RoleTrainer, s.ReadRound))
-	mux.Handle("POST /v1/rounds/progress", unary(g, RoleTrainer, s.RoundProgress))
-	mux.Handle("POST /v1/rounds/cancel", unary(g, RoleTrainer, noReply(s.CancelRound)))
-	mux.Handle("POST /v1/changes", unary(g, RoleOperator, s.Change))
-	mux.Handle("GET /v1/config", unary(g, RoleOperator, noArgs(s.Config)))
-	mux.Handle("GET /v1/audit", unary(g, RoleOperator, noArgs(s.Audit)))
-	mux.Handle("GET /v1/status", unary(g, RoleOperator, noArgs(s.Status)))
+	g := guard{tokens: tokens, meter: m}
+	mux.Handle("POST /v1/requests", stream(g, "requests", RoleCaller, s.Request))
+	mux.Handle("POST /v1/versions", unary(g, "versions", RoleTrainer, noReply(s.Announce)))
+	mux.Handle("POST /v1/rounds", unary(g, "open-round", RoleTrainer, noReply(s.OpenRound)))
+	mux.Handle("POST /v1/rounds/read", unary(g, "read-round", RoleTrainer, s.ReadRound))
+	mux.Handle("POST /v1/rounds/progress", unary(g, "round-progress", RoleTrainer, s.RoundProgress))
+	mux.Handle("POST /v1/rounds/cancel", unary(g, "cancel-round", RoleTrainer, noReply(s.CancelRound)))
+	mux.Handle("POST /v1/changes", unary(g, "changes", RoleOperator, s.Change))
+	mux.Handle("GET /v1/config", unary(g, "config", RoleOperator, noArgs(s.Config)))
+	mux.Handle("GET /v1/audit", unary(g, "audit", RoleOperator, noArgs(s.Audit)))
+	mux.Handle("GET /v1/status", unary(g, "status", RoleOperator, noArgs(s.Status)))
 	mux.Handle("GET /metrics", metrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { codec.WriteJSON(w, none{}) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -104,9 +106,9 @@
 }
 
 // unary serves a call with one answer.
-func unary[In, Out any](g guard, role Role, fn func(context.Context, ident.Caller, In) (Out, error)) http.Handler {
+func unary[In, Out any](g guard, name string, role Role, fn func(context.Context, ident.Caller, In) (Out, error)) http.Handler {
 	ep := func(ctx context.Context, m any) (any, error) { return fn(ctx, caller(ctx), m.(In)) }
-	return kithttp.NewServer(g.protect(role)(ep), decode[In], encode,
+	return kithttp.NewServer(g.meter.Wrap(name)(g.protect(role)(ep)), decode[In], encode,
 		kithttp.ServerBefore(keepToken), kithttp.ServerErrorEncoder(encodeError))
 }
 
@@ -114,9 +116,14 @@
 type streamFunc func(Sink) error
 
 // stream serves a call whose answer is a stream of lines.
-func stream[In any](g guard, role Role, fn func(context.Context, ident.Caller, In, Sink) error) http.Handler {
+func stream[In any](g guard, name string, role Role, fn func(context.Context, ident.Caller, In, Sink) error) http.Handler {
 	ep := func(ctx context.Context, m any) (any, error) {
-		return streamFunc(func(sink Sink) error { return fn(ctx, caller(ctx), m.(In), sink) }), nil
+		began := time.Now()
+		return streamFunc(func(sink Sink) error {
+			err := fn(ctx, caller(ctx), m.(In), sink)
+			g.meter.Note(ctx, name, began, err)
+			return err
+		}), nil
 	}
 	return kithttp.NewServer(g.protect(role)(ep), decode[In], encodeStream,
 		kithttp.ServerBefore(keepToken), kithttp.ServerErrorEncoder(encodeError))
@@ -184,7 +191,10 @@
 }
 
 // guard admits the holders of listed tokens.
-type guard struct{ tokens []Token }
+type guard struct {
+	tokens []Token
+	meter  *meter.Meter
+}
 
 // find compares with every token, so that the time taken tells nothing.
 func (g guard) find(text string) (Token, bool) {
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -24,6 +24,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
@@ -46,6 +47,7 @@
 	Keep    clock.Millis  // an answer that nobody fetches is kept so long
 	Clock   clock.Clock
 	Log     zerolog.Logger
+	Meter   metric.Meter
 
 	Engine  plat.Engine
 	Plain   plat.Plain
@@ -96,6 +98,9 @@
 	a.swap.init()
 	a.status.Store(&plat.Status{})
 	a.config.Store(&wire.Snapshot{})
+	if err := a.gauges(p.Meter); err != nil {
+		return nil, err
+	}
 	if err := a.server.Register("Agent", &service{a}); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/node/agent/gauge.go
@@ -0,0 +1,54 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+)
+
+// Ready reports whether the agent takes work.
+func (a *Agent) Ready() error {
+	a.mu.Lock()
+	leaving := a.leaving
+	a.mu.Unlock()
+	switch {
+	case leaving:
+		return fault.New(fault.Leaving, "agent "+string(a.p.Node)+" is shutting down")
+	case a.status.Load().Boot == 0:
+		return fault.New(fault.NotReady, "the backend server beside agent "+string(a.p.Node)+" does not answer")
+	}
+	return nil
+}
+
+// gauges shows the state of the agent in its metrics.
+func (a *Agent) gauges(m metric.Meter) error {
+	for _, g := range []struct {
+		name, doc string
+		read      func() int64
+	}{
+		{"jujuberamp.agent.running", "work in progress", func() int64 { return int64(a.state().Running) }},
+		{"jujuberamp.agent.kept", "answers kept, running ones included", a.kept},
+		{"jujuberamp.agent.version", "version of the weights loaded", func() int64 { return int64(a.status.Load().Version) }},
+		{"jujuberamp.agent.crashes", "crashes of the backend server remembered", func() int64 { return int64(len(a.crashes.list())) }},
+		{"jujuberamp.agent.config.offset", "log offset of the configuration known", func() int64 { return a.config.Load().Offset }},
+	} {
+		_, err := m.Int64ObservableGauge(g.name, metric.WithDescription(g.doc),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(g.read())
+				return nil
+			}))
+		if err != nil {
+			return errors.Wrapf(err, "create gauge %s", g.name)
+		}
+	}
+	return nil
+}
+
+func (a *Agent) kept() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return int64(len(a.jobs))
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
@@ -27,6 +28,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
 	"github.com/jujuberamp/jujuberamp/internal/edge/httpd"
+	"github.com/jujuberamp/jujuberamp/internal/edge/meter"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
@@ -51,7 +53,8 @@
 	Swap    swap.Policy
 	Clock   clock.Clock
 	Log     zerolog.Logger
-	Metrics http.Handler
+	Meter   metric.Meter
+	Metrics http.Handler // serves the metrics
 
 	Source plat.Log
 	VMs    plat.VMs
@@ -107,7 +110,14 @@
 		heard:  make(map[ident.Node]clock.Millis),
 	}
 	e.wire()
-	e.http = &http.Server{Handler: httpd.New(e, p.Tokens, p.Metrics), ReadHeaderTimeout: headerFor}
+	m, err := meter.New(p.Meter)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.gauges(p.Meter); err != nil {
+		return nil, err
+	}
+	e.http = &http.Server{Handler: httpd.New(e, p.Tokens, m, p.Metrics), ReadHeaderTimeout: headerFor}
 	return e, e.server.Register("Entry", &service{e})
 }
 
--- a/internal/prod/cmds/nodes.go
+++ b/internal/prod/cmds/nodes.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -102,6 +105,7 @@
 		Swap:    swap.Standard(),
 		Clock:   clock.NewSystem(),
 		Log:     log,
+		Meter:   m.Meter("entry"),
 		Metrics: m.Handler(),
 		Source:  client.NewLog(s.LogURL()),
 		VMs:     client.NewVMs(s.VMsURL()),
@@ -124,6 +128,10 @@
 }
 
 func buildAgent(s *setup.Settings, log zerolog.Logger) (node, error) {
+	m, err := telem.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
 	p := agent.Params{
 		Node:    s.Node(),
 		Zone:    s.Zone(),
@@ -136,6 +144,7 @@
 		Keep:    s.Keep(),
 		Clock:   clock.NewSystem(),
 		Log:     log,
+		Meter:   m.Meter("agent"),
 		VMs:     client.NewVMs(s.VMsURL()),
 	}
 	if s.EngineURL() != "" {
@@ -145,5 +154,18 @@
 		p.Plain = client.NewPlain(s.PlainURL())
 	}
 	a, err := agent.New(p)
-	return a, errors.Wrap(err, "start agent")
+	if err != nil {
+		return nil, errors.WithMessage(err, "start agent")
+	}
+	ln, err := net.Listen("tcp", s.ProbeListen())
+	if err != nil {
+		a.Close()
+		return nil, fault.Wrap(fault.BadSetting, err, "probe-listen")
+	}
+	srv := &http.Server{Handler: m.Probe(a.Ready), ReadHeaderTimeout: probeFor}
+	go func() { _ = srv.Serve(ln) }() // Ends with the process.
+	return a, nil
 }
+
+// probeFor bounds how long a probe may take to send its request.
+const probeFor = 5 * time.Second
--- a/internal/prod/setup/setup.go
+++ b/internal/prod/setup/setup.go
@@ -71,6 +71,7 @@
 
 	node, zone, region          string
 	httpListen, innerListen     string
+	probeListen                 string
 	innerKey                    string
 	logURL, vmsURL, weightsURL  string
 	engineURL, plainURL         string
@@ -95,6 +96,9 @@
 // HTTPListen returns the outer address of an entry.
 func (s *Settings) HTTPListen() string { return s.httpListen }
 
+// ProbeListen returns the address of an agent's health and metrics.
+func (s *Settings) ProbeListen() string { return s.probeListen }
+
 // InnerListen returns the address for other nodes.
 func (s *Settings) InnerListen() string { return s.innerListen }
 
@@ -187,6 +191,7 @@
 	{"zone", both, "", "availability zone of this VM", func(s *Settings) any { return &s.zone }, need(func(s *Settings) string { return s.zone })},
 	{"region", both, "", "region of this VM", func(s *Settings) any { return &s.region }, need(func(s *Settings) string { return s.region })},
 	{"http-listen", entryOnly, `"127.0.0.1:7400"`, "address for callers, trainers and operators", func(s *Settings) any { return &s.httpListen }, addr(func(s *Settings) string { return s.httpListen })},
+	{"probe-listen", agentOnly, `"127.0.0.1:7402"`, "address for /healthz, /readyz and /metrics", func(s *Settings) any { return &s.probeListen }, addr(func(s *Settings) string { return s.probeListen })},
 	{"inner-listen", both, `"127.0.0.1:7401"`, "address for other nodes", func(s *Settings) any { return &s.innerListen }, addr(func(s *Settings) string { return s.innerListen })},
 	{"inner-key", both, "", "key that all nodes share, 16 characters or more", func(s *Settings) any { return &s.innerKey }, checkKey},
 	{"log-url", entryOnly, "", "the platform's log", func(s *Settings) any { return &s.logURL }, link(func(s *Settings) string { return s.logURL })},
--- a/internal/prod/telem/telem.go
+++ b/internal/prod/telem/telem.go
@@ -51,6 +51,22 @@
 // Meter returns the source of a part's instruments.
 func (m *Metrics) Meter(part string) metric.Meter { return m.provider.Meter("jujuberamp/" + part) }
 
+// Probe serves /metrics, /healthz and /readyz of a process that serves nothing
+// else over HTTP.
+func (m *Metrics) Probe(ready func() error) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
 // Handler serves the metrics as Prometheus text.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/proof/demo/demo.go
+++ b/internal/proof/demo/demo.go
@@ -34,6 +34,7 @@
 	Apps    int
 	Seed    uint64
 	Faults  bool
+	Instant bool // the plain service takes no time of its own
 	Verbose bool
 }
 
--- a/internal/proof/demo/world.go
+++ b/internal/proof/demo/world.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric/noop"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
@@ -53,6 +54,7 @@
 	listLag     = clock.Second
 	loadLag     = 500 * clock.Milli
 	swapTime    = 300 * clock.Milli
+	callTime    = 3 * clock.Milli
 )
 
 // place is where a node runs: two zones in one region, one in another.
@@ -74,8 +76,9 @@
 	weight *weight.Store
 	scorer *score.Scorer
 	ledger *plain.Ledger
-	plat   string // URL of the platform
-	score  string // URL of the scoring service
+	took   clock.Millis // time of a call of the plain service
+	plat   string       // URL of the platform
+	score  string       // URL of the scoring service
 
 	mu      sync.Mutex
 	entries []*runningEntry
@@ -110,6 +113,9 @@
 		scorer: score.New(2 * clock.Milli),
 		ledger: plain.NewLedger(),
 	}
+	if !o.Instant {
+		w.took = callTime
+	}
 	var err error
 	if w.plat, err = w.serve(serve.Platform(w.store, w.vms, w.weight)); err != nil {
 		return nil, err
@@ -179,6 +185,7 @@
 		Swap:    swap.Standard(),
 		Clock:   w.clock,
 		Log:     w.log.With().Str("node", string(name)).Logger(),
+		Meter:   m.Meter("entry"),
 		Metrics: m.Handler(),
 		Source:  client.NewLog(w.plat),
 		VMs:     client.NewVMs(w.plat),
@@ -218,7 +225,7 @@
 }
 
 func (w *world) addPlain(i int) error {
-	svc := plain.New(w.ledger, 3*clock.Milli)
+	svc := plain.New(w.ledger, w.took)
 	u, err := w.serve(serve.Plain(svc))
 	if err != nil {
 		return err
@@ -242,6 +249,7 @@
 		Keep:   2 * clock.Minute,
 		Clock:  w.clock,
 		Log:    w.log.With().Str("node", string(name)).Logger(),
+		Meter:  noop.NewMeterProvider().Meter(""),
 		VMs:    client.NewVMs(w.plat),
 	}
 }
