Give work that is not idempotent a claim before each attempt

Cause: the claim names an agent and its incarnation, which are known only once the matcher has granted a server; and a Fetch that could not be sent counted as a proof that the work was not run. Change: calls.Work.Claim is called between grant and submit; match.Server carries the agent's incarnation; a failed Fetch always has an unknown outcome.

--- a/internal/decide/match/match.go
+++ b/internal/decide/match/match.go
@@ -46,6 +46,7 @@
 // Server is what the entry knows of one agent and its backend server.
 type Server struct {
 	Node    ident.Node
+	Boot    ident.Incarnation // of the agent
 	Addr    string
 	Zone    ident.Zone
 	Region  ident.Region
--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -49,6 +49,11 @@
 	Deadline  clock.Millis // 0 for none
 	Sample    wire.Sample
 	Priority  int
+
+	// Claim returns the claim under which a server may run work that is not
+	// idempotent. It is called before each attempt; a second call means that
+	// the claim before is proven as not run. Nil for idempotent work.
+	Claim func(ctx context.Context, s match.Server) (wire.Claim, error)
 }
 
 // Answer is a whole answer.
@@ -208,6 +213,7 @@
 	sink   Sink
 	tokens []uint32 // delivered so far
 	avoid  sets.Set[ident.Node]
+	claim  wire.Claim
 }
 
 func (t *try) mayRetry(ctx context.Context, err error) bool {
@@ -249,6 +255,12 @@
 // at runs one attempt at a server.
 func (t *try) at(ctx context.Context, s match.Server) (Answer, error) {
 	att := ident.NewAttempt()
+	if t.w.Claim != nil {
+		var err error
+		if t.claim, err = t.w.Claim(ctx, s); err != nil {
+			return Answer{}, err
+		}
+	}
 	if err := t.submit(ctx, s, att); err != nil {
 		return Answer{}, err
 	}
@@ -279,6 +291,7 @@
 		Service:   string(w.Class.Service()),
 		Call:      !w.Class.Kind().IsModel(),
 		Once:      !w.Class.Kind().IsIdempotent(),
+		Claim:     t.claim,
 		Sample:    w.Sample,
 		Body:      w.Body,
 		Prefix:    w.Prefix,
@@ -328,8 +341,11 @@
 	defer cancel()
 	args := wire.FetchArgs{Hello: c.hello(), Attempt: string(att), From: from, Wait: int64(fetchWait)}
 	var reply wire.FetchReply
-	err := c.p.Pool.Call(ctx, s.Addr, "Agent.Fetch", &args, &reply)
-	return reply, err
+	if err := c.p.Pool.Call(ctx, s.Addr, "Agent.Fetch", &args, &reply); err != nil {
+		// The attempt was started, so no failure to read it proves anything.
+		return reply, fault.Wrap(fault.Lost, err, "no answer to attempt "+string(att))
+	}
+	return reply, nil
 }
 
 // cancel ends an attempt that is no longer wanted; nobody waits for it.
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -25,6 +25,7 @@
 	e.remember(*args)
 	e.calls.Report(match.Server{
 		Node:    ident.Node(args.Hello.Node),
+		Boot:    ident.Incarnation(args.Hello.Boot),
 		Addr:    args.Addr,
 		Zone:    ident.Zone(args.Zone),
 		Region:  ident.Region(args.Region),
