Carry a sample's proven tokens from engine to engine

Cause: a sample's tokens were read only at its end, and its spans were dropped, so a sample that moved began anew; the observer believed the node that the sample named. Change: the agent proves what was made up to each look at the engine's state and shows that prefix with its spans; the dispatcher sends it along with the next attempt. Each span names its attempt, so the observer compares every token with the engines' own records over all moves. An agent that starts waits until the engine settled before it proves or orders anything; an order whose engine does not answer no longer lets work begin beside it.

--- a/internal/base/model/model.go
+++ b/internal/base/model/model.go
@@ -29,9 +29,10 @@
 	Load    Load              // lagging
 }
 
-// Span is a run of tokens made by one version, [From, To).
+// Span is a run of tokens made by one version in one attempt, [From, To).
 type Span struct {
 	Version ident.Version
+	Attempt ident.Attempt
 	From    int
 	To      int
 }
--- a/internal/edge/codec/codec.go
+++ b/internal/edge/codec/codec.go
@@ -193,6 +193,7 @@
 // Span is a run of tokens made by one version, [From, To).
 type Span struct {
 	Version uint64 `json:"version"`
+	Attempt string `json:"attempt,omitempty"`
 	From    int    `json:"from"`
 	To      int    `json:"to"`
 }
@@ -201,7 +202,7 @@
 func FromSpans(ss []plat.Span) []Span {
 	out := make([]Span, 0, len(ss))
 	for _, s := range ss {
-		out = append(out, Span{Version: uint64(s.Version), From: s.From, To: s.To})
+		out = append(out, Span{Version: uint64(s.Version), Attempt: string(s.Attempt), From: s.From, To: s.To})
 	}
 	return out
 }
@@ -210,7 +211,7 @@
 func ToSpans(ms []Span) []plat.Span {
 	out := make([]plat.Span, 0, len(ms))
 	for _, m := range ms {
-		out = append(out, plat.Span{Version: ident.Version(m.Version), From: m.From, To: m.To})
+		out = append(out, plat.Span{Version: ident.Version(m.Version), Attempt: ident.Attempt(m.Attempt), From: m.From, To: m.To})
 	}
 	return out
 }
--- a/internal/edge/plat/plat.go
+++ b/internal/edge/plat/plat.go
@@ -90,7 +90,7 @@
 	Priority  int      // higher runs first
 }
 
-// Span is a run of tokens made by one version.
+// Span is a run of tokens made by one version in one attempt.
 type Span = model.Span
 
 // Chunk is a part of a stream of tokens.
--- a/internal/inner/wire/msgs.go
+++ b/internal/inner/wire/msgs.go
@@ -55,9 +55,10 @@
 	Left      int64 // ms left to the deadline, 0 for none
 }
 
-// Span is a run of tokens made by one version, [From, To).
+// Span is a run of tokens made by one version in one attempt, [From, To).
 type Span struct {
 	Version uint64
+	Attempt string
 	From    int
 	To      int
 }
@@ -88,7 +89,7 @@
 	Fault  Fault
 	Tokens []uint32
 	Body   []byte
-	Spans  []Span // all versions so far; set with Done
+	Spans  []Span // versions of a sample's tokens up to the last one here
 	Proven bool   // the versions are proven; set with Done
 	Score  float64
 	Done   bool
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -116,6 +116,11 @@
 // Run serves and reports until the context ends.
 func (a *Agent) Run(ctx context.Context) {
 	go func() { _ = a.server.Serve(a.ln) }()
+	if a.p.Engine != nil {
+		go a.settle(settleLooks) // rule 4 of package proof
+	} else {
+		a.swap.end()
+	}
 	t := time.NewTicker(a.p.Report.Duration())
 	defer t.Stop()
 	for {
--- a/internal/node/agent/gen.go
+++ b/internal/node/agent/gen.go
@@ -19,10 +19,9 @@
 // the run; it goes on from the tokens so far on the new version.
 func (a *Agent) generate(j *job) error {
 	for doubts := 0; doubts < maxDoubts; {
-		from := len(j.have())
 		whole, proven, err := a.segment(j)
 		if !proven {
-			j.doubt(from)
+			j.doubt()
 			doubts++
 		}
 		if err != nil {
@@ -50,11 +49,13 @@
 		return false, true, fault.New(fault.TooStale, "the engine holds an older version")
 	}
 	run := proof.Begin(before, a.swap.orders())
-	from := len(j.have())
+	j.begin(run)
+	defer j.close()
 	whole, err = a.stream(ctx, j, before)
 	if err != nil && !errors.Is(context.Cause(ctx), errSwap) {
-		return false, true, a.broke(j, err)
+		return false, false, a.broke(j, err)
 	}
+	to := len(j.have())
 	after, err := a.p.Engine.Status(j.ctx)
 	if err != nil {
 		return whole, false, nil
@@ -63,7 +64,7 @@
 	if err != nil {
 		return whole, false, nil
 	}
-	j.prove(v, from)
+	j.prove(v, to)
 	return whole, true, nil
 }
 
@@ -101,3 +102,36 @@
 	a.crashes.note(a.p.Node)
 	return fault.Wrap(fault.Crashed, err, "the engine failed")
 }
+
+// mark is a position in a run of tokens, taken before the engine was asked for
+// its state.
+type mark struct {
+	job  *job
+	run  proof.Run
+	runs int
+	to   int
+}
+
+// marks returns the positions of all samples that run.
+func (a *Agent) marks() []mark {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []mark
+	for _, j := range a.jobs {
+		if m, ok := j.mark(); ok && j.isSample() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// confirm proves what was made up to the marks by a state that the engine told
+// after them, so that a sample that has to move takes its tokens along.
+func (a *Agent) confirm(ms []mark, st plat.Status) {
+	orders := a.swap.orders()
+	for _, m := range ms {
+		if v, err := m.run.End(st, orders); err == nil {
+			m.job.confirm(m, v)
+		}
+	}
+}
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -7,6 +7,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/proof"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
@@ -22,6 +23,10 @@
 	tokens  []uint32
 	body    []byte
 	spans   []plat.Span
+	sure    int // tokens whose versions are proven
+	run     proof.Run
+	running bool // run is open
+	runs    int  // runs that ended
 	proven  bool
 	done    bool
 	err     error
@@ -32,7 +37,12 @@
 func newJob(parent context.Context, m wire.Job) *job {
 	j := &job{msg: m, grown: make(chan struct{}), proven: true}
 	j.tokens = append(j.tokens, m.Resume...)
-	j.spans = toSpans(m.Spans)
+	j.spans = wire.ToSpans(m.Spans)
+	j.sure = len(j.tokens)
+	if j.isSample() {
+		j.sure = min(j.sure, covered(j.spans))
+		j.tokens = j.tokens[:j.sure]
+	}
 	if m.Left > 0 {
 		j.ctx, j.cancel = context.WithTimeout(parent, clock.Millis(m.Left).Duration())
 	} else {
@@ -41,20 +51,16 @@
 	return j
 }
 
-func toSpans(ms []wire.Span) []plat.Span {
-	out := make([]plat.Span, 0, len(ms))
-	for _, m := range ms {
-		out = append(out, plat.Span{Version: ident.Version(m.Version), From: m.From, To: m.To})
-	}
-	return out
-}
-
-func fromSpans(ss []plat.Span) []wire.Span {
-	out := make([]wire.Span, 0, len(ss))
+// covered returns how many tokens the spans prove without a gap.
+func covered(ss []plat.Span) int {
+	to := 0
 	for _, s := range ss {
-		out = append(out, wire.Span{Version: uint64(s.Version), From: s.From, To: s.To})
+		if s.From != to {
+			break
+		}
+		to = s.To
 	}
-	return out
+	return to
 }
 
 // isSample reports whether the job makes a sample of a round.
@@ -79,31 +85,71 @@
 	return j.tokens[:len(j.tokens):len(j.tokens)]
 }
 
-// prove notes that a version made the tokens from a position on.
-func (j *job) prove(v ident.Version, from int) {
+// begin notes the run of tokens that starts now and returns its position.
+func (j *job) begin(r proof.Run) int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	to := len(j.tokens)
-	if to == from {
+	j.run, j.running = r, true
+	return len(j.tokens)
+}
+
+// mark returns the run in progress and how far it has come.
+func (j *job) mark() (mark, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return mark{job: j, run: j.run, runs: j.runs, to: len(j.tokens)}, j.running && !j.done
+}
+
+// prove notes that a version made the tokens from the last proven one up to
+// a position.
+func (j *job) prove(v ident.Version, to int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.proveLocked(v, to)
+}
+
+func (j *job) proveLocked(v ident.Version, to int) {
+	from := j.sure
+	if to <= from {
 		return
 	}
-	if n := len(j.spans); n > 0 && j.spans[n-1].Version == v {
+	j.sure = to
+	id := ident.Attempt(j.msg.Attempt)
+	if n := len(j.spans); n > 0 && j.spans[n-1].Version == v && j.spans[n-1].Attempt == id {
 		j.spans[n-1].To = to
 		return
 	}
-	j.spans = append(j.spans, plat.Span{Version: v, From: from, To: to})
+	j.spans = append(j.spans, plat.Span{Version: v, Attempt: id, From: from, To: to})
+}
+
+// confirm proves a part of a run that is still the same one.
+func (j *job) confirm(m mark, v ident.Version) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.running && j.runs == m.runs {
+		j.proveLocked(v, m.to)
+	}
+}
+
+// close ends the run in progress.
+func (j *job) close() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.running = false
+	j.runs++
 }
 
 // doubt drops the tokens of a sample whose version is not proven; other work
 // keeps them, since its caller does not ask for versions.
-func (j *job) doubt(from int) {
+func (j *job) doubt() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.isSample() {
-		j.tokens = j.tokens[:from]
+		j.tokens = j.tokens[:j.sure:j.sure]
 		return
 	}
 	j.proven = false
+	j.sure = len(j.tokens)
 }
 
 // end closes the job with its result.
@@ -143,15 +189,18 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var r wire.FetchReply
-	// A sample's tokens may still be dropped, so only its end is readable.
-	if from < len(j.tokens) && (j.done || !j.isSample()) {
-		r.Tokens = j.tokens[from:len(j.tokens):len(j.tokens)]
+	to := len(j.tokens)
+	if j.isSample() { // Tokens that are not proven may still be dropped.
+		to = j.sure
+		r.Spans = wire.FromSpans(j.spans)
+	}
+	if from < to {
+		r.Tokens = j.tokens[from:to:to]
 	}
 	if j.done {
 		j.fetched = true
 		r.Done = true
 		r.Body = j.body
-		r.Spans = fromSpans(j.spans)
 		r.Proven = j.proven
 		r.Fault = wire.ToFault(j.err)
 	}
--- a/internal/node/agent/report.go
+++ b/internal/node/agent/report.go
@@ -19,12 +19,14 @@
 		a.watchPlain(ctx)
 		return
 	}
+	ms := a.marks()
 	st, err := a.p.Engine.Status(ctx)
 	if err != nil {
 		a.status.Store(&plat.Status{})
 		return
 	}
 	a.status.Store(&st)
+	a.confirm(ms, st)
 }
 
 func (a *Agent) watchPlain(ctx context.Context) {
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -50,7 +50,8 @@
 	defer t.Stop()
 	for {
 		r, grown := j.read(args.From)
-		if r.Done || len(r.Tokens) > 0 {
+		// A sample is read in few large parts, since only its end is awaited.
+		if r.Done || (len(r.Tokens) > 0 && !j.isSample()) {
 			*reply = r
 			return nil
 		}
--- a/internal/node/agent/swap.go
+++ b/internal/node/agent/swap.go
@@ -23,12 +23,14 @@
 	free   *sync.Cond
 	runs   map[*context.CancelCauseFunc]struct{}
 	closed bool // an order runs or waits for the runs to end
+	lost   bool // closed, and the engine does not answer
 	given  uint64
 }
 
 func (s *swapper) init() {
 	s.free = sync.NewCond(&s.mu)
 	s.runs = make(map[*context.CancelCauseFunc]struct{})
+	s.closed = true // until the engine has settled
 }
 
 // enter waits until no order runs and returns the context of one run.
@@ -41,6 +43,9 @@
 		if err := parent.Err(); err != nil {
 			return nil, nil, errors.Wrap(err, "wait for a swap")
 		}
+		if s.lost {
+			return nil, nil, fault.New(fault.NoBackend, "the engine does not answer")
+		}
 		s.free.Wait()
 	}
 	ctx, cancel := context.WithCancelCause(parent)
@@ -79,7 +84,16 @@
 func (s *swapper) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = false
+	s.closed, s.lost = false, false
+	s.free.Broadcast()
+}
+
+// setLost tells those who wait for the end of an order whether the engine
+// answers.
+func (s *swapper) setLost(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = on
 	s.free.Broadcast()
 }
 
@@ -102,14 +116,20 @@
 	settleIn = 100 * clock.Milli
 )
 
-// order carries out one order to load a version.
+// settleLooks is how often in a row a new agent has to find the engine in the
+// same state before it takes over, so that an order of its predecessor that is
+// still on its way shows.
+const settleLooks = 3
+
+// order carries out one order to load a version. It refuses a version that is
+// not newer both before the transfer and after the wait for the runs, so that
+// a late order can't bring back an old version.
 func (a *Agent) order(o plat.Order) error {
 	if a.p.Engine == nil {
 		return fault.New(fault.BadRequest, "agent "+string(a.p.Node)+" has no engine")
 	}
-	st := a.status.Load()
-	if st.Model == o.Model && o.Version <= st.Version {
-		return fault.New(fault.StaleOrder, "the engine already holds this or a newer version")
+	if err := a.isNewer(o); err != nil {
+		return err
 	}
 	if err := a.p.Weights.Fetch(a.ctx, o.Model, o.Version); err != nil {
 		return err
@@ -117,26 +137,51 @@
 	if !a.swap.begin() {
 		return fault.New(fault.Overloaded, "another order is running").After(clock.Second)
 	}
-	defer a.swap.end()
+	if err := a.isNewer(o); err != nil {
+		a.swap.end()
+		return err
+	}
 	ctx, cancel := context.WithTimeout(a.ctx, maxSwap.Duration())
 	defer cancel()
-	err := a.p.Engine.Load(ctx, o)
-	a.settle()
-	return errors.Wrap(err, "load weights")
+	if err := a.p.Engine.Load(ctx, o); err != nil {
+		go a.settle(1)
+		return errors.Wrap(err, "load weights")
+	}
+	a.settle(1)
+	return nil
 }
 
-// settle waits until the engine says that no order is running, so that a
-// failed or lost order can't take effect beside later work.
-func (a *Agent) settle() {
-	for {
+func (a *Agent) isNewer(o plat.Order) error {
+	st := a.status.Load()
+	if st.Model == o.Model && o.Version <= st.Version {
+		return fault.New(fault.StaleOrder, "the engine already holds this or a newer version")
+	}
+	return nil
+}
+
+// settle waits until the engine says so many times in a row that no order is
+// running and that its state is the same, so that a failed or lost order, or
+// one of an earlier agent, can't take effect beside later work. Then it lets
+// runs begin.
+func (a *Agent) settle(looks int) {
+	var last plat.Status
+	for same := 0; ; {
 		st, err := a.p.Engine.Status(a.ctx)
-		if err != nil {
-			return
+		a.swap.setLost(err != nil)
+		switch {
+		case err != nil || st.Loading:
+			same = 0
+		case same > 0 && (st.Boot != last.Boot || st.Model != last.Model || st.Version != last.Version):
+			same = 1
+		default:
+			same++
 		}
-		if !st.Loading {
+		if same >= looks {
 			a.status.Store(&st)
+			a.swap.end()
 			return
 		}
+		last = st
 		if !sleep(a.ctx, settleIn) {
 			return
 		}
--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -54,6 +54,9 @@
 	// idempotent. It is called before each attempt; a second call means that
 	// the claim before is proven as not run. Nil for idempotent work.
 	Claim func(ctx context.Context, s match.Server) (wire.Claim, error)
+
+	Resume []uint32    // tokens that earlier work made
+	Spans  []plat.Span // versions of the tokens in Resume
 }
 
 // Answer is a whole answer.
@@ -185,14 +188,15 @@
 }
 
 // Do runs the work to a whole answer or an error. What sink received is a
-// prefix of the answer; after an error the answer is not whole.
+// prefix of the answer; after an error the answer holds that prefix.
 func (c *Calls) Do(ctx context.Context, w Work, sink Sink) (Answer, error) {
 	if w.Deadline > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, (w.Deadline - c.p.Clock.Now()).Duration())
 		defer cancel()
 	}
-	t := &try{c: c, w: w, sink: sink, avoid: sets.Of[ident.Node]()}
+	t := &try{c: c, w: w, sink: sink, avoid: sets.Of[ident.Node](), spans: wire.FromSpans(w.Spans)}
+	t.tokens = append(t.tokens, w.Resume...)
 	var err error
 	for range maxTries {
 		var ans Answer
@@ -200,10 +204,10 @@
 			return ans, nil
 		}
 		if !t.mayRetry(ctx, err) {
-			return Answer{}, err
+			break
 		}
 	}
-	return Answer{}, err
+	return t.part(), err
 }
 
 // try is the state of one request over its attempts.
@@ -211,7 +215,8 @@
 	c      *Calls
 	w      Work
 	sink   Sink
-	tokens []uint32 // delivered so far
+	tokens []uint32    // delivered so far
+	spans  []wire.Span // versions of a sample's tokens
 	avoid  sets.Set[ident.Node]
 	claim  wire.Claim
 }
@@ -298,6 +303,7 @@
 		Seed:      w.Seed,
 		MaxTokens: w.MaxTokens,
 		Resume:    t.tokens,
+		Spans:     t.spans,
 		Priority:  w.Priority,
 	}
 	if w.Deadline > 0 {
@@ -319,6 +325,9 @@
 			}
 		}
 		t.tokens = append(t.tokens, r.Tokens...)
+		if len(r.Spans) > 0 {
+			t.spans = r.Spans
+		}
 		if err := r.Fault.Err(); err != nil {
 			return Answer{}, err
 		}
@@ -329,13 +338,14 @@
 }
 
 func (t *try) answer(s match.Server, att ident.Attempt, r wire.FetchReply) Answer {
-	a := Answer{Attempt: att, Node: s.Node, Tokens: t.tokens, Body: r.Body, Proven: r.Proven}
-	for _, sp := range r.Spans {
-		a.Spans = append(a.Spans, plat.Span{Version: ident.Version(sp.Version), From: sp.From, To: sp.To})
-	}
+	a := t.part()
+	a.Attempt, a.Node, a.Body, a.Proven = att, s.Node, r.Body, r.Proven
 	return a
 }
 
+// part returns what was read so far, from which other work can go on.
+func (t *try) part() Answer { return Answer{Tokens: t.tokens, Spans: wire.ToSpans(t.spans)} }
+
 func (c *Calls) fetch(ctx context.Context, s match.Server, att ident.Attempt, from int) (wire.FetchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, (fetchWait + fetchSlack).Duration())
 	defer cancel()
--- a/internal/node/rounds/rounds.go
+++ b/internal/node/rounds/rounds.go
@@ -138,11 +138,13 @@
 		if h.Ordinal < 0 || h.Ordinal >= o.state.Spec().Total() {
 			continue
 		}
-		s := round.Sample{Ordinal: h.Ordinal, Attempt: ident.Attempt(h.Attempt), Node: n, Tokens: h.Tokens}
-		for _, sp := range h.Spans {
-			s.Spans = append(s.Spans, plat.Span{Version: ident.Version(sp.Version), From: sp.From, To: sp.To})
-		}
-		o.state.Finished(s)
+		o.state.Finished(round.Sample{
+			Ordinal: h.Ordinal,
+			Attempt: ident.Attempt(h.Attempt),
+			Node:    n,
+			Tokens:  h.Tokens,
+			Spans:   wire.ToSpans(h.Spans),
+		})
 	}
 }
 
--- a/internal/proof/demo/faults.go
+++ b/internal/proof/demo/faults.go
@@ -3,13 +3,8 @@
 import (
 	"context"
 	"time"
-
-	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/trainer"
 )
 
-func idOf(s trainer.Sample) ident.Attempt { return ident.Attempt(s.Attempt) }
-
 // fault is one thing that goes wrong at a moment of the run.
 type fault struct {
 	after time.Duration // since the one before
--- a/internal/proof/demo/users.go
+++ b/internal/proof/demo/users.go
@@ -14,7 +14,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
-	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/proof/invar"
 	"github.com/jujuberamp/jujuberamp/internal/stand/oracle"
 	"github.com/jujuberamp/jujuberamp/trainer"
@@ -188,34 +187,19 @@
 	}
 	r.counts.Check(invar.FreshSample, oldest+bound >= version, fmt.Sprintf("%s was made by version %d, wanted %d", name, oldest, version))
 	r.meas.stale(int(version - oldest))
-	r.counts.Check(invar.TrueVersion, r.isTrue(s), fmt.Sprintf("%s claims %v", name, s.Spans))
+	r.counts.Check(invar.TrueVersion, r.isTrue(spec, s), fmt.Sprintf("%s claims %v", name, s.Spans))
 }
 
-// isTrue reports whether the engine's record confirms the versions of the
-// tokens that it made.
-func (r *run) isTrue(s trainer.Sample) bool {
-	e := r.w.engineOf(s.Node)
-	if e == nil || len(s.Spans) == 0 || s.Spans[len(s.Spans)-1].To != len(s.Tokens) {
-		return false
-	}
-	claimed := versions(codec.ToSpans(s.Spans), len(s.Tokens))
-	for _, sp := range e.Record(idOf(s)) {
-		for i := sp.From; i < sp.To; i++ {
-			if claimed[i] != uint64(sp.Version) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-// versions lists the version of each token.
-func versions(spans []plat.Span, n int) []uint64 {
-	out := make([]uint64, n)
-	for _, s := range spans {
-		for i := s.From; i < s.To && i < n; i++ {
-			out[i] = uint64(s.Version)
+// isTrue reports whether the engines' records confirm the version of every
+// token, over all engines that made a part.
+func (r *run) isTrue(spec trainer.Spec, s trainer.Sample) bool {
+	prompt := []byte(spec.Prompts[s.Group])
+	to := 0
+	for _, sp := range codec.ToSpans(s.Spans) {
+		if sp.From != to || !r.w.confirms(prompt, spec.Seed+int64(s.Ordinal), sp) {
+			return false
 		}
+		to = sp.To
 	}
-	return out
+	return to == len(s.Tokens)
 }
--- a/internal/proof/demo/world.go
+++ b/internal/proof/demo/world.go
@@ -282,16 +282,16 @@
 	return out
 }
 
-// engineOf returns the engine beside a node.
-func (w *world) engineOf(name string) *engine.Engine {
+// confirms reports whether an engine's record confirms a part of an answer.
+func (w *world) confirms(prompt []byte, seed int64, s plat.Span) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, a := range w.agents {
-		if string(a.name) == name {
-			return a.engine
+		if a.engine != nil && a.engine.Confirms(prompt, seed, s) {
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
 // killEntry stops an entry's servers at once.
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -51,7 +51,6 @@
 	work   plat.Work
 	total  int
 	sent   int
-	spans  []plat.Span
 	notify chan struct{}
 	failed error
 }
@@ -72,13 +71,13 @@
 	down    bool
 	load    plat.Load
 	loadAt  clock.Millis
-	record  map[ident.Attempt][]plat.Span
+	record  map[ident.Attempt]*Made
 	starts  map[ident.Attempt]int
 }
 
 // New returns an engine with its first version loaded.
 func New(p Params, c clock.Clock) *Engine {
-	e := &Engine{p: p, clock: c, record: make(map[ident.Attempt][]plat.Span), starts: make(map[ident.Attempt]int)}
+	e := &Engine{p: p, clock: c, record: make(map[ident.Attempt]*Made), starts: make(map[ident.Attempt]int)}
 	e.reset()
 	return e
 }
@@ -140,20 +139,11 @@
 	if made <= j.sent {
 		return
 	}
-	j.spans = extend(j.spans, e.version, j.sent, made)
-	e.record[id] = j.spans
+	e.record[id].note(e.version, j.sent, made)
 	j.sent = made
 	j.wake()
 }
 
-func extend(spans []plat.Span, v ident.Version, from, to int) []plat.Span {
-	if n := len(spans); n > 0 && spans[n-1].Version == v {
-		spans[n-1].To = to
-		return spans
-	}
-	return append(spans, plat.Span{Version: v, From: from, To: to})
-}
-
 func (j *job) wake() {
 	select {
 	case j.notify <- struct{}{}:
@@ -206,6 +196,9 @@
 	j := &job{work: w, total: total, sent: len(w.Resume), notify: make(chan struct{}, 1)}
 	e.jobs[w.Attempt] = j
 	e.starts[w.Attempt]++
+	if e.record[w.Attempt] == nil {
+		e.record[w.Attempt] = &Made{prompt: string(w.Prompt), seed: w.Seed}
+	}
 	now := e.clock.Now()
 	e.advance(now)
 	e.core.Add(now, batch.Job{
@@ -348,9 +341,36 @@
 	e.p.SwapFail = on
 }
 
-// Record returns which versions made the tokens of an attempt here.
-func (e *Engine) Record(id ident.Attempt) []plat.Span {
+// Made is the record of one attempt: which version made the token at each
+// position, the last time that it was made here.
+type Made struct {
+	prompt   string
+	seed     int64
+	versions []ident.Version // 0 for a position that was not made here
+}
+
+func (m *Made) note(v ident.Version, from, to int) {
+	for len(m.versions) < to {
+		m.versions = append(m.versions, 0)
+	}
+	for i := from; i < to; i++ {
+		m.versions[i] = v
+	}
+}
+
+// Confirms reports whether this engine made the tokens [from, to) of an answer
+// with a version, in an attempt.
+func (e *Engine) Confirms(prompt []byte, seed int64, s plat.Span) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]plat.Span(nil), e.record[id]...)
+	m := e.record[s.Attempt]
+	if m == nil || m.prompt != string(prompt) || m.seed != seed || s.To > len(m.versions) {
+		return false
+	}
+	for _, v := range m.versions[s.From:s.To] {
+		if v != s.Version {
+			return false
+		}
+	}
+	return true
 }
