--- a/internal/base/fault/kinds.go
+++ b/internal/base/fault/kinds.go
@@ -33,6 +33,8 @@
 	Crashed      Kind = "backend-crashed"
 	Lost         Kind = "outcome-unknown"
 	BadPeer      Kind = "bad-peer"
+	BadTrace     Kind = "bad-trace"
+	BadOutcome   Kind = "bad-outcome"
 	Internal     Kind = "internal"
 )
 
@@ -66,6 +68,8 @@
 	Broken:       {http.StatusBadGateway, Unknown, "send again; use an idempotency key for work that must run once"},
 	Crashed:      {http.StatusBadGateway, Unknown, "send again; operators check the backend server's log"},
 	Lost:         {http.StatusGatewayTimeout, Unknown, "ask again with the same key; check the effect before using a new key"},
+	BadTrace:     {http.StatusUnprocessableEntity, NotRun, "replay it with the program that wrote it, or record it again with this one"},
+	BadOutcome:   {http.StatusUnprocessableEntity, NotRun, "correct the named key in the outcomes file"},
 	BadPeer:      {http.StatusBadGateway, NotRun, "run one program version and one inner key on all nodes"},
 	Internal:     {http.StatusInternalServerError, Unknown, "report the fault with the log lines of this node"},
 }
--- /dev/null
+++ b/internal/proof/trace/codec.go
@@ -0,0 +1,150 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+)
+
+type headerMsg struct {
+	Format  int    `json:"trace-format"`
+	Program string `json:"program"`
+	Node    string `json:"node"`
+	Role    string `json:"role"`
+}
+
+type eventMsg struct {
+	At       int64           `json:"at-ms"`
+	Kind     string          `json:"event"`
+	Work     uint64          `json:"work,omitempty"`
+	Item     uint64          `json:"item,omitempty"`
+	Class    string          `json:"class,omitempty"`
+	Service  string          `json:"service,omitempty"`
+	Request  string          `json:"request,omitempty"`
+	Prefix   string          `json:"prefix-hash,omitempty"`
+	Left     int64           `json:"left-ms,omitempty"`
+	Round    string          `json:"round,omitempty"`
+	Ordinal  int             `json:"ordinal,omitempty"`
+	Floor    uint64          `json:"floor-version,omitempty"`
+	Groups   int             `json:"groups,omitempty"`
+	Samples  int             `json:"samples,omitempty"`
+	Tokens   int             `json:"tokens,omitempty"`
+	Took     int64           `json:"took-ms,omitempty"`
+	Fault    string          `json:"fault,omitempty"`
+	Node     string          `json:"node,omitempty"`
+	Zone     string          `json:"zone,omitempty"`
+	Region   string          `json:"region,omitempty"`
+	Version  uint64          `json:"version,omitempty"`
+	Call     bool            `json:"call,omitempty"`
+	Loading  bool            `json:"loading,omitempty"`
+	Leaving  bool            `json:"leaving,omitempty"`
+	Running  int             `json:"running,omitempty"`
+	Slots    int             `json:"slots,omitempty"`
+	Rate     float64         `json:"tokens-per-s,omitempty"`
+	First    int64           `json:"first-token-ms,omitempty"`
+	Offset   int64           `json:"offset,omitempty"`
+	Data     json.RawMessage `json:"record,omitempty"`
+	Suspects []string        `json:"suspects,omitempty"`
+}
+
+func encodeHeader(h Header) ([]byte, error) {
+	return line(headerMsg{Format: Format, Program: Program, Node: string(h.Node), Role: h.Role})
+}
+
+func encodeEvent(e Event) ([]byte, error) {
+	m := eventMsg{
+		At: int64(e.At), Kind: string(e.Kind), Work: e.Work, Item: e.Item, Class: string(e.Class),
+		Service: string(e.Service), Request: string(e.Request), Prefix: e.Prefix, Left: int64(e.Left),
+		Round: string(e.Round), Ordinal: e.Ordinal, Floor: uint64(e.Floor), Groups: e.Groups, Samples: e.Samples,
+		Tokens: e.Tokens, Took: int64(e.Took), Fault: string(e.Fault), Node: string(e.Node), Zone: string(e.Zone),
+		Region: string(e.Region), Version: uint64(e.Version), Call: e.Call, Loading: e.Loading, Leaving: e.Leaving,
+		Running: e.Running, Slots: e.Slots, Rate: e.Rate, First: int64(e.First), Offset: int64(e.Offset), Data: e.Data,
+	}
+	for _, r := range e.Suspects {
+		m.Suspects = append(m.Suspects, string(r))
+	}
+	return line(m)
+}
+
+func line(m any) ([]byte, error) {
+	b, err := json.Marshal(m)
+	return append(b, '\n'), err
+}
+
+func toEvent(m eventMsg) Event {
+	e := Event{
+		At: clock.Millis(m.At), Kind: Kind(m.Kind), Work: m.Work, Item: m.Item, Class: ident.Class(m.Class),
+		Service: ident.Service(m.Service), Request: ident.Request(m.Request), Prefix: m.Prefix, Left: clock.Millis(m.Left),
+		Round: ident.Round(m.Round), Ordinal: m.Ordinal, Floor: ident.Version(m.Floor), Groups: m.Groups, Samples: m.Samples,
+		Tokens: m.Tokens, Took: clock.Millis(m.Took), Fault: fault.Kind(m.Fault), Node: ident.Node(m.Node), Zone: ident.Zone(m.Zone),
+		Region: ident.Region(m.Region), Version: ident.Version(m.Version), Call: m.Call, Loading: m.Loading, Leaving: m.Leaving,
+		Running: m.Running, Slots: m.Slots, Rate: m.Rate, First: clock.Millis(m.First), Offset: ident.Offset(m.Offset), Data: m.Data,
+	}
+	for _, r := range m.Suspects {
+		e.Suspects = append(e.Suspects, ident.Request(r))
+	}
+	return e
+}
+
+// maxLine bounds one line of a trace.
+const maxLine = 1 << 20
+
+// Read reads a whole trace. Errors are of the kind [fault.BadTrace] and name
+// the line.
+func Read(r io.Reader) (Trace, error) {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLine)
+	if !sc.Scan() {
+		return Trace{}, bad(1, "there is no header")
+	}
+	h, err := readHeader(sc.Bytes())
+	if err != nil {
+		return Trace{}, err
+	}
+	t := Trace{Header: h}
+	for n := 2; sc.Scan(); n++ {
+		e, err := readEvent(sc.Bytes())
+		if err != nil {
+			return Trace{}, bad(n, err.Error())
+		}
+		t.Events = append(t.Events, e)
+	}
+	if err := sc.Err(); err != nil {
+		return Trace{}, bad(len(t.Events)+2, err.Error())
+	}
+	return t, nil
+}
+
+func bad(line int, what string) error {
+	return fault.New(fault.BadTrace, fmt.Sprintf("line %d: %s", line, what))
+}
+
+func readHeader(b []byte) (Header, error) {
+	var m headerMsg
+	if err := json.Unmarshal(b, &m); err != nil || m.Format == 0 {
+		return Header{}, bad(1, "this is no header of a trace")
+	}
+	if m.Format > Format {
+		return Header{}, bad(1, fmt.Sprintf("format %d is newer than %d, the newest that this program reads", m.Format, Format))
+	}
+	return Header{Format: m.Format, Program: m.Program, Node: ident.Node(m.Node), Role: m.Role}, nil
+}
+
+func readEvent(b []byte) (Event, error) {
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	var m eventMsg
+	if err := dec.Decode(&m); err != nil {
+		return Event{}, err
+	}
+	if !kinds[Kind(m.Kind)] {
+		return Event{}, fmt.Errorf("event %q is not known", m.Kind)
+	}
+	return toEvent(m), nil
+}
