Let entry and agent write the trace that the settings ask for

Cause: an operator has nothing to replay after an incident. Change: hooks of one line in calls, entry, follow, swaps and agent; the settings trace-file and trace-limit. A report of an agent is written when it differs, and at least once a second, so that a trace stays small.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -101,6 +101,18 @@
 	return ok && f.kind == k
 }
 
+// KindOf returns the kind of the first fault in the chain of err, empty for no
+// error and [Internal] for one without a fault.
+func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	if f, ok := As(err); ok {
+		return f.kind
+	}
+	return Internal
+}
+
 // Info describes a kind.
 type Info struct {
 	Status  int     // HTTP status
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -31,6 +31,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
 // Params are what an agent needs to run. Exactly one of Engine and Plain is
@@ -48,6 +49,7 @@
 	Clock   clock.Clock
 	Log     zerolog.Logger
 	Meter   metric.Meter
+	Trace   *trace.Recorder // nil for none
 
 	Engine  plat.Engine
 	Plain   plat.Plain
--- a/internal/node/agent/gen.go
+++ b/internal/node/agent/gen.go
@@ -9,6 +9,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/proof"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
 // maxDoubts bounds how often a job is begun again because its version was not
@@ -100,6 +101,7 @@
 		return err
 	}
 	a.crashes.note(a.p.Node)
+	a.recordJob(trace.Crash, j.msg, err)
 	return fault.Wrap(fault.Crashed, err, "the engine failed")
 }
 
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -10,6 +10,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/proof"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
 // job is one attempt at this agent: its state and its answer so far.
@@ -258,6 +259,7 @@
 		err = a.generate(j)
 	}
 	j.end(a.p.Clock.Now(), body, err)
+	a.recordJob(trace.Finish, j.msg, err)
 	a.mu.Lock()
 	a.open--
 	a.mu.Unlock()
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -34,6 +34,7 @@
 	err := args.Hello.Check()
 	if err == nil {
 		err = s.a.admit(args.Job)
+		s.a.recordAdmit(args.Job, err)
 	}
 	reply.Fault = wire.ToFault(err)
 	return nil
--- a/internal/node/agent/swap.go
+++ b/internal/node/agent/swap.go
@@ -194,11 +194,13 @@
 		reply.Fault = wire.ToFault(err)
 		return nil
 	}
-	err := s.a.order(plat.Order{
+	o := plat.Order{
 		Model:   ident.Service(args.Model),
 		Version: ident.Version(args.Version),
 		Fence:   ident.Offset(args.Fence),
-	})
+	}
+	err := s.a.order(o)
+	s.a.recordOrder(o, err)
 	if err != nil {
 		s.a.p.Log.Warn().Err(err).Str("model", args.Model).Uint64("version", args.Version).Msg("Order failed.")
 	}
--- /dev/null
+++ b/internal/node/agent/trace.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+)
+
+func (a *Agent) record(e trace.Event) {
+	e.At = a.p.Clock.Now()
+	a.p.Trace.Record(e)
+}
+
+// recordJob writes an event of one attempt.
+func (a *Agent) recordJob(k trace.Kind, m wire.Job, err error) {
+	a.record(trace.Event{
+		Kind:    k,
+		Node:    a.p.Node,
+		Class:   ident.Class(m.Class),
+		Service: ident.Service(m.Service),
+		Request: ident.Request(m.Request),
+		Prefix:  trace.Hash(m.Prefix),
+		Left:    clock.Millis(m.Left),
+		Round:   ident.Round(m.Sample.Round),
+		Ordinal: m.Sample.Ordinal,
+		Floor:   ident.Version(m.Sample.Floor),
+		Fault:   fault.KindOf(err),
+	})
+}
+
+// recordAdmit writes whether an attempt was admitted.
+func (a *Agent) recordAdmit(m wire.Job, err error) {
+	if err != nil {
+		a.recordJob(trace.Refuse, m, err)
+		return
+	}
+	a.recordJob(trace.Arrive, m, nil)
+}
+
+// recordOrder writes how an order to load ended.
+func (a *Agent) recordOrder(o plat.Order, err error) {
+	a.record(trace.Event{Kind: trace.Swap, Node: a.p.Node, Service: o.Model, Version: o.Version, Offset: o.Fence, Fault: fault.KindOf(err)})
+}
--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -26,6 +26,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
 // Params are what the dispatcher needs to run.
@@ -36,6 +37,7 @@
 	Pool   *wire.Pool
 	Clock  clock.Clock
 	Log    zerolog.Logger
+	Trace  *trace.Recorder // nil for none
 }
 
 // Work is one request to run.
@@ -136,6 +138,7 @@
 	for _, g := range grants {
 		s, _ := c.match.Server(g.Node)
 		c.answer(g.Item, grant{server: s})
+		c.recordGrant(now, g)
 	}
 	for _, r := range refused {
 		c.answer(r.Item, grant{err: r.Err})
@@ -187,9 +190,8 @@
 	c.decide(func(m *match.Matcher, _ clock.Millis) { m.Finish(id) })
 }
 
-// Do runs the work to a whole answer or an error. What sink received is a
-// prefix of the answer; after an error the answer holds that prefix.
-func (c *Calls) Do(ctx context.Context, w Work, sink Sink) (Answer, error) {
+// run is Do without its record in the trace.
+func (c *Calls) run(ctx context.Context, w Work, sink Sink) (Answer, error) {
 	if w.Deadline > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, (w.Deadline - c.p.Clock.Now()).Duration())
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -36,6 +36,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/node/peers"
 	"github.com/jujuberamp/jujuberamp/internal/node/rounds"
 	"github.com/jujuberamp/jujuberamp/internal/node/swaps"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
 // Params are what an entry needs to run.
@@ -56,6 +57,8 @@
 	Meter   metric.Meter
 	Metrics http.Handler // serves the metrics
 
+	Trace *trace.Recorder // nil for none
+
 	Source plat.Log
 	VMs    plat.VMs
 	Scorer func(s ident.Service) (plat.Scorer, error)
@@ -80,9 +83,10 @@
 	swaps  *swaps.Swaps
 	rounds *rounds.Rounds
 
-	mu    sync.Mutex
-	nodes map[ident.Node]wire.ReportArgs
-	heard map[ident.Node]clock.Millis
+	mu      sync.Mutex
+	written written
+	nodes   map[ident.Node]wire.ReportArgs
+	heard   map[ident.Node]clock.Millis
 }
 
 // New opens the listeners and returns the entry.
@@ -130,9 +134,9 @@
 func (e *Entry) wire() {
 	p := e.p
 	part := func(name string) zerolog.Logger { return p.Log.With().Str("part", name).Logger() }
-	e.config = follow.New(follow.Params{Node: p.Node, Boot: e.boot, Source: p.Source, Clock: p.Clock, Log: part("config")})
+	e.config = follow.New(follow.Params{Node: p.Node, Boot: e.boot, Source: p.Source, Clock: p.Clock, Log: part("config"), Trace: p.Trace})
 	e.peers = peers.New(peers.Params{Node: p.Node, Addr: e.Addr(), Poll: p.Poll, VMs: p.VMs, Clock: p.Clock, Log: part("peers")})
-	e.calls = calls.New(calls.Params{Node: p.Node, Boot: e.boot, Policy: p.Policy, Pool: e.pool, Clock: p.Clock, Log: part("calls")})
+	e.calls = calls.New(calls.Params{Node: p.Node, Boot: e.boot, Policy: p.Policy, Pool: e.pool, Clock: p.Clock, Log: part("calls"), Trace: p.Trace})
 	e.swaps = swaps.New(swaps.Params{
 		Node:    p.Node,
 		Boot:    e.boot,
@@ -142,6 +146,7 @@
 		Pool:    e.pool,
 		Clock:   p.Clock,
 		Log:     part("swaps"),
+		Trace:   p.Trace,
 	})
 	e.rounds = rounds.New(e.ctx, rounds.Params{
 		Node:    p.Node,
@@ -171,6 +176,7 @@
 
 // Run serves until the context ends.
 func (e *Entry) Run(ctx context.Context) {
+	e.record(trace.Event{Kind: trace.Start, Node: e.p.Node})
 	var wg sync.WaitGroup
 	go func() { _ = e.server.Serve(e.ln) }()
 	go func() { _ = e.http.Serve(e.httpLn) }()
@@ -210,6 +216,7 @@
 
 // Close ends everything at once, as the death of the process does.
 func (e *Entry) Close() {
+	e.record(trace.Event{Kind: trace.Stop, Node: e.p.Node})
 	e.stop()
 	_ = e.http.Close()
 	_ = e.ln.Close()
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -23,6 +23,7 @@
 	}
 	e := s.e
 	e.remember(*args)
+	e.recordReport(args)
 	e.calls.Report(match.Server{
 		Node:    ident.Node(args.Hello.Node),
 		Boot:    ident.Incarnation(args.Hello.Boot),
--- a/internal/node/entry/round.go
+++ b/internal/node/entry/round.go
@@ -15,6 +15,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
 // Paths of the calls that a round's owner serves.
@@ -70,6 +71,7 @@
 	if m.Model == "" || m.Version == 0 {
 		return fault.New(fault.BadRequest, "model and version must be set")
 	}
+	e.record(trace.Event{Kind: trace.Announce, Service: ident.Service(m.Model), Version: ident.Version(m.Version)})
 	e.swaps.Announce(ident.Service(m.Model), ident.Version(m.Version))
 	go e.gossipOnce(e.ctx)
 	return nil
@@ -94,6 +96,7 @@
 	if err != nil {
 		return none{}, err
 	}
+	e.recordOpen(s)
 	e.rounds.Open(ctx, s, c)
 	return none{}, nil
 }
@@ -158,6 +161,7 @@
 	if err != nil {
 		return codec.Page{}, err
 	}
+	e.record(trace.Event{Kind: trace.RoundRead, Round: id, Version: ident.Version(m.Version), Samples: len(page.Samples)})
 	out := codec.Page{Cursor: page.Cursor, Whole: page.Whole}
 	for _, s := range page.Samples {
 		out.Samples = append(out.Samples, codec.Sample{
@@ -200,6 +204,7 @@
 }
 
 func (e *Entry) cancelHere(_ context.Context, m codec.Round) (none, error) {
+	e.record(trace.Event{Kind: trace.RoundEnd, Round: ident.Round(m.Round)})
 	e.rounds.Cancel(ident.Round(m.Round))
 	return none{}, nil
 }
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -25,6 +25,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
 // Params are what the follower needs to run.
@@ -34,6 +35,7 @@
 	Source plat.Log
 	Clock  clock.Clock
 	Log    zerolog.Logger
+	Trace  *trace.Recorder // nil for none
 }
 
 // Follower keeps the configuration of one entry.
@@ -137,6 +139,7 @@
 }
 
 func (f *Follower) apply(st *ledger.State, r plat.Record) {
+	f.p.Trace.Record(trace.Event{At: f.p.Clock.Now(), Kind: trace.Config, Offset: r.Offset, Data: r.Data})
 	rec, err := record.Decode(r.Data)
 	if err != nil {
 		f.p.Log.Error().Err(err).Int64("offset", int64(r.Offset)).Msg("Record skipped.")
--- a/internal/node/swaps/swaps.go
+++ b/internal/node/swaps/swaps.go
@@ -17,10 +17,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
 // Params are what the orders need to run.
@@ -33,6 +35,7 @@
 	Pool    *wire.Pool
 	Clock   clock.Clock
 	Log     zerolog.Logger
+	Trace   *trace.Recorder // nil for none
 }
 
 // Swaps keeps the announced versions of one entry.
@@ -149,6 +152,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.busy, n)
+	s.p.Trace.Record(trace.Event{At: s.p.Clock.Now(), Kind: trace.Swap, Node: n, Service: m, Version: v, Fault: fault.KindOf(err)})
 	if err != nil {
 		s.failed[n] = s.p.Clock.Now()
 		s.p.Log.Warn().Err(err).Str("node", string(n)).Msg("Order failed, trying again later.")
--- a/internal/prod/cmds/nodes.go
+++ b/internal/prod/cmds/nodes.go
@@ -89,9 +89,13 @@
 	if err != nil {
 		return nil, err
 	}
+	rec, err := openTrace(s, setup.RoleEntry)
+	if err != nil {
+		return nil, err
+	}
 	policy := match.Standard()
 	policy.Lease = s.Lease()
-	return entry.New(entry.Params{
+	e, err := entry.New(entry.Params{
 		Node:    s.Node(),
 		Zone:    s.Zone(),
 		Region:  s.Region(),
@@ -107,10 +111,12 @@
 		Log:     log,
 		Meter:   m.Meter("entry"),
 		Metrics: m.Handler(),
+		Trace:   rec,
 		Source:  client.NewLog(s.LogURL()),
 		VMs:     client.NewVMs(s.VMsURL()),
 		Scorer:  scorers(s),
 	})
+	return traced{e, rec}, errors.Wrap(err, "start entry")
 }
 
 func scorers(s *setup.Settings) func(ident.Service) (plat.Scorer, error) {
@@ -132,7 +138,12 @@
 	if err != nil {
 		return nil, err
 	}
+	rec, err := openTrace(s, setup.RoleAgent)
+	if err != nil {
+		return nil, err
+	}
 	p := agent.Params{
+		Trace:   rec,
 		Node:    s.Node(),
 		Zone:    s.Zone(),
 		Region:  s.Region(),
--- a/internal/prod/setup/setup.go
+++ b/internal/prod/setup/setup.go
@@ -80,6 +80,8 @@
 	poll, report, keep          Span
 	lease, drainDelay, drainFor Span
 	logLevel                    string
+	traceFile                   string
+	traceLimit                  int
 	tokens                      []token
 	scorers                     []service
 }
@@ -147,6 +149,12 @@
 // LogLevel returns the least level that is logged.
 func (s *Settings) LogLevel() string { return s.logLevel }
 
+// TraceFile returns the file to which the node writes its trace, empty for none.
+func (s *Settings) TraceFile() string { return s.traceFile }
+
+// TraceLimit returns the size in MB at which the trace ends.
+func (s *Settings) TraceLimit() int { return s.traceLimit }
+
 // Tokens returns the callers, trainers and operators that an entry admits.
 func (s *Settings) Tokens() []httpd.Token {
 	out := make([]httpd.Token, 0, len(s.tokens))
@@ -208,6 +216,8 @@
 	{"drain-delay", entryOnly, `"5s"`, "time the balancer needs to see that the entry leaves", func(s *Settings) any { return &s.drainDelay }, span(func(s *Settings) Span { return s.drainDelay })},
 	{"drain-for", both, `"10m"`, "time a shutdown waits for work in progress", func(s *Settings) any { return &s.drainFor }, span(func(s *Settings) Span { return s.drainFor })},
 	{"log-level", both, `"info"`, "least level that is logged: debug, info, warn or error", func(s *Settings) any { return &s.logLevel }, checkLevel},
+	{"trace-file", both, `""`, "file for the trace that \"jujuberamp replay\" reads, empty for none", func(s *Settings) any { return &s.traceFile }, func(*Settings) string { return "" }},
+	{"trace-limit", both, "64", "size in MB at which the trace ends", func(s *Settings) any { return &s.traceLimit }, positive(func(s *Settings) int { return s.traceLimit })},
 	{"token", entryOnly, "", "a [[token]] table for each caller, trainer and operator: name, role, sha256", func(s *Settings) any { return &s.tokens }, checkTokens},
 	{"scorer", entryOnly, "", "a [[scorer]] table for each scoring service: name, url", func(s *Settings) any { return &s.scorers }, checkScorers},
 }
--- a/internal/proof/trace/codec.go
+++ b/internal/proof/trace/codec.go
@@ -64,7 +64,10 @@
 		Round: string(e.Round), Ordinal: e.Ordinal, Floor: uint64(e.Floor), Groups: e.Groups, Samples: e.Samples,
 		Tokens: e.Tokens, Took: int64(e.Took), Fault: string(e.Fault), Node: string(e.Node), Zone: string(e.Zone),
 		Region: string(e.Region), Version: uint64(e.Version), Call: e.Call, Loading: e.Loading, Leaving: e.Leaving,
-		Running: e.Running, Slots: e.Slots, Rate: e.Rate, First: int64(e.First), Offset: int64(e.Offset), Data: e.Data,
+		Running: e.Running, Slots: e.Slots, Rate: e.Rate, First: int64(e.First), Offset: int64(e.Offset),
+	}
+	if json.Valid(e.Data) { // A record that is no JSON was skipped by its reader too.
+		m.Data = e.Data
 	}
 	for _, r := range e.Suspects {
 		m.Suspects = append(m.Suspects, string(r))
