--- a/internal/base/class/class.go
+++ b/internal/base/class/class.go
@@ -77,6 +77,11 @@
 	return Class{p: p}, nil
 }
 
+// Stored returns a class that was checked before it was written to the log.
+// Readers don't check again: a program version with other checks would drop a
+// record that others apply.
+func Stored(p Params) Class { return Class{p: p} }
+
 type check struct {
 	key    string
 	detail string
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -9,19 +9,31 @@
 //     base; otherwise none of its edits is, and the result names the winner.
 //  4. An edit that sets what is already in force is accepted as unchanged,
 //     whatever its base, so that an interrupted apply can be repeated.
-//  5. A snapshot replaces the state only if it covers more than was read; the
-//     changes that were read beyond what it covers are applied over it.
+//  5. A snapshot is the exact state after all records up to the offset that it
+//     covers. It replaces the state only if it covers more; the changes that
+//     were read beyond it are applied over it.
 //  6. The offset in force only ever rises.
+//  7. A reader that missed records, because they had expired, keeps the state
+//     that it has and holds back what it reads after them, until a snapshot
+//     covers the gap. Nothing is skipped silently.
+//  8. A record that needs a newer program version is a gap: skipping it would
+//     break rule 1. The reader keeps the state before it until it can read a
+//     snapshot that covers it.
+//  9. What is remembered of writers and of removed classes is bounded, and
+//     what is forgotten follows from the records alone (rule 1). A change that
+//     was accepted can't be accepted again even then, by rule 3.
 //
 // # Usage
 //
-//	st := ledger.New()
-//	res := st.Apply(offset, rec)
-//	if e, ok := st.Find("live-draft"); ok { ... }
+//	r := ledger.NewReader()
+//	r.Expired(batch.First)
+//	done := r.Read(offset, rec)
+//	if e, ok := r.State().Find("live-draft"); ok { ... }
 package ledger
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
@@ -73,12 +85,24 @@
 type State struct {
 	offset  ident.Offset
 	classes map[ident.Class]slot
-	writers map[writerKey]uint64
+	writers map[writerKey]seen
 }
 
+// seen is the last change of a writer.
+type seen struct {
+	seq uint64
+	at  ident.Offset
+}
+
+// Bounds of what is remembered (rule 9).
+const (
+	maxWriters = 128
+	maxRemoved = 1024
+)
+
 // New returns the empty state before the first record.
 func New() *State {
-	return &State{classes: make(map[ident.Class]slot), writers: make(map[writerKey]uint64)}
+	return &State{classes: make(map[ident.Class]slot), writers: make(map[writerKey]seen)}
 }
 
 // Offset returns the offset of the last record taken in.
@@ -128,21 +152,60 @@
 		return Result{Verdict: Repeated}
 	}
 	s.offset = at // rule 6
+	if r.Change == nil {
+		return Result{Verdict: Ignored} // rule 5: all it covers was read
+	}
 	k := writerKey{r.Writer.Node, r.Writer.Boot}
-	if r.Writer.Seq <= s.writers[k] {
+	if r.Writer.Seq <= s.writers[k].seq {
 		return Result{Verdict: Repeated} // rule 2
 	}
-	s.writers[k] = r.Writer.Seq
-	if r.Snapshot != nil {
-		return Result{Verdict: Ignored} // rule 5: all it covers was read
+	s.writers[k] = seen{r.Writer.Seq, at}
+	res := s.change(at, *r.Change)
+	s.forget()
+	return res
+}
+
+// forget keeps the tables within their bounds, oldest first (rule 9).
+func (s *State) forget() {
+	for len(s.writers) > maxWriters {
+		delete(s.writers, oldest(s.writers, func(w seen) ident.Offset { return w.at }))
+	}
+	removed := make(map[ident.Class]slot)
+	for n, sl := range s.classes {
+		if sl.removed {
+			removed[n] = sl
+		}
+	}
+	for len(removed) > maxRemoved {
+		n := oldest(removed, func(sl slot) ident.Offset { return sl.entry.Revision })
+		delete(removed, n)
+		delete(s.classes, n)
 	}
-	return s.change(at, *r.Change)
+}
+
+// oldest returns the key of the value with the lowest offset. Two classes that
+// one change removed have the same; then the lower name is the older one.
+func oldest[K comparable, V any](m map[K]V, at func(V) ident.Offset) K {
+	var first K
+	low := ident.Offset(0)
+	for k, v := range m {
+		o := at(v)
+		if low == 0 || o < low || o == low && fmt.Sprint(k) < fmt.Sprint(first) {
+			first, low = k, o
+		}
+	}
+	return first
+}
+
+// Has reports whether a change of a writer was taken in.
+func (s *State) Has(w record.Writer) bool {
+	return w.Seq <= s.writers[writerKey{w.Node, w.Boot}].seq
 }
 
 func (s *State) change(at ident.Offset, c record.Change) Result {
 	differs := false
 	for _, e := range c.Edits {
-		if s.holds(e) { // rule 4
+		if s.Holds(e) { // rule 4
 			continue
 		}
 		differs = true
@@ -155,7 +218,7 @@
 		return Result{Verdict: Unchanged}
 	}
 	for _, e := range c.Edits {
-		if s.holds(e) {
+		if s.Holds(e) {
 			continue
 		}
 		s.classes[e.Name] = slot{
@@ -166,8 +229,8 @@
 	return Result{Verdict: Accepted}
 }
 
-// holds reports whether an edit sets what is already in force.
-func (s *State) holds(e record.Edit) bool {
+// Holds reports whether an edit sets what is already in force.
+func (s *State) Holds(e record.Edit) bool {
 	in, ok := s.Find(e.Name)
 	if e.Removed {
 		return !ok
@@ -184,12 +247,10 @@
 		}
 	}
 	slices.SortFunc(out.Removed, func(a, b record.Tombstone) int { return cmp.Compare(a.Name, b.Name) })
-	for k, seq := range s.writers {
-		out.Writers = append(out.Writers, record.Writer{Node: k.node, Boot: k.boot, Seq: seq})
+	for k, v := range s.writers {
+		out.Writers = append(out.Writers, record.Seen{Writer: record.Writer{Node: k.node, Boot: k.boot, Seq: v.seq}, At: v.at})
 	}
-	slices.SortFunc(out.Writers, func(a, b record.Writer) int {
-		return cmp.Or(cmp.Compare(a.Node, b.Node), cmp.Compare(a.Boot, b.Boot))
-	})
+	slices.SortFunc(out.Writers, func(a, b record.Seen) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
 
@@ -204,7 +265,7 @@
 		s.classes[t.Name] = slot{entry: record.Entry{Revision: t.Revision, Author: t.Author}, removed: true}
 	}
 	for _, w := range sn.Writers {
-		s.writers[writerKey{w.Node, w.Boot}] = w.Seq
+		s.writers[writerKey{w.Writer.Node, w.Writer.Boot}] = seen{w.Writer.Seq, w.At}
 	}
 	return s
 }
--- a/internal/inner/record/lease.go
+++ b/internal/inner/record/lease.go
@@ -49,7 +49,7 @@
 func EncodeLease(l Lease) ([]byte, error) {
 	b, err := json.Marshal(leaseMsg{
 		Format: Format,
-		Needs:  1,
+		Needs:  oldest,
 		Kind:   string(l.Kind),
 		Node:   string(l.Node),
 		Boot:   uint64(l.Boot),
--- a/internal/inner/record/record.go
+++ b/internal/inner/record/record.go
@@ -6,9 +6,11 @@
 //	data, err := record.Encode(record.Record{Writer: w, Change: &ch})
 //	r, err := record.Decode(data)
 //
-// A record of a newer program version decodes with the error [ErrNewer]; one
-// that can't be read decodes with another error. All readers skip both in the
-// same way.
+// A record names the oldest format whose readers may pass it ("needs"). An
+// older reader gets the error [ErrNewer] and must stop there, since skipping
+// what newer ones apply would let them differ. A record that can't be read at
+// all decodes with another error, and all readers skip it in the same way.
+// So reading checks no values: these are checked before a record is written.
 package record
 
 import (
@@ -24,8 +26,8 @@
 // Format is the newest format that this program writes and reads.
 const Format = 1
 
-// ErrNewer is returned for a record of a newer format.
-var ErrNewer = errors.New("record: written by a newer program version")
+// ErrNewer is returned for a record that needs a newer format.
+var ErrNewer = errors.New("record needs a newer program version; update this node")
 
 // Stream is the stream of the configuration.
 const Stream = "config"
@@ -48,6 +50,7 @@
 // Change is a set of edits that hold together or not at all.
 type Change struct {
 	Author  ident.Caller
+	Date    string // by the writer's calendar; shown and never compared
 	Comment string
 	Edits   []Edit
 }
@@ -64,7 +67,13 @@
 	Covers  ident.Offset
 	Entries []Entry
 	Removed []Tombstone
-	Writers []Writer // highest number of each writer seen
+	Writers []Seen
+}
+
+// Seen is the last change of a writer.
+type Seen struct {
+	Writer Writer
+	At     ident.Offset
 }
 
 // Tombstone remembers the change that removed a class.
@@ -83,6 +92,7 @@
 
 type message struct {
 	Format   int          `json:"format"`
+	Needs    int          `json:"needs"`
 	Node     string       `json:"node"`
 	Boot     uint64       `json:"boot,string"`
 	Seq      uint64       `json:"seq"`
@@ -92,6 +102,7 @@
 
 type changeMsg struct {
 	Author  string    `json:"author"`
+	Date    string    `json:"date,omitempty"`
 	Comment string    `json:"comment,omitempty"`
 	Edits   []editMsg `json:"edits"`
 }
@@ -126,6 +137,7 @@
 	Node string `json:"node"`
 	Boot uint64 `json:"boot,string"`
 	Seq  uint64 `json:"seq"`
+	At   int64  `json:"at"`
 }
 
 // ClassMsg is the JSON form of a class, also used towards operators.
@@ -155,8 +167,10 @@
 }
 
 // ToClass maps and checks the JSON form of a class.
-func ToClass(m ClassMsg) (class.Class, error) {
-	return class.New(class.Params{
+func ToClass(m ClassMsg) (class.Class, error) { return class.New(toParams(m)) }
+
+func toParams(m ClassMsg) class.Params {
+	return class.Params{
 		Name:      ident.Class(m.Name),
 		Kind:      class.Kind(m.Kind),
 		Service:   ident.Service(m.Service),
@@ -165,12 +179,15 @@
 		Staleness: ident.Version(m.Staleness),
 		Scorer:    ident.Service(m.Scorer),
 		MaxTokens: m.MaxTokens,
-	})
+	}
 }
 
+// oldest is the oldest format that can read what this program writes.
+const oldest = 1
+
 // Encode returns the bytes of a record.
 func Encode(r Record) ([]byte, error) {
-	m := message{Format: Format, Node: string(r.Writer.Node), Boot: uint64(r.Writer.Boot), Seq: r.Writer.Seq}
+	m := message{Format: Format, Needs: oldest, Node: string(r.Writer.Node), Boot: uint64(r.Writer.Boot), Seq: r.Writer.Seq}
 	if r.Change != nil {
 		m.Change = fromChange(*r.Change)
 	}
@@ -182,7 +199,7 @@
 }
 
 func fromChange(c Change) *changeMsg {
-	m := &changeMsg{Author: string(c.Author), Comment: c.Comment}
+	m := &changeMsg{Author: string(c.Author), Date: c.Date, Comment: c.Comment}
 	for _, e := range c.Edits {
 		em := editMsg{Name: string(e.Name), Base: int64(e.Base), Removed: e.Removed}
 		if !e.Removed {
@@ -203,7 +220,7 @@
 		m.Removed = append(m.Removed, tombstoneMsg{string(t.Name), int64(t.Revision), string(t.Author)})
 	}
 	for _, w := range s.Writers {
-		m.Writers = append(m.Writers, writerMsg{string(w.Node), uint64(w.Boot), w.Seq})
+		m.Writers = append(m.Writers, writerMsg{string(w.Writer.Node), uint64(w.Writer.Boot), w.Writer.Seq, int64(w.At)})
 	}
 	return m
 }
@@ -214,7 +231,7 @@
 	if err := json.Unmarshal(data, &m); err != nil {
 		return Record{}, errors.Wrap(err, "decode record")
 	}
-	if m.Format > Format {
+	if m.Needs > Format {
 		return Record{}, ErrNewer
 	}
 	if (m.Change == nil) == (m.Snapshot == nil) {
@@ -225,44 +242,40 @@
 	if m.Change != nil {
 		r.Change, err = toChange(*m.Change)
 	} else {
-		r.Snapshot, err = toSnapshot(*m.Snapshot)
+		r.Snapshot = toSnapshot(*m.Snapshot)
 	}
 	return r, err
 }
 
 func toChange(m changeMsg) (*Change, error) {
-	c := &Change{Author: ident.Caller(m.Author), Comment: m.Comment}
+	c := &Change{Author: ident.Caller(m.Author), Date: m.Date, Comment: m.Comment}
 	for _, em := range m.Edits {
 		e := Edit{Name: ident.Class(em.Name), Base: ident.Offset(em.Base), Removed: em.Removed}
 		if (em.Class == nil) != em.Removed {
 			return nil, errors.Errorf("decode record: edit of %s must hold a class or remove it", em.Name)
 		}
 		if em.Class != nil {
-			cl, err := ToClass(*em.Class)
-			if err != nil {
-				return nil, err
+			e.Class = class.Stored(toParams(*em.Class))
+			if e.Class.Name() != e.Name {
+				return nil, errors.Errorf("decode record: edit of %s holds the class %s", em.Name, em.Class.Name)
 			}
-			e.Class = cl
 		}
 		c.Edits = append(c.Edits, e)
 	}
 	return c, nil
 }
 
-func toSnapshot(m snapshotMsg) (*Snapshot, error) {
+func toSnapshot(m snapshotMsg) *Snapshot {
 	s := &Snapshot{Covers: ident.Offset(m.Covers)}
 	for _, em := range m.Entries {
-		cl, err := ToClass(em.Class)
-		if err != nil {
-			return nil, err
-		}
+		cl := class.Stored(toParams(em.Class))
 		s.Entries = append(s.Entries, Entry{cl, ident.Offset(em.Revision), ident.Caller(em.Author)})
 	}
 	for _, t := range m.Removed {
 		s.Removed = append(s.Removed, Tombstone{ident.Class(t.Name), ident.Offset(t.Revision), ident.Caller(t.Author)})
 	}
 	for _, w := range m.Writers {
-		s.Writers = append(s.Writers, Writer{ident.Node(w.Node), ident.Incarnation(w.Boot), w.Seq})
+		s.Writers = append(s.Writers, Seen{Writer{ident.Node(w.Node), ident.Incarnation(w.Boot), w.Seq}, ident.Offset(w.At)})
 	}
-	return s, nil
+	return s
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -128,13 +128,24 @@
 const (
 	headerFor = 5 * time.Second
 	peerFor   = 2 * clock.Second
+
+	snapshotEvery = 10 * clock.Minute
 )
 
 // wire builds the parts and gives each what it needs of the others.
 func (e *Entry) wire() {
 	p := e.p
 	part := func(name string) zerolog.Logger { return p.Log.With().Str("part", name).Logger() }
-	e.config = follow.New(follow.Params{Node: p.Node, Boot: e.boot, Source: p.Source, Clock: p.Clock, Log: part("config"), Trace: p.Trace})
+	e.config = follow.New(follow.Params{
+		Node:     p.Node,
+		Boot:     e.boot,
+		Snapshot: snapshotEvery,
+		Writes:   func() bool { _, mine := e.peers.Owner("snapshot"); return mine },
+		Source:   p.Source,
+		Clock:    p.Clock,
+		Log:      part("config"),
+		Trace:    p.Trace,
+	})
 	e.peers = peers.New(peers.Params{Node: p.Node, Addr: e.Addr(), Poll: p.Poll, VMs: p.VMs, Clock: p.Clock, Log: part("peers")})
 	e.calls = calls.New(calls.Params{Node: p.Node, Boot: e.boot, Policy: p.Policy, Pool: e.pool, Clock: p.Clock, Log: part("calls"), Trace: p.Trace})
 	e.swaps = swaps.New(swaps.Params{
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -1,5 +1,7 @@
 // Package follow keeps the configuration of one entry: it reads the log,
-// publishes the state by an atomic pointer, and writes changes for operators.
+// learns from peers while the log can't be read, publishes the state by an
+// atomic pointer, writes changes for operators, and republishes the state as a
+// snapshot before the records that made it expire.
 //
 // # Usage
 //
@@ -19,7 +21,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
-	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/ledger"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
@@ -30,53 +31,60 @@
 
 // Params are what the follower needs to run.
 type Params struct {
-	Node   ident.Node
-	Boot   ident.Incarnation
-	Source plat.Log
-	Clock  clock.Clock
-	Log    zerolog.Logger
-	Trace  *trace.Recorder // nil for none
+	Node     ident.Node
+	Boot     ident.Incarnation
+	Snapshot clock.Millis // between snapshots on the log
+	Writes   func() bool  // whether this node writes the snapshots; nil for always
+	Source   plat.Log
+	Clock    clock.Clock
+	Log      zerolog.Logger
+	Trace    *trace.Recorder // nil for none
 }
 
 // Follower keeps the configuration of one entry.
 type Follower struct {
 	p     Params
 	state atomic.Pointer[ledger.State]
-	fresh atomic.Int64 // instant of the last read to the end of the log, ms
 	wire  atomic.Pointer[wire.Snapshot]
+	write chan struct{} // held by the one change that is being written
 
 	mu      sync.Mutex
-	next    ident.Offset
+	reader  *ledger.Reader
+	age     age
+	snap    snapshots
 	seq     uint64
-	waiting map[uint64]chan applied
+	waiting map[uint64]chan ledger.Taken
 	audit   []Audit
 }
 
-type applied struct {
-	at  ident.Offset
-	res ledger.Result
-}
-
 // Audit is one line of the trail of changes.
 type Audit struct {
 	Offset  ident.Offset
 	Author  ident.Caller
+	Date    string
 	Comment string
 	Edits   []record.Edit
 	Verdict ledger.Verdict
 }
 
 const (
-	readLimit = 256
-	readWait  = 5 * clock.Second
-	retryWait = 200 * clock.Milli
-	appendFor = 3 * clock.Second // one try at an append
-	maxAudit  = 1000
+	readLimit  = 256
+	readWait   = 5 * clock.Second
+	retryWait  = 200 * clock.Milli
+	appendFor  = 3 * clock.Second // one try at an append
+	learnAfter = 2 * readWait     // the log counts as read so long after its end was seen
+	maxAudit   = 1000
 )
 
 // New returns a follower that has read nothing.
 func New(p Params) *Follower {
-	f := &Follower{p: p, next: 1, waiting: make(map[uint64]chan applied)}
+	f := &Follower{
+		p:       p,
+		write:   make(chan struct{}, 1),
+		reader:  ledger.NewReader(),
+		snap:    snapshots{seen: p.Clock.Now()},
+		waiting: make(map[uint64]chan ledger.Taken),
+	}
 	f.state.Store(ledger.New())
 	f.wire.Store(&wire.Snapshot{})
 	return f
@@ -89,10 +97,6 @@
 // Wire returns the configuration in the form that other nodes take.
 func (f *Follower) Wire() wire.Snapshot { return *f.wire.Load() }
 
-// Fresh returns the instant at which the log was last read to its end, 0 for
-// never.
-func (f *Follower) Fresh() clock.Millis { return clock.Millis(f.fresh.Load()) }
-
 // Run follows the log until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -103,6 +107,7 @@
 			continue
 		}
 		f.take(b)
+		f.republish(ctx)
 	}
 }
 
@@ -118,56 +123,74 @@
 func (f *Follower) position() ident.Offset {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.next
+	return f.reader.Position()
 }
 
 // take applies a batch and publishes the state after it.
 func (f *Follower) take(b plat.Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(b.Records) > 0 {
-		st := f.state.Load().Clone()
-		for _, r := range b.Records {
-			f.apply(st, r)
-		}
-		f.publish(st)
+	before := f.reader.State().Offset()
+	f.reader.Expired(b.First)
+	f.snap.expired(b.First)
+	for _, r := range b.Records {
+		f.read(r)
+	}
+	if f.reader.State().Offset() != before {
+		f.publish()
 	}
-	f.next = b.Next
-	if len(b.Records) < readLimit {
-		f.fresh.Store(int64(f.p.Clock.Now()))
+	now := f.p.Clock.Now()
+	f.age.gap(now, !f.reader.IsWhole())
+	if len(b.Records) < readLimit && f.reader.IsWhole() {
+		f.age.confirm(now, f.reader.State().Offset())
 	}
 }
 
-func (f *Follower) apply(st *ledger.State, r plat.Record) {
+func (f *Follower) read(r plat.Record) {
 	f.p.Trace.Record(trace.Event{At: f.p.Clock.Now(), Kind: trace.Config, Offset: r.Offset, Data: r.Data})
 	rec, err := record.Decode(r.Data)
-	if err != nil {
+	switch {
+	case errors.Is(err, record.ErrNewer):
+		f.p.Log.Error().Int64("offset", int64(r.Offset)).Msg("Record needs a newer program version, update this node.")
+		f.reader.Stop(r.Offset)
+		return
+	case err != nil:
 		f.p.Log.Error().Err(err).Int64("offset", int64(r.Offset)).Msg("Record skipped.")
-		st.Skip(r.Offset)
+		f.reader.Skip(r.Offset)
 		return
+	case rec.Snapshot != nil:
+		f.snap.read(f.p.Clock.Now(), r.Offset)
 	}
-	res := st.Apply(r.Offset, rec)
-	if rec.Change != nil && res.Verdict != ledger.Repeated {
-		f.note(r.Offset, rec, res)
-	}
+	f.note(f.reader.Read(r.Offset, rec))
 }
 
-// note adds to the audit trail and wakes the writer of the change.
-func (f *Follower) note(at ident.Offset, rec record.Record, res ledger.Result) {
-	f.audit = append(f.audit, Audit{at, rec.Change.Author, rec.Change.Comment, rec.Change.Edits, res.Verdict})
-	if len(f.audit) > maxAudit {
-		f.audit = f.audit[1:]
+// note adds to the audit trail and wakes the writers of changes.
+func (f *Follower) note(ts []ledger.Taken) {
+	for _, t := range ts {
+		c := t.Record.Change
+		if c == nil || t.Result.Verdict == ledger.Repeated {
+			continue
+		}
+		f.audit = append(f.audit, Audit{t.At, c.Author, c.Date, c.Comment, c.Edits, t.Result.Verdict})
+		f.wake(t)
 	}
-	if rec.Writer.Node != f.p.Node || rec.Writer.Boot != f.p.Boot {
+	f.audit = f.audit[max(0, len(f.audit)-maxAudit):]
+}
+
+func (f *Follower) wake(t ledger.Taken) {
+	w := t.Record.Writer
+	if w.Node != f.p.Node || w.Boot != f.p.Boot {
 		return
 	}
-	if ch, ok := f.waiting[rec.Writer.Seq]; ok {
-		ch <- applied{at, res}
-		delete(f.waiting, rec.Writer.Seq)
+	if ch, ok := f.waiting[w.Seq]; ok {
+		ch <- t
+		delete(f.waiting, w.Seq)
 	}
 }
 
-func (f *Follower) publish(st *ledger.State) {
+// publish shows the reader's state to the rest of the node.
+func (f *Follower) publish() {
+	st := f.reader.State().Clone()
 	sn := st.Snapshot()
 	data, err := record.Encode(record.Record{Snapshot: &sn})
 	if err != nil {
@@ -178,85 +201,29 @@
 	f.wire.Store(&wire.Snapshot{Offset: int64(st.Offset()), Data: data})
 }
 
-// Audit returns the newest lines of the trail of changes, oldest first.
-func (f *Follower) Audit() []Audit {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return append([]Audit(nil), f.audit...)
-}
-
-// Change appends a change and waits until it was read back in order. It tries
-// again with the same identity while the context lasts, so that an append
-// whose answer was lost takes effect once.
-func (f *Follower) Change(ctx context.Context, c record.Change) (ident.Offset, error) {
-	seq, ch := f.expect()
-	defer f.drop(seq)
-	data, err := record.Encode(record.Record{
-		Writer: record.Writer{Node: f.p.Node, Boot: f.p.Boot, Seq: seq},
-		Change: &c,
-	})
-	if err != nil {
-		return 0, err
-	}
-	sent := false
-	for {
-		ok := f.append(ctx, data)
-		sent = sent || ok
-		select {
-		case a := <-ch:
-			return verdict(a)
-		case <-ctx.Done():
-			return 0, undecided(ctx.Err(), sent)
-		case <-time.After(waitFor(ok)):
-		}
-	}
-}
-
-// waitFor is how long to wait for the read-back before the append is tried
-// again.
-func waitFor(appended bool) time.Duration {
-	if appended {
-		return readWait.Duration()
-	}
-	return retryWait.Duration()
-}
-
-func (f *Follower) append(ctx context.Context, data []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, appendFor.Duration())
-	defer cancel()
-	_, err := f.p.Source.Append(ctx, record.Stream, [][]byte{data})
-	if err != nil {
-		f.p.Log.Warn().Err(err).Msg("Append of a change failed, trying again.")
-	}
-	return err == nil
-}
-
-func undecided(err error, sent bool) error {
-	if sent {
-		return fault.Wrap(fault.Lost, err, "the change was written but not read back")
+// Learn takes in the configuration of a peer. It is used only while the log
+// is not read to its end, since what is learned skips the trail of changes.
+func (f *Follower) Learn(sn wire.Snapshot) {
+	if len(sn.Data) == 0 || sn.Offset <= int64(f.State().Offset()) {
+		return
 	}
-	return fault.Wrap(fault.Lost, err, "the log did not confirm the change")
-}
-
-func verdict(a applied) (ident.Offset, error) {
-	if a.res.Verdict != ledger.Conflict {
-		return a.at, nil
+	rec, err := record.Decode(sn.Data)
+	if err != nil || rec.Snapshot == nil {
+		f.p.Log.Error().Err(err).Msg("Configuration of a peer can't be read, update this node.")
+		return
 	}
-	return 0, fault.New(fault.Conflict, errors.Errorf("class %s was changed by %s at revision %d",
-		a.res.Class, a.res.Winner, a.res.InForce).Error())
-}
-
-func (f *Follower) expect() (uint64, chan applied) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.seq++
-	ch := make(chan applied, 1)
-	f.waiting[f.seq] = ch
-	return f.seq, ch
-}
-
-func (f *Follower) drop(seq uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.waiting, seq)
+	now := f.p.Clock.Now()
+	if f.reader.IsWhole() && now-f.age.fresh < learnAfter {
+		return
+	}
+	before := f.reader.State().Offset()
+	f.note(f.reader.Learn(*rec.Snapshot))
+	if f.reader.State().Offset() == before {
+		return
+	}
+	f.p.Log.Info().Int64("offset", int64(f.reader.State().Offset())).Msg("Configuration learned from a peer.")
+	f.publish()
+	f.age.gap(now, !f.reader.IsWhole())
 }
