Order placements under the lease's fencing number

Cause: nothing carried the placement decision to the engines, and an agent took an order for any model from any sender. An order without a number can only raise the version of the hosted model.

--- a/internal/inner/wire/msgs.go
+++ b/internal/inner/wire/msgs.go
@@ -191,6 +191,7 @@
 	Fault    Fault
 	Config   Snapshot // set if newer than the agent's
 	Versions []Announced
+	Fence    int64 // fencing number of the placement's lease, 0 if not known
 }
 
 // Snapshot is a configuration with the log offset that it covers.
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -76,6 +76,7 @@
 	status  atomic.Pointer[plat.Status]
 	config  atomic.Pointer[wire.Snapshot]
 	crashes crashes
+	fences  fences
 	speed   speed
 	seq     atomic.Uint64
 }
--- a/internal/node/agent/report.go
+++ b/internal/node/agent/report.go
@@ -63,6 +63,7 @@
 		a.p.Log.Debug().Err(err).Str("entry", addr).Msg("Report failed.")
 		return
 	}
+	a.fences.learn(ident.Offset(reply.Fence))
 	if reply.Config.Offset > a.config.Load().Offset {
 		a.config.Store(&reply.Config)
 	}
--- a/internal/node/agent/swap.go
+++ b/internal/node/agent/swap.go
@@ -121,14 +121,14 @@
 // still on its way shows.
 const settleLooks = 3
 
-// order carries out one order to load a version. It refuses a version that is
-// not newer both before the transfer and after the wait for the runs, so that
+// order carries out one order to load a version. It refuses what is
+// out of date both before the transfer and after the wait for the runs, so that
 // a late order can't bring back an old version.
 func (a *Agent) order(o plat.Order) error {
 	if a.p.Engine == nil {
 		return fault.New(fault.BadRequest, "agent "+string(a.p.Node)+" has no engine")
 	}
-	if err := a.isNewer(o); err != nil {
+	if err := a.mayOrder(o); err != nil {
 		return err
 	}
 	if err := a.p.Weights.Fetch(a.ctx, o.Model, o.Version); err != nil {
@@ -137,10 +137,11 @@
 	if !a.swap.begin() {
 		return fault.New(fault.Overloaded, "another order is running").After(clock.Second)
 	}
-	if err := a.isNewer(o); err != nil {
+	if err := a.mayOrder(o); err != nil {
 		a.swap.end()
 		return err
 	}
+	o.Fence = max(o.Fence, a.fences.highest())
 	ctx, cancel := context.WithTimeout(a.ctx, maxSwap.Duration())
 	defer cancel()
 	if err := a.p.Engine.Load(ctx, o); err != nil {
@@ -151,12 +152,22 @@
 	return nil
 }
 
-func (a *Agent) isNewer(o plat.Order) error {
+// mayOrder refuses an order that is out of date. An order without a fencing
+// number changes the version of the model that the engine hosts, and only to a
+// newer one. An order with one may change the model; it must not be older than
+// any that was seen.
+func (a *Agent) mayOrder(o plat.Order) error {
 	st := a.status.Load()
 	if st.Model == o.Model && o.Version <= st.Version {
 		return fault.New(fault.StaleOrder, "the engine already holds this or a newer version")
 	}
-	return nil
+	if o.Fence == 0 {
+		if st.Model != o.Model {
+			return fault.New(fault.StaleOrder, "the engine hosts another model; only the placement's holder moves it")
+		}
+		return nil
+	}
+	return a.fences.admit(o.Fence)
 }
 
 // settle waits until the engine says so many times in a row that no order is
