Record traces of scenes from the demonstration

Cause: replay needs traces of the faults that operators meet. A read that hands over nothing, and a report that differs little, leave no line.

--- a/internal/node/entry/round.go
+++ b/internal/node/entry/round.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return codec.Page{}, err
 	}
-	e.record(trace.Event{Kind: trace.RoundRead, Round: id, Version: ident.Version(m.Version), Samples: len(page.Samples)})
+	e.recordRead(id, ident.Version(m.Version), len(page.Samples))
 	out := codec.Page{Cursor: page.Cursor, Whole: page.Whole}
 	for _, s := range page.Samples {
 		out.Samples = append(out.Samples, codec.Sample{
--- a/internal/node/entry/trace.go
+++ b/internal/node/entry/trace.go
@@ -15,7 +15,7 @@
 // its node, and at least once in reportEvery.
 const (
 	reportEvery = clock.Second
-	rateChange  = 0.1 // share of the rate that counts as a difference
+	rateChange  = 0.25 // share of the rate that counts as a difference
 )
 
 // written remembers the last report of each node in the trace.
@@ -89,3 +89,10 @@
 func (e *Entry) recordOpen(s round.Spec) {
 	e.record(trace.Event{Kind: trace.RoundOpen, Round: s.ID, Class: s.Class, Service: s.Model, Version: s.Version, Groups: len(s.Prompts), Samples: s.Samples})
 }
+
+// recordRead writes a read that handed over samples.
+func (e *Entry) recordRead(id ident.Round, asked ident.Version, samples int) {
+	if samples > 0 {
+		e.record(trace.Event{Kind: trace.RoundRead, Round: id, Version: asked, Samples: samples})
+	}
+}
--- a/internal/proof/demo/bench_test.go
+++ b/internal/proof/demo/bench_test.go
@@ -43,10 +43,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	o := Options{Entries: 1, Apps: 1, Seed: 1, Instant: true}
-	w, err := newWorld(ctx, o, zerolog.Nop())
+	w, err := newWorld(ctx, o, zerolog.Nop(), nil)
 	c.Assert(err, qt.IsNil)
 	defer w.close()
-	r := &run{o: o, w: w, out: io.Discard, counts: invar.NewCounts(), meas: newMeasures()}
+	r := &run{o: o, scene: o.scene(), w: w, out: io.Discard, counts: invar.NewCounts(), meas: newMeasures()}
 	c.Assert(r.apply(ctx, firstClasses()), qt.IsNil)
 	c.Assert(r.waitServing(ctx), qt.IsNil)
 	u := w.urls()[0]
--- a/internal/proof/demo/demo.go
+++ b/internal/proof/demo/demo.go
@@ -36,6 +36,8 @@
 	Faults  bool
 	Instant bool // the plain service takes no time of its own
 	Verbose bool
+	Scene   string // load and faults, empty for the standard ones
+	Trace   string // file for the trace of all entries, empty for none
 }
 
 const (
@@ -46,6 +48,7 @@
 // run is one demonstration.
 type run struct {
 	o      Options
+	scene  scene
 	w      *world
 	out    io.Writer
 	counts *invar.Counts
@@ -62,12 +65,19 @@
 	if o.Verbose {
 		log = zerolog.New(out).Level(zerolog.DebugLevel).With().Timestamp().Logger()
 	}
-	w, err := newWorld(ctx, o, log)
+	rec, err := o.openTrace()
 	if err != nil {
 		return false, err
 	}
-	defer w.close()
-	r := &run{o: o, w: w, out: out, counts: invar.NewCounts(), meas: newMeasures(), began: time.Now()}
+	w, err := newWorld(ctx, o, log, rec)
+	if err != nil {
+		return false, err
+	}
+	defer func() {
+		w.close()
+		_ = rec.Close()
+	}()
+	r := &run{o: o, scene: o.scene(), w: w, out: out, counts: invar.NewCounts(), meas: newMeasures(), began: time.Now()}
 	if err := r.all(ctx); err != nil {
 		return false, err
 	}
@@ -92,7 +102,7 @@
 	load, endLoad := context.WithCancel(ctx)
 	defer endLoad()
 	wg.Go(func() { r.callers(load) })
-	if r.o.Faults {
+	if r.o.Faults || r.o.Scene != standardScene {
 		wg.Go(func() { r.faults(load) })
 	}
 	errs <- r.train(ctx)
--- a/internal/proof/demo/faults.go
+++ b/internal/proof/demo/faults.go
@@ -38,7 +38,7 @@
 
 // faults lets everything on the schedule happen.
 func (r *run) faults(ctx context.Context) {
-	for _, f := range schedule {
+	for _, f := range r.scene.faults {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/proof/demo/users.go
+++ b/internal/proof/demo/users.go
@@ -28,7 +28,7 @@
 // callers send drafts and lookups until the context ends.
 func (r *run) callers(ctx context.Context) {
 	var wg sync.WaitGroup
-	for i := range callerCount {
+	for i := range r.scene.callers {
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(r.o.Seed, uint64(i)))
 			for n := 0; ctx.Err() == nil; n++ {
@@ -43,7 +43,7 @@
 func (r *run) oneCall(ctx context.Context, body string, rng *rand.Rand) {
 	urls := r.w.urls()
 	u := urls[rng.IntN(len(urls))]
-	if rng.IntN(3) == 0 {
+	if rng.IntN(r.scene.lookups) == 0 {
 		r.lookup(ctx, u, body)
 		return
 	}
--- a/internal/proof/demo/world.go
+++ b/internal/proof/demo/world.go
@@ -22,6 +22,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/node/agent"
 	"github.com/jujuberamp/jujuberamp/internal/node/entry"
 	"github.com/jujuberamp/jujuberamp/internal/prod/telem"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 	"github.com/jujuberamp/jujuberamp/internal/stand/batch"
 	"github.com/jujuberamp/jujuberamp/internal/stand/engine"
 	"github.com/jujuberamp/jujuberamp/internal/stand/logsvc"
@@ -70,6 +71,7 @@
 	ctx   context.Context
 	clock clock.Clock
 	log   zerolog.Logger
+	trace *trace.Recorder
 
 	store  *logsvc.Log
 	vms    *vmlist.List
@@ -101,12 +103,13 @@
 	stop   context.CancelFunc
 }
 
-func newWorld(ctx context.Context, o Options, log zerolog.Logger) (*world, error) {
+func newWorld(ctx context.Context, o Options, log zerolog.Logger, rec *trace.Recorder) (*world, error) {
 	c := clock.NewSystem()
 	w := &world{
 		ctx:    ctx,
 		clock:  c,
 		log:    log,
+		trace:  rec,
 		store:  logsvc.New(c, logsvc.Params{Rate: logRate, Keep: logKeep, Seed: o.Seed}),
 		vms:    vmlist.New(c, listLag),
 		weight: weight.New(c, storeRate),
@@ -187,6 +190,7 @@
 		Log:     w.log.With().Str("node", string(name)).Logger(),
 		Meter:   m.Meter("entry"),
 		Metrics: m.Handler(),
+		Trace:   w.trace,
 		Source:  client.NewLog(w.plat),
 		VMs:     client.NewVMs(w.plat),
 		Scorer:  func(ident.Service) (plat.Scorer, error) { return client.NewScorer(w.score), nil },
