Keep rounds through a change of owner; bound what an entry and an agent hold

Cause: a new owner started everything anew that no agent held as finished, also what its trainer had and what was running; the same name with another specification was taken for the same round; a failing scorer had samples made anew; a cursor of a newer or older reader was not decided; entries kept rounds for ever. Change: the state of a round counts its phases, keeps proven tokens for the next try, waits between tries, gives up what will be too old, and releases what a cursor holds (rules 5 to 8). Agents name samples by the digest of the specification, list running attempts so that a new owner joins them, and forget what the trainer holds. Opening carries the cursor. Samples that can't be made are handed over as refused, and their group is never called complete. Cancelling reaches every entry and agent.

--- a/internal/base/fault/kinds.go
+++ b/internal/base/fault/kinds.go
@@ -26,6 +26,7 @@
 	BadDeclare   Kind = "bad-declaration"
 	BadSetting   Kind = "bad-setting"
 	BadCursor    Kind = "bad-cursor"
+	RoundReused  Kind = "round-reused"
 	Unproven     Kind = "unproven-version"
 	TooStale     Kind = "too-stale"
 	Canceled     Kind = "canceled"
@@ -62,6 +63,7 @@
 	BadDeclare:   {http.StatusUnprocessableEntity, NotRun, "correct the named key and run check"},
 	BadSetting:   {http.StatusUnprocessableEntity, NotRun, "correct the named key in the settings file"},
 	BadCursor:    {http.StatusUnprocessableEntity, NotRun, "read with the cursor of the last answer for this round, or with none"},
+	RoundReused:  {http.StatusUnprocessableEntity, NotRun, "use a new name for a round with another specification"},
 	Unproven:     {http.StatusServiceUnavailable, Unknown, "the sample is made anew; read again"},
 	TooStale:     {http.StatusConflict, NotRun, "the sample is made anew; read again"},
 	Canceled:     {http.StatusConflict, Unknown, "send again if the answer is still wanted"},
--- a/internal/decide/round/round.go
+++ b/internal/decide/round/round.go
@@ -6,89 +6,52 @@
 //  1. Each ordinal of the round has at most one finished sample here.
 //  2. A reader gets no ordinal that its cursor holds.
 //  3. A sample is handed over only if its oldest version is within the bound
-//     of the version for which the trainer asks; otherwise it is made anew.
+//     of the highest version that was asked for; otherwise it is made anew.
+//     The same holds each time that it is handed over again.
 //  4. A sample whose versions are not proven is made anew.
-//  5. An ordinal is not started on a version that is already too old.
+//  5. An ordinal is not started, nor gone on with, from tokens that are
+//     already too old. When a newer version is asked for, those that run and
+//     will be too old are given up.
+//  6. A sample is released when a cursor that holds all that was released
+//     before holds it too. A reader whose cursor lacks a released sample came
+//     late or reads in parallel; it gets that sample made anew only when no
+//     newer cursor was seen for some time, that is when the trainer went back.
+//  7. A finished sample that has to be scored waits for its score, however
+//     often the scoring service fails; it is never made anew for that.
+//  8. A sample that can't be made is handed over as refused and its group is
+//     never complete.
 //
 // # Usage
 //
 //	st := round.New(spec)
-//	for _, o := range st.Start() { submit(o) }
-//	st.Finished(ordinal, sample)
-//	out, remade := st.Read(cursor, version, limit)
+//	for _, b := range st.Start(now, window) { submit(b) }
+//	st.Finished(sample, needsScore)
+//	st.Take(now, cursor)
+//	page := st.Read(cursor, version, limit)
 package round
 
 import (
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/base/model"
 )
 
-// Spec is what the trainer asked for.
-type Spec struct {
-	ID        ident.Round
-	Class     ident.Class
-	Model     ident.Service
-	Version   ident.Version // the version for which the trainer asks
-	Staleness ident.Version // versions a sample may be behind
-	Prompts   [][]byte      // one a group
-	Samples   int           // a group
-	Seed      int64
-	MaxTokens int
-}
-
-// Total returns the number of samples.
-func (s Spec) Total() int { return len(s.Prompts) * s.Samples }
-
-// Group returns the group of an ordinal.
-func (s Spec) Group(ordinal int) int { return ordinal / s.Samples }
-
-// Prompt returns the prompt of an ordinal.
-func (s Spec) Prompt(ordinal int) []byte { return s.Prompts[s.Group(ordinal)] }
-
-// SeedOf returns the seed of an ordinal; the same on each try.
-func (s Spec) SeedOf(ordinal int) int64 { return s.Seed + int64(ordinal) }
-
-// Floor returns the oldest version within the bound of a version.
-func (s Spec) Floor(asked ident.Version) ident.Version {
-	if asked <= s.Staleness {
-		return 0
-	}
-	return asked - s.Staleness
-}
-
-// Sample is a finished sample.
-type Sample struct {
-	Ordinal int
-	Group   int
-	Attempt ident.Attempt
-	Node    ident.Node // the agent that holds it
-	Tokens  []uint32
-	Spans   []model.Span
-	Score   float64
-}
-
-// Oldest returns the oldest version that made a token of the sample.
-func (s Sample) Oldest() ident.Version {
-	var v ident.Version
-	for i, sp := range s.Spans {
-		if i == 0 || sp.Version < v {
-			v = sp.Version
-		}
-	}
-	return v
-}
-
 type phase uint8
 
 const (
-	idle phase = iota
-	running
-	finished
+	idle     phase = iota // to be started
+	running               // at an agent, or on its way there
+	scoring               // made, without its score
+	finished              // may be handed over
+	released              // the reader holds it
 )
 
 type place struct {
 	phase  phase
-	sample Sample
+	part   Part   // proven tokens of an attempt that ended, or spans of a running one
+	sample Sample // scoring and finished
+	tries  int
+	after  clock.Millis // not started before
 }
 
 // Reason tells why a sample is made anew.
@@ -99,19 +62,42 @@
 	Stale    Reason = "stale"
 	Unproven Reason = "unproven"
 	Failed   Reason = "failed"
+	Reread   Reason = "reread"
 )
 
+// rereadAfter is how long no newer cursor may be seen before an older one gets
+// released samples made anew.
+const rereadAfter = 10 * clock.Second
+
+// maxPageTokens bounds a page; a single sample may exceed it.
+const maxPageTokens = 1 << 20
+
 // State is a round at its owner.
 type State struct {
 	spec   Spec
 	asked  ident.Version
 	places []place
 	remade map[Reason]int
+	held   Cursor       // the newest cursor seen
+	seen   clock.Millis // when it, or one that holds as much, was seen last
 }
 
-// New returns the state of a round of which nothing is made.
-func New(s Spec) *State {
-	return &State{spec: s, asked: s.Version, places: make([]place, s.Total()), remade: make(map[Reason]int)}
+// New returns the state of a round whose reader holds what the cursor says.
+func New(now clock.Millis, s Spec, held Cursor) *State {
+	st := &State{
+		spec:   s,
+		asked:  s.Version,
+		places: make([]place, s.Total()),
+		remade: make(map[Reason]int),
+		held:   held,
+		seen:   now,
+	}
+	for i := range st.places {
+		if held.Has(i) {
+			st.places[i].phase = released
+		}
+	}
+	return st
 }
 
 // Spec returns what the trainer asked for.
@@ -120,22 +106,75 @@
 // Floor returns the oldest version on which samples may be started now.
 func (st *State) Floor() ident.Version { return st.spec.Floor(st.asked) }
 
-// Start returns the ordinals to start and marks them as running.
-func (st *State) Start(held Cursor) []int {
-	var out []int
+// Begin is a sample to start.
+type Begin struct {
+	Ordinal int
+	Part    Part // tokens to go on from
+	Floor   ident.Version
+	Late    bool // it belongs to the end of the round
+}
+
+// lateShare is the share of samples that have to be made before the rest
+// counts as the end of the round.
+const lateShare = 0.75
+
+// Start returns samples to start and marks them as running, so that at most
+// limit run.
+func (st *State) Start(now clock.Millis, limit int) []Begin {
+	c := st.Count()
+	late := float64(c.made()) >= lateShare*float64(st.spec.Total())
+	var out []Begin
 	for i := range st.places {
-		if st.places[i].phase == idle && !held.Has(i) {
-			st.places[i].phase = running
-			out = append(out, i)
+		p := &st.places[i]
+		if c.Running+len(out) >= limit {
+			break
+		}
+		if p.phase != idle || now < p.after {
+			continue
+		}
+		if p.part.Oldest() < st.Floor() { // rule 5
+			p.part = Part{}
 		}
+		p.phase = running
+		out = append(out, Begin{Ordinal: i, Part: p.part, Floor: st.Floor(), Late: late || p.tries > 0})
 	}
 	return out
 }
 
-// Finished takes in a finished sample and reports whether it is kept.
-func (st *State) Finished(s Sample) bool {
+// Joined notes that an ordinal runs already, and reports whether it was idle.
+func (st *State) Joined(ordinal int) bool {
+	if !st.isIn(ordinal) || st.places[ordinal].phase != idle {
+		return false
+	}
+	st.places[ordinal].phase = running
+	return true
+}
+
+func (st *State) isIn(ordinal int) bool { return ordinal >= 0 && ordinal < len(st.places) }
+
+// Runs notes which versions made the tokens of a running sample so far, where
+// base is the version that its server had when it began. It reports whether
+// the sample is still wanted.
+func (st *State) Runs(ordinal int, spans []model.Span, base ident.Version) bool {
+	p := &st.places[ordinal]
+	if p.phase != running {
+		return false
+	}
+	p.part = Part{Spans: spans}
+	if len(spans) == 0 {
+		p.part.Spans = []model.Span{{Version: base}}
+	}
+	return p.part.Oldest() >= st.Floor()
+}
+
+// Finished takes in a whole sample and reports whether it is kept. One that
+// has to be scored is kept until [State.Scored].
+func (st *State) Finished(s Sample, needsScore bool) bool {
+	if !st.isIn(s.Ordinal) {
+		return false
+	}
 	p := &st.places[s.Ordinal]
-	if p.phase == finished { // rule 1
+	if p.phase > running { // rule 1
 		return false
 	}
 	if s.Oldest() < st.Floor() { // rule 3
@@ -143,57 +182,203 @@
 		return false
 	}
 	s.Group = st.spec.Group(s.Ordinal)
-	*p = place{phase: finished, sample: s}
+	p.sample, p.part, p.phase = s, Part{}, finished
+	if needsScore {
+		p.phase = scoring // rule 7
+	}
 	return true
 }
 
-// Failed notes that an ordinal has to be made anew.
-func (st *State) Failed(ordinal int, why Reason) {
-	if st.places[ordinal].phase == running {
+// Scored takes in the score of an attempt; a second answer changes nothing.
+func (st *State) Scored(ordinal int, a ident.Attempt, score float64) {
+	p := &st.places[ordinal]
+	if p.phase == scoring && p.sample.Attempt == a {
+		p.sample.Score = score
+		p.phase = finished
+	}
+}
+
+// AwaitsScore reports whether the sample of an attempt still needs its score.
+func (st *State) AwaitsScore(ordinal int, a ident.Attempt) bool {
+	p := st.places[ordinal]
+	return p.phase == scoring && p.sample.Attempt == a
+}
+
+// Refused notes that an ordinal can't be made, with the reason for the
+// trainer.
+func (st *State) Refused(ordinal int, why string) {
+	p := &st.places[ordinal]
+	if p.phase == running { // rule 8
+		*p = place{phase: finished, sample: Sample{Ordinal: ordinal, Group: st.spec.Group(ordinal), Refused: why}}
+	}
+}
+
+// Ended notes that the attempts of an ordinal ended without a whole sample and
+// keeps its proven tokens; a sample that had begun and keeps none is made
+// anew. It returns how long the ordinal has to wait.
+func (st *State) Ended(now clock.Millis, ordinal int, part Part, why Reason) clock.Millis {
+	p := &st.places[ordinal]
+	if p.phase != running {
+		return 0
+	}
+	began := len(p.part.Spans) > 0
+	p.phase, p.part = idle, part
+	p.tries++
+	if began && len(part.Tokens) == 0 {
 		st.again(ordinal, why)
 	}
+	wait := Backoff(p.tries, ordinal)
+	p.after = now + wait
+	return wait
+}
+
+// GiveUp marks the running samples that will be too old as idle and returns
+// them; their attempts are to be ended.
+func (st *State) GiveUp() []int {
+	var out []int
+	for i := range st.places {
+		p := &st.places[i]
+		if p.phase == running && len(p.part.Spans) > 0 && p.part.Oldest() < st.Floor() { // rule 5
+			st.again(i, Stale)
+			out = append(out, i)
+		}
+	}
+	return out
 }
 
 func (st *State) again(ordinal int, why Reason) {
-	st.places[ordinal] = place{}
+	old := st.places[ordinal]
+	st.places[ordinal] = place{tries: old.tries, after: old.after}
 	st.remade[why]++
 }
 
+// Page is what a reader gets.
+type Page struct {
+	Samples  []Sample
+	Cursor   Cursor // of a reader that took the page
+	Complete []int  // groups that the page completes
+}
+
 // Read returns up to limit finished samples that the cursor does not hold,
 // for the version for which the trainer asks now.
-func (st *State) Read(held Cursor, asked ident.Version, limit int) []Sample {
+func (st *State) Read(cur Cursor, asked ident.Version, limit int) Page {
 	st.asked = max(st.asked, asked)
-	var out []Sample
+	var pg Page
+	tokens := 0
 	for i := range st.places {
-		p := st.places[i]
-		if p.phase != finished || held.Has(i) { // rule 2
+		p := &st.places[i]
+		if p.phase != scoring && p.phase != finished || cur.Has(i) { // rule 2
 			continue
 		}
-		if p.sample.Oldest() < st.Floor() { // rule 3
+		if p.sample.Refused == "" && p.sample.Oldest() < st.Floor() { // rule 3
 			st.again(i, Stale)
 			continue
 		}
-		if len(out) < limit {
-			out = append(out, p.sample)
+		n := len(p.sample.Tokens)
+		if p.phase == scoring || len(pg.Samples) >= limit || (tokens > 0 && tokens+n > maxPageTokens) {
+			continue
+		}
+		tokens += n
+		pg.Samples = append(pg.Samples, p.sample)
+	}
+	pg.Cursor = cur.With(pg.Samples...)
+	pg.Complete = st.completed(cur, pg.Cursor)
+	return pg
+}
+
+// Taken is what a reader's cursor makes superfluous.
+type Taken struct {
+	Released []Sample // agents may forget them; only ordinal and node are set
+	Unwanted []int    // they run although the reader holds them
+}
+
+// Take takes in the cursor of a reader that arrives, by rule 6.
+func (st *State) Take(now clock.Millis, cur Cursor) Taken {
+	var t Taken
+	if !cur.Covers(st.held) {
+		if now-st.seen < rereadAfter {
+			return t
+		}
+		for i := range st.places {
+			if st.places[i].phase == released && !cur.Has(i) {
+				st.again(i, Reread)
+			}
+		}
+	}
+	st.held, st.seen = cur, now
+	for i := range st.places {
+		p := &st.places[i]
+		if p.phase == released || !cur.Has(i) {
+			continue
+		}
+		if p.phase == running {
+			t.Unwanted = append(t.Unwanted, i)
+		}
+		if p.sample.Node != "" {
+			t.Released = append(t.Released, Sample{Ordinal: i, Node: p.sample.Node})
+		}
+		*p = place{phase: released}
+	}
+	return t
+}
+
+// completed returns the groups that are whole with a cursor and were not with
+// the one before.
+func (st *State) completed(before, after Cursor) []int {
+	var out []int
+	for g := range st.spec.Prompts {
+		if st.isWhole(after, g) && !st.isWhole(before, g) {
+			out = append(out, g)
 		}
 	}
 	return out
 }
 
-// Remade returns how many samples were made anew, by reason.
-func (st *State) Remade() map[Reason]int { return st.remade }
+func (st *State) isWhole(c Cursor, group int) bool {
+	for i := group * st.spec.Samples; i < (group+1)*st.spec.Samples; i++ {
+		if !c.Has(i) || c.IsRefused(i) { // rule 8
+			return false
+		}
+	}
+	return true
+}
+
+// Counts are the numbers of samples by phase.
+type Counts struct {
+	Idle     int
+	Running  int
+	Scoring  int
+	Finished int
+	Released int
+}
 
-// Count returns how many ordinals are idle, running and finished.
-func (st *State) Count() (idles, runs, ends int) {
+func (c Counts) made() int { return c.Scoring + c.Finished + c.Released }
+
+// Count returns how far the round has come.
+func (st *State) Count() Counts {
+	var c Counts
 	for _, p := range st.places {
 		switch p.phase {
 		case idle:
-			idles++
+			c.Idle++
 		case running:
-			runs++
+			c.Running++
+		case scoring:
+			c.Scoring++
 		case finished:
-			ends++
+			c.Finished++
+		case released:
+			c.Released++
 		}
 	}
-	return idles, runs, ends
+	return c
+}
+
+// Remade returns how many samples were made anew, by reason.
+func (st *State) Remade() map[Reason]int {
+	out := make(map[Reason]int, len(st.remade))
+	for r, n := range st.remade {
+		out[r] = n
+	}
+	return out
 }
--- a/internal/edge/codec/api.go
+++ b/internal/edge/codec/api.go
@@ -28,6 +28,7 @@
 	Samples   int      `json:"samples-per-group"`
 	Seed      int64    `json:"seed"`
 	MaxTokens int      `json:"max-tokens,omitempty"`
+	Cursor    string   `json:"cursor,omitempty"` // what the trainer holds already
 }
 
 // Read asks for finished samples of a round.
@@ -48,13 +49,15 @@
 	Tokens  []uint32 `json:"tokens"`
 	Spans   []Span   `json:"versions"`
 	Score   float64  `json:"score"`
+	Refused string   `json:"refused,omitempty"` // why it can't be made
 }
 
 // Page is the answer to a read.
 type Page struct {
-	Samples []Sample `json:"samples"`
-	Cursor  string   `json:"cursor"`
-	Whole   bool     `json:"whole"`
+	Samples  []Sample `json:"samples"`
+	Cursor   string   `json:"cursor"`
+	Complete []int    `json:"complete-groups,omitempty"` // with this page
+	Whole    bool     `json:"whole"`
 }
 
 // Round names a round.
@@ -66,7 +69,9 @@
 type Progress struct {
 	Idle     int         `json:"idle"`
 	Running  int         `json:"running"`
+	Scoring  int         `json:"scoring"`
 	Finished int         `json:"finished"`
+	Released int         `json:"released"` // held by the trainer
 	Remade   []ReasonSum `json:"remade"`
 }
 
--- a/internal/inner/wire/msgs.go
+++ b/internal/inner/wire/msgs.go
@@ -29,6 +29,7 @@
 // Sample names the place of an answer in a round.
 type Sample struct {
 	Round   string
+	Spec    string // digest of the round's specification
 	Ordinal int
 	Floor   uint64 // oldest version that may make it
 }
@@ -131,12 +132,14 @@
 	Fence   int64 // of the placement plan; 0 for a swap within the plan in force
 }
 
-// HeldArgs asks for the finished samples of a round.
+// HeldArgs asks for the samples of a round, or drops some: with Drop or All
+// the answer lists nothing.
 type HeldArgs struct {
 	Hello Hello
 	Round string
-	Drop  []int // ordinals that the trainer has; the agent may forget them
-	All   bool  // drop the whole round
+	Spec  string // digest of the specification; with All any
+	Drop  []int  // ordinals that the trainer has; the agent forgets them
+	All   bool   // drop the whole round
 }
 
 // HeldSample is one finished sample.
@@ -147,11 +150,17 @@
 	Spans   []Span
 }
 
-// HeldReply lists finished samples and ordinals still running.
+// HeldRun is one sample that is still running.
+type HeldRun struct {
+	Ordinal int
+	Attempt string
+}
+
+// HeldReply lists finished samples and those still running.
 type HeldReply struct {
 	Fault   Fault
 	Samples []HeldSample
-	Running []int
+	Running []HeldRun
 }
 
 // Hosted is what a backend server offers.
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -189,6 +189,13 @@
 func (j *job) read(from int) (wire.FetchReply, <-chan struct{}) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	r := j.answer(from)
+	j.fetched = j.fetched || j.done
+	return r, j.grown
+}
+
+// answer returns the answer after a position. The lock of j is held.
+func (j *job) answer(from int) wire.FetchReply {
 	var r wire.FetchReply
 	to := len(j.tokens)
 	if j.isSample() { // Tokens that are not proven may still be dropped.
@@ -199,13 +206,12 @@
 		r.Tokens = j.tokens[from:to:to]
 	}
 	if j.done {
-		j.fetched = true
 		r.Done = true
 		r.Body = j.body
 		r.Proven = j.proven
 		r.Fault = wire.ToFault(j.err)
 	}
-	return r, j.grown
+	return r
 }
 
 // admit starts a job or refuses it as not run.
@@ -288,14 +294,3 @@
 	j, ok := a.jobs[ident.Attempt(id)]
 	return j, ok
 }
-
-// forget drops finished jobs that nobody fetched in time.
-func (a *Agent) forget(now clock.Millis) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for id, j := range a.jobs {
-		if j.expired(now, a.p.Keep) || (j.isFetched() && !j.isSample()) {
-			delete(a.jobs, id)
-		}
-	}
-}
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -7,7 +7,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/base/sets"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
 
@@ -87,46 +86,6 @@
 	return nil
 }
 
-// Held implements the inner protocol.
-func (s *service) Held(args *wire.HeldArgs, reply *wire.HeldReply) error {
-	if err := args.Hello.Check(); err != nil {
-		reply.Fault = wire.ToFault(err)
-		return nil
-	}
-	drop := sets.Of(args.Drop...)
-	s.a.mu.Lock()
-	defer s.a.mu.Unlock()
-	for id, j := range s.a.jobs {
-		if j.msg.Sample.Round != args.Round {
-			continue
-		}
-		if args.All || drop.Has(j.msg.Sample.Ordinal) {
-			j.cancel()
-			delete(s.a.jobs, id)
-			continue
-		}
-		j.list(reply)
-	}
-	return nil
-}
-
-// list adds the job to an answer about a round.
-func (j *job) list(reply *wire.HeldReply) {
-	r, _ := j.read(0)
-	o := j.msg.Sample.Ordinal
-	switch {
-	case !r.Done:
-		reply.Running = append(reply.Running, o)
-	case r.Fault.Kind == "" && r.Proven:
-		reply.Samples = append(reply.Samples, wire.HeldSample{
-			Ordinal: o,
-			Attempt: j.msg.Attempt,
-			Tokens:  r.Tokens,
-			Spans:   r.Spans,
-		})
-	}
-}
-
 // Settle implements the inner protocol.
 func (s *service) Settle(args *wire.SettleArgs, reply *wire.SettleReply) error {
 	err := args.Hello.Check()
--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/class"
@@ -57,10 +58,26 @@
 	// the claim before is proven as not run. Nil for idempotent work.
 	Claim func(ctx context.Context, s match.Server) (wire.Claim, error)
 
-	Resume []uint32    // tokens that earlier work made
-	Spans  []plat.Span // versions of the tokens in Resume
+	Resume []uint32      // tokens that earlier work made
+	Spans  []plat.Span   // versions of the tokens in Resume
+	Since  clock.Millis  // when it began to wait; 0 for now
+	Join   Running       // an attempt that runs already, to read before any other
+	Watch  func(Running) // called when an attempt starts and when it goes on
 }
 
+// Running is an attempt at a server.
+type Running struct {
+	Server  match.Server
+	Attempt ident.Attempt
+	Tokens  int         // read so far
+	Spans   []plat.Span // of a sample's tokens
+}
+
+// ErrUnwanted is the cause of a context's end that also ends the attempt of a
+// sample at its agent. Without it the attempt goes on there, for an entry that
+// takes the round over.
+var ErrUnwanted = errors.New("sample is no longer wanted")
+
 // Answer is a whole answer.
 type Answer struct {
 	Attempt ident.Attempt
@@ -199,6 +216,11 @@
 	}
 	t := &try{c: c, w: w, sink: sink, avoid: sets.Of[ident.Node](), spans: wire.FromSpans(w.Spans)}
 	t.tokens = append(t.tokens, w.Resume...)
+	if w.Join.Attempt != "" {
+		if ans, err := t.follow(ctx, w.Join.Server, w.Join.Attempt); err == nil {
+			return ans, nil
+		}
+	}
 	var err error
 	for range maxTries {
 		var ans Answer
@@ -239,11 +261,14 @@
 }
 
 func (t *try) once(ctx context.Context) (Answer, error) {
-	now := t.c.p.Clock.Now()
+	since := t.w.Since
+	if since == 0 {
+		since = t.c.p.Clock.Now()
+	}
 	s, id, err := t.c.place(ctx, match.Item{
 		Class:    t.w.Class.Name(),
 		Service:  t.w.Class.Service(),
-		StartBy:  now + t.w.Class.Waiting(),
+		StartBy:  since + t.w.Class.Waiting(),
 		Deadline: t.w.Deadline,
 		Floor:    ident.Version(t.w.Sample.Floor),
 		Avoid:    t.avoid,
@@ -271,13 +296,29 @@
 	if err := t.submit(ctx, s, att); err != nil {
 		return Answer{}, err
 	}
+	return t.follow(ctx, s, att)
+}
+
+// follow reads an attempt to its end. An attempt that failed is ended; one of
+// a sample whose reader alone went away is not.
+func (t *try) follow(ctx context.Context, s match.Server, att ident.Attempt) (Answer, error) {
+	t.watch(s, att)
 	ans, err := t.read(ctx, s, att)
-	if err != nil {
+	if err == nil {
+		return ans, nil
+	}
+	if t.w.Sample.Round == "" || ctx.Err() == nil || errors.Is(context.Cause(ctx), ErrUnwanted) {
 		t.c.cancel(s, att)
 	}
 	return ans, err
 }
 
+func (t *try) watch(s match.Server, att ident.Attempt) {
+	if t.w.Watch != nil {
+		t.w.Watch(Running{Server: s, Attempt: att, Tokens: len(t.tokens), Spans: wire.ToSpans(t.spans)})
+	}
+}
+
 func (t *try) submit(ctx context.Context, s match.Server, att ident.Attempt) error {
 	ctx, cancel := context.WithTimeout(ctx, submitFor.Duration())
 	defer cancel()
@@ -329,6 +370,7 @@
 		t.tokens = append(t.tokens, r.Tokens...)
 		if len(r.Spans) > 0 {
 			t.spans = r.Spans
+			t.watch(s, att)
 		}
 		if err := r.Fault.Err(); err != nil {
 			return Answer{}, err
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -165,7 +165,10 @@
 		Key:     p.Key,
 		Calls:   e.calls,
 		Pool:    e.pool,
+		Owns:    func(id ident.Round) bool { _, mine := e.peers.Owner("round/" + string(id)); return mine },
+		Newest:  e.newest,
 		Servers: e.serversOf,
+		Agents:  e.allAgents,
 		Scorer:  p.Scorer,
 		Clock:   p.Clock,
 		Log:     part("rounds"),
@@ -179,6 +182,27 @@
 	return out
 }
 
+// newest returns the highest version of a model that was announced or that an
+// engine holds.
+func (e *Entry) newest(m ident.Service) ident.Version {
+	v := e.swaps.Newest(m)
+	for _, s := range e.serversOf(m) {
+		v = max(v, s.Version)
+	}
+	return v
+}
+
+// allAgents returns all agents that reported here.
+func (e *Entry) allAgents() []match.Server {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]match.Server, 0, len(e.nodes))
+	for n, r := range e.nodes {
+		out = append(out, match.Server{Node: n, Addr: r.Addr})
+	}
+	return out
+}
+
 // Addr returns the inner address.
 func (e *Entry) Addr() string { return e.ln.Addr().String() }
 
@@ -195,6 +219,7 @@
 	wg.Go(func() { e.peers.Run(ctx) })
 	wg.Go(func() { e.calls.Run(ctx) })
 	wg.Go(func() { e.swaps.Run(ctx) })
+	wg.Go(func() { e.rounds.Run(ctx) })
 	wg.Go(func() { e.gossip(ctx) })
 	wg.Wait()
 }
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -93,12 +93,17 @@
 }
 
 func (e *Entry) gossipOnce(ctx context.Context) {
+	e.eachPeer(func(vm plat.VM) { e.tell(ctx, vm) })
+}
+
+// eachPeer runs fn for each other entry at once and waits for all.
+func (e *Entry) eachPeer(fn func(plat.VM)) {
 	v := e.peers.View()
 	var wg sync.WaitGroup
 	for _, n := range v.Entries() {
 		vm, ok := v.Find(n)
 		if ok && n != e.p.Node {
-			wg.Go(func() { e.tell(ctx, vm) })
+			wg.Go(func() { fn(vm) })
 		}
 	}
 	wg.Wait()
--- a/internal/node/entry/round.go
+++ b/internal/node/entry/round.go
@@ -14,6 +14,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
@@ -24,6 +25,7 @@
 	pathRead     = "rounds/read"
 	pathProgress = "rounds/progress"
 	pathCancel   = "rounds/cancel"
+	pathForget   = "rounds/forget"
 )
 
 type (
@@ -46,6 +48,8 @@
 		return serveOne(ctx, body, e.progressHere)
 	case pathCancel:
 		return serveOne(ctx, body, e.cancelHere)
+	case pathForget:
+		return serveOne(ctx, body, e.forgetHere)
 	}
 	return nil, fault.New(fault.BadPeer, "call "+path+" is not known")
 }
@@ -97,8 +101,7 @@
 		return none{}, err
 	}
 	e.recordOpen(s)
-	e.rounds.Open(ctx, s, c)
-	return none{}, nil
+	return none{}, e.rounds.Open(ctx, s, c, m.Cursor)
 }
 
 // maxSamples bounds a round.
@@ -124,6 +127,7 @@
 		Model:     c.Service(),
 		Version:   ident.Version(m.Version),
 		Staleness: c.Staleness(),
+		Asked:     m.MaxTokens,
 		Samples:   m.Samples,
 		Seed:      m.Seed,
 		MaxTokens: c.MaxTokens(),
@@ -162,7 +166,7 @@
 		return codec.Page{}, err
 	}
 	e.recordRead(id, ident.Version(m.Version), len(page.Samples))
-	out := codec.Page{Cursor: page.Cursor, Whole: page.Whole}
+	out := codec.Page{Cursor: page.Cursor, Complete: page.Complete, Whole: page.Whole}
 	for _, s := range page.Samples {
 		out.Samples = append(out.Samples, codec.Sample{
 			Ordinal: s.Ordinal,
@@ -172,6 +176,7 @@
 			Tokens:  s.Tokens,
 			Spans:   codec.FromSpans(s.Spans),
 			Score:   s.Score,
+			Refused: s.Refused,
 		})
 	}
 	return out, nil
@@ -188,7 +193,13 @@
 	if err != nil {
 		return codec.Progress{}, err
 	}
-	out := codec.Progress{Idle: p.Idle, Running: p.Running, Finished: p.Finished}
+	out := codec.Progress{
+		Idle:     p.Idle,
+		Running:  p.Running,
+		Scoring:  p.Scoring,
+		Finished: p.Finished,
+		Released: p.Released,
+	}
 	for r, n := range p.Remade {
 		out.Remade = append(out.Remade, codec.ReasonSum{Reason: string(r), Count: n})
 	}
@@ -196,9 +207,15 @@
 	return out, nil
 }
 
-// CancelRound implements [httpd.Service].
+// CancelRound implements [httpd.Service]. Every entry forgets the round, since
+// an earlier owner may still run it; then the owner lets the agents drop it.
 func (e *Entry) CancelRound(ctx context.Context, who ident.Caller, m codec.Round) error {
 	m.Round = scoped(who, m.Round)
+	e.eachPeer(func(vm plat.VM) {
+		if _, err := forward[codec.Round, none](ctx, e, vm.Addr, pathForget, 0, m); err != nil {
+			e.p.Log.Debug().Err(err).Str("peer", string(vm.Node)).Msg("Peer did not forget the round.")
+		}
+	})
 	_, err := owned(ctx, e, m.Round, pathCancel, 0, m, e.cancelHere)
 	return err
 }
@@ -208,3 +225,8 @@
 	e.rounds.Cancel(ident.Round(m.Round))
 	return none{}, nil
 }
+
+func (e *Entry) forgetHere(_ context.Context, m codec.Round) (none, error) {
+	e.rounds.Forget(ident.Round(m.Round))
+	return none{}, nil
+}
--- a/internal/node/rounds/rounds.go
+++ b/internal/node/rounds/rounds.go
@@ -2,18 +2,19 @@
 // collects them, and hands them to trainers by cursor.
 //
 // A round is kept in memory only. Another entry that becomes its owner builds
-// it again from the trainer's specification and from what the agents hold.
+// it again from the trainer's specification and cursor and from what the
+// agents hold, and joins what still runs there.
 //
 // # Usage
 //
-//	r := rounds.New(rounds.Params{...})
-//	err := r.Open(ctx, spec, class)
+//	r := rounds.New(ctx, rounds.Params{...})
+//	go r.Run(ctx)
+//	err := r.Open(ctx, spec, class, cursorText)
 //	out, err := r.Read(ctx, id, cursorText, version, limit, wait)
 package rounds
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -37,7 +38,10 @@
 	Key     []byte // seals cursors; the same on all entries
 	Calls   *calls.Calls
 	Pool    *wire.Pool
+	Owns    func(id ident.Round) bool // whether this entry should own a round
+	Newest  func(m ident.Service) ident.Version
 	Servers func(m ident.Service) []match.Server
+	Agents  func() []match.Server // of all models
 	Scorer  func(s ident.Service) (plat.Scorer, error)
 	Clock   clock.Clock
 	Log     zerolog.Logger
@@ -45,181 +49,144 @@
 
 // Rounds are the rounds that one entry owns.
 type Rounds struct {
-	p   Params
-	ctx context.Context // of the samples; ends with the entry
+	p       Params
+	ctx     context.Context // of the samples; ends with the entry
+	scorers chan struct{}   // one element for each score that is asked for
 
 	mu   sync.Mutex
 	open map[ident.Round]*owned
 }
 
+// owned is one round.
 type owned struct {
 	class  class.Class
+	spec   round.Spec
+	sealer round.Sealer
 	cancel context.CancelFunc
 	ctx    context.Context
+	began  clock.Millis
 
-	mu    sync.Mutex
-	state *round.State
-	held  round.Cursor // the newest cursor seen
-	grown chan struct{}
+	mu     sync.Mutex
+	state  *round.State
+	making map[int]*making
+	drops  map[ident.Node][]int // agents may forget these ordinals
+	grown  chan struct{}        // closed and replaced when there is more to read
+	ready  bool                 // what agents hold was taken in
+	used   clock.Millis         // last call of the trainer
+	whole  bool                 // the trainer holds every sample
+	window int                  // samples that may run at once
 }
 
 // Page is a part of a round.
 type Page struct {
-	Samples []round.Sample
-	Cursor  string
-	Whole   bool // the cursor holds every sample
+	Samples  []round.Sample
+	Cursor   string
+	Complete []int // groups that the page completes
+	Whole    bool  // the cursor holds every sample
 }
 
+// Bounds of what an entry keeps.
 const (
-	heldFor   = 2 * clock.Second
-	retryWait = 100 * clock.Milli
+	maxRounds   = 256
+	idleFor     = 30 * clock.Minute // then an abandoned round ends
+	wholeFor    = clock.Minute      // then a round that was read ends
+	strangerFor = clock.Minute      // then a round of another owner is left to it
+	activeFor   = 5 * clock.Second  // a trainer that called so lately is being served
+	maxScores   = 64                // asked for at once
+	heldFor     = 2 * clock.Second
+	houseTick   = time.Second
 )
 
 // New returns an owner without rounds; its samples end with the context.
 func New(ctx context.Context, p Params) *Rounds {
-	return &Rounds{p: p, ctx: ctx, open: make(map[ident.Round]*owned)}
+	return &Rounds{p: p, ctx: ctx, scorers: make(chan struct{}, maxScores), open: make(map[ident.Round]*owned)}
 }
 
-// Open begins a round, or does nothing if it is already open.
-func (r *Rounds) Open(ctx context.Context, s round.Spec, c class.Class) {
-	o, created := r.begin(s, c)
-	if !created {
-		return
+// Open begins a round whose trainer holds what the cursor says, or does
+// nothing if it is already open. The same name with another specification is
+// refused.
+func (r *Rounds) Open(ctx context.Context, s round.Spec, c class.Class, text string) error {
+	if err := r.checkAsked(s.Model, s.Version); err != nil {
+		return err
 	}
-	r.recover(ctx, o, s)
+	sealer := round.NewSealer(r.p.Key, s)
+	cur, err := sealer.Decode(text)
+	if err != nil {
+		return err
+	}
+	o, created, err := r.begin(s, c, sealer, cur)
+	if err != nil || !created {
+		return err
+	}
+	r.recover(ctx, o)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.ready = true
 	r.start(o)
+	return nil
+}
+
+// checkAsked refuses a version that nobody announced: no engine could make
+// its samples, and the round would stand still without a word.
+func (r *Rounds) checkAsked(m ident.Service, v ident.Version) error {
+	if n := r.p.Newest(m); n > 0 && v > n {
+		return fault.New(fault.NotReady, "version of model "+string(m)+" is newer than any that was announced").After(clock.Second)
+	}
+	return nil
 }
 
-func (r *Rounds) begin(s round.Spec, c class.Class) (*owned, bool) {
+func (r *Rounds) begin(s round.Spec, c class.Class, sealer round.Sealer, cur round.Cursor) (*owned, bool, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.p.Clock.Now()
 	if o, ok := r.open[s.ID]; ok {
-		return o, false
+		if o.spec.Digest() != s.Digest() {
+			return nil, false, fault.New(fault.RoundReused, "round "+string(s.ID)+" is open with another specification")
+		}
+		o.touch(now)
+		return o, false, nil
+	}
+	if len(r.open) >= maxRounds && !r.evict() {
+		return nil, false, fault.New(fault.Overloaded, "entry holds too many rounds").After(clock.Minute)
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
 	o := &owned{
 		class:  c,
+		spec:   s,
+		sealer: sealer,
 		ctx:    ctx,
 		cancel: cancel,
-		state:  round.New(s),
-		held:   round.NewCursor(s.ID, s.Total()),
+		began:  now,
+		state:  round.New(now, s, cur),
+		making: make(map[int]*making),
+		drops:  make(map[ident.Node][]int),
 		grown:  make(chan struct{}),
+		used:   now,
+		window: r.windowOf(s.Model),
 	}
 	r.open[s.ID] = o
-	return o, true
-}
-
-// recover asks all agents of the model for samples that an earlier owner had
-// made there.
-func (r *Rounds) recover(ctx context.Context, o *owned, s round.Spec) {
-	ctx, cancel := context.WithTimeout(ctx, heldFor.Duration())
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, srv := range r.p.Servers(s.Model) {
-		wg.Go(func() {
-			args := wire.HeldArgs{Hello: wire.NewHello(r.p.Node, r.p.Boot), Round: string(s.ID)}
-			var reply wire.HeldReply
-			if err := r.p.Pool.Call(ctx, srv.Addr, "Agent.Held", &args, &reply); err != nil {
-				r.p.Log.Debug().Err(err).Str("node", string(srv.Node)).Msg("Held samples can't be read.")
-				return
-			}
-			o.take(srv.Node, reply.Samples)
-		})
-	}
-	wg.Wait()
+	return o, true, nil
 }
 
-func (o *owned) take(n ident.Node, hs []wire.HeldSample) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, h := range hs {
-		if h.Ordinal < 0 || h.Ordinal >= o.state.Spec().Total() {
-			continue
+// evict ends a round that its trainer has read. The lock of r is held.
+func (r *Rounds) evict() bool {
+	for id, o := range r.open {
+		o.mu.Lock()
+		whole := o.whole
+		o.mu.Unlock()
+		if whole {
+			delete(r.open, id)
+			o.cancel()
+			return true
 		}
-		o.state.Finished(round.Sample{
-			Ordinal: h.Ordinal,
-			Attempt: ident.Attempt(h.Attempt),
-			Node:    n,
-			Tokens:  h.Tokens,
-			Spans:   wire.ToSpans(h.Spans),
-		})
-	}
-}
-
-// start runs every ordinal that is idle. The lock of o is held.
-func (r *Rounds) start(o *owned) {
-	for _, i := range o.state.Start(o.held) {
-		go r.sample(o, i, o.state.Floor())
 	}
+	return false
 }
 
-// sample makes one sample and takes in the result.
-func (r *Rounds) sample(o *owned, ordinal int, floor ident.Version) {
-	s := o.state.Spec()
-	ans, err := r.p.Calls.Do(o.ctx, calls.Work{
-		Request:   ident.Request(fmt.Sprintf("%s/%d", s.ID, ordinal)),
-		Class:     o.class,
-		Body:      s.Prompt(ordinal),
-		Prefix:    fmt.Sprintf("%s/%d", s.ID, s.Group(ordinal)),
-		Seed:      s.SeedOf(ordinal),
-		MaxTokens: s.MaxTokens,
-		Sample:    wire.Sample{Round: string(s.ID), Ordinal: ordinal, Floor: uint64(floor)},
-	}, nil)
-	if o.ctx.Err() != nil {
-		return
-	}
-	score := 0.0
-	if err == nil && o.class.Scorer() != "" {
-		score, err = r.score(o, s.Prompt(ordinal), ans.Tokens)
-	}
+func (o *owned) touch(now clock.Millis) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	switch {
-	case err != nil:
-		r.p.Log.Debug().Err(err).Str("round", string(s.ID)).Int("ordinal", ordinal).Msg("Sample failed.")
-		o.state.Failed(ordinal, reason(err))
-		time.AfterFunc(retryWait.Duration(), func() { r.restart(o) })
-	case !ans.Proven:
-		o.state.Failed(ordinal, round.Unproven)
-		r.start(o)
-	default:
-		o.state.Finished(round.Sample{
-			Ordinal: ordinal,
-			Attempt: ans.Attempt,
-			Node:    ans.Node,
-			Tokens:  ans.Tokens,
-			Spans:   ans.Spans,
-			Score:   score,
-		})
-		r.start(o)
-		close(o.grown)
-		o.grown = make(chan struct{})
-	}
-}
-
-func reason(err error) round.Reason {
-	if fault.Is(err, fault.Unproven) {
-		return round.Unproven
-	}
-	return round.Failed
-}
-
-func (r *Rounds) score(o *owned, prompt []byte, tokens []uint32) (float64, error) {
-	sc, err := r.p.Scorer(o.class.Scorer())
-	if err != nil {
-		return 0, err
-	}
-	return sc.Score(o.ctx, prompt, tokens)
-}
-
-func (r *Rounds) restart(o *owned) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.ctx.Err() == nil {
-		r.start(o)
-	}
+	o.used = now
 }
 
 func (r *Rounds) find(id ident.Round) (*owned, error) {
@@ -227,7 +194,7 @@
 	defer r.mu.Unlock()
 	o, ok := r.open[id]
 	if !ok {
-		return nil, fault.New(fault.NotFound, "round "+string(id)+" is not open here; open it again with its specification")
+		return nil, fault.New(fault.NotFound, "round "+string(id)+" is not open here; open it again with its specification and cursor")
 	}
 	return o, nil
 }
@@ -239,11 +206,14 @@
 	if err != nil {
 		return Page{}, err
 	}
-	spec := o.state.Spec()
-	cur, err := round.DecodeCursor(r.p.Key, id, spec.Total(), text)
+	if err := r.checkAsked(o.spec.Model, asked); err != nil {
+		return Page{}, err
+	}
+	cur, err := o.sealer.Decode(text)
 	if err != nil {
 		return Page{}, err
 	}
+	r.arrive(o, cur)
 	t := time.NewTimer(wait.Duration())
 	defer t.Stop()
 	for {
@@ -257,31 +227,39 @@
 			return page, nil
 		case <-ctx.Done():
 			return page, fault.Wrap(fault.Canceled, ctx.Err(), "read ended")
+		case <-o.ctx.Done():
+			return page, fault.New(fault.NotFound, "round "+string(id)+" ended meanwhile")
 		}
 	}
 }
 
+// arrive takes in the cursor of a read.
+func (r *Rounds) arrive(o *owned, cur round.Cursor) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.used = r.p.Clock.Now()
+	t := o.state.Take(o.used, cur)
+	for _, s := range t.Released {
+		o.drops[s.Node] = append(o.drops[s.Node], s.Ordinal)
+	}
+	o.end(t.Unwanted)
+}
+
 func (r *Rounds) page(o *owned, cur round.Cursor, asked ident.Version, limit int) (Page, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.held = o.held.Union(cur)
-	out := o.state.Read(cur, asked, limit)
+	pg := o.state.Read(cur, asked, limit)
+	o.end(o.state.GiveUp())
 	r.start(o) // Samples found too stale are made anew.
-	ordinals := make([]int, 0, len(out))
-	for _, s := range out {
-		ordinals = append(ordinals, s.Ordinal)
-	}
-	next := cur.With(ordinals...)
-	whole := next.Count() == o.state.Spec().Total()
-	return Page{Samples: out, Cursor: next.Encode(r.p.Key), Whole: whole}, o.grown
+	whole := pg.Cursor.Count() == o.spec.Total()
+	o.whole = cur.Count() == o.spec.Total()
+	return Page{Samples: pg.Samples, Cursor: o.sealer.Encode(pg.Cursor), Complete: pg.Complete, Whole: whole}, o.grown
 }
 
 // Progress is how far a round has come at its owner.
 type Progress struct {
-	Idle     int
-	Running  int
-	Finished int
-	Remade   map[round.Reason]int
+	round.Counts
+	Remade map[round.Reason]int
 }
 
 // Progress tells how far a round has come.
@@ -292,36 +270,23 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	p := Progress{Remade: make(map[round.Reason]int)}
-	p.Idle, p.Running, p.Finished = o.state.Count()
-	for k, v := range o.state.Remade() {
-		p.Remade[k] = v
-	}
-	return p, nil
+	return Progress{Counts: o.state.Count(), Remade: o.state.Remade()}, nil
 }
 
 // Cancel ends a round and lets the agents forget it. It is idempotent: a
-// round that is not open here counts as ended.
+// round that is not open here counts as ended, and what agents hold of it is
+// dropped all the same.
 func (r *Rounds) Cancel(id ident.Round) {
-	o, err := r.find(id)
-	if err != nil {
-		return
-	}
-	r.mu.Lock()
-	delete(r.open, id)
-	r.mu.Unlock()
-	o.cancel()
-	go r.dropAll(id, o.state.Spec().Model)
+	r.Forget(id)
+	go r.dropAll(id)
 }
 
-func (r *Rounds) dropAll(id ident.Round, m ident.Service) {
-	ctx, cancel := context.WithTimeout(r.ctx, heldFor.Duration())
-	defer cancel()
-	for _, srv := range r.p.Servers(m) {
-		args := wire.HeldArgs{Hello: wire.NewHello(r.p.Node, r.p.Boot), Round: string(id), All: true}
-		var reply wire.HeldReply
-		if err := r.p.Pool.Call(ctx, srv.Addr, "Agent.Held", &args, &reply); err != nil {
-			r.p.Log.Debug().Err(err).Str("node", string(srv.Node)).Msg("Round can't be dropped.")
-		}
+// Forget ends a round here; what agents hold of it stays.
+func (r *Rounds) Forget(id ident.Round) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o, ok := r.open[id]; ok {
+		delete(r.open, id)
+		o.cancel()
 	}
 }
--- a/trainer/trainer.go
+++ b/trainer/trainer.go
@@ -140,6 +140,7 @@
 	spec   codec.Spec
 	cursor string
 	have   map[int]bool
+	groups []int
 	whole  bool
 }
 
@@ -157,11 +158,30 @@
 	return r, r.open(ctx)
 }
 
-func (r *Round) open(ctx context.Context) error { return r.c.call(ctx, "/v1/rounds", r.spec, &empty{}) }
+// open opens the round, or opens it again at a new owner, which learns from
+// the cursor what it need not make.
+func (r *Round) open(ctx context.Context) error {
+	r.spec.Cursor = r.cursor
+	return r.c.call(ctx, "/v1/rounds", r.spec, &empty{})
+}
 
 // Whole reports whether every sample was read.
 func (r *Round) Whole() bool { return r.whole }
 
+// Complete returns the groups of which every sample was read and none was
+// refused, in the order in which they became complete.
+func (r *Round) Complete() []int { return append([]int(nil), r.groups...) }
+
+// Progress is how far a round has come at its owner.
+type Progress = codec.Progress
+
+// Progress tells how far the round has come and what was made anew.
+func (r *Round) Progress(ctx context.Context) (Progress, error) {
+	var p Progress
+	err := r.c.call(ctx, "/v1/rounds/progress", codec.Round{Round: r.spec.Round}, &p)
+	return p, err
+}
+
 // Read waits for samples that were not read before, for the trainer's present
 // version. It may return none.
 func (r *Round) Read(ctx context.Context, version uint64) ([]Sample, error) {
@@ -175,6 +195,7 @@
 		return nil, err
 	}
 	r.cursor, r.whole = page.Cursor, page.Whole
+	r.groups = append(r.groups, page.Complete...)
 	var out []Sample
 	for _, s := range page.Samples {
 		if !r.have[s.Ordinal] {
