Choose the first node by one pass over the weights

Cause: a choice among 400 entries hashed each name again at every comparison of a sort: 331 µs and 6.5 kB. Change: Top computes each weight once; First keeps the highest in one pass.

--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -35,23 +35,41 @@
 	return x ^ x>>33
 }
 
+// ranked is a node with its weight for a key.
+type ranked struct {
+	node   ident.Node
+	weight uint64
+}
+
+func (a ranked) compare(b ranked) int {
+	if c := cmp.Compare(b.weight, a.weight); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.node, b.node)
+}
+
 // Top returns up to n nodes for a key, highest weight first.
 func Top(key string, nodes []ident.Node, n int) []ident.Node {
-	out := slices.Clone(nodes)
-	slices.SortFunc(out, func(a, b ident.Node) int {
-		if c := cmp.Compare(weight(key, b), weight(key, a)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
-	})
-	return out[:min(n, len(out))]
+	all := make([]ranked, 0, len(nodes))
+	for _, m := range nodes {
+		all = append(all, ranked{m, weight(key, m)})
+	}
+	slices.SortFunc(all, ranked.compare)
+	out := make([]ident.Node, 0, min(n, len(all)))
+	for _, r := range all[:min(n, len(all))] {
+		out = append(out, r.node)
+	}
+	return out
 }
 
 // First returns the node with the highest weight for a key.
 func First(key string, nodes []ident.Node) (ident.Node, bool) {
-	top := Top(key, nodes, 1)
-	if len(top) == 0 {
-		return "", false
+	var best ranked
+	for i, m := range nodes {
+		r := ranked{m, weight(key, m)}
+		if i == 0 || r.compare(best) < 0 {
+			best = r
+		}
 	}
-	return top[0], true
+	return best.node, len(nodes) > 0
 }
