--- a/internal/proof/size/wire_test.go
+++ b/internal/proof/size/wire_test.go
@@ -48,7 +48,9 @@
 	return nil
 }
 
-func hello() wire.Hello { return wire.Hello{Protocol: wire.Protocol, Node: "agent-1234", Boot: 1 << 62} }
+func hello() wire.Hello {
+	return wire.Hello{Protocol: wire.Protocol, Node: "agent-1234", Boot: 1 << 62}
+}
 
 func report(seq int) *wire.ReportArgs {
 	return &wire.ReportArgs{
