--- a/internal/proof/size/wire_test.go
+++ b/internal/proof/size/wire_test.go
@@ -44,6 +44,7 @@
 }
 
 func (e entry) Peer(_ *wire.PeerArgs, r *wire.PeerReply) error {
+	r.Node, r.Boot, r.Offset, r.Fresh = "entry-123", 1<<62, 100_000, 900
 	r.Versions = e.versions
 	return nil
 }
@@ -61,7 +62,7 @@
 }
 
 func peer(vs []wire.Announced) *wire.PeerArgs {
-	return &wire.PeerArgs{Hello: hello(), Addr: "10.10.200.201:7401", Zone: "zone-a", Region: "main", Config: 100_000, Fresh: 900, Versions: vs}
+	return &wire.PeerArgs{Hello: hello(), Addr: "10.10.200.201:7401", Zone: "zone-a", Region: "main", Config: 100_000, Versions: vs}
 }
 
 // announced returns n versions.
