Choose servers by bands, credits, measured progress and budgets

The matcher scanned every server and sorted every queue on each decision, and knew neither short from long work nor a slow server. It is rewritten on small packages: queue (by slack), spend (budgets), hist (quantiles), pace (progress against peers), route (constant-time choice), limit (agent admission). The first virtual-time world drives it with the stand-in's service model.

--- a/internal/decide/match/match.go
+++ b/internal/decide/match/match.go
@@ -2,192 +2,263 @@
 //
 // Work waits at the entry and is bound late: only when a server has a free
 // slot as far as the entry can know. The package keeps no time and does no
-// I/O; its caller feeds events and carries out the grants.
+// I/O; its caller feeds events and carries out the grants. Equal events give
+// equal decisions.
+//
+// The rules, by the name that the code uses:
+//
+//  1. Work waits in one queue for each class and oldest allowed version, by
+//     slack to its target. Nothing is sorted again as time passes.
+//  2. Each class belongs to a band: short, long, or round. Bands go in this
+//     order, and within a band the least slack goes first.
+//  3. Long work and rounds leave as many slots free as short work needs by its
+//     measured demand. Rounds leave some more for callers.
+//  4. A band that holds less than its floor goes first, so none starves.
+//  5. Work that runs far beyond its class's estimate counts as long.
+//  6. A server's load is the entry's own work there, which is known exactly,
+//     and the work of others by the last report. A refusal or a failure closes
+//     a server for a while.
+//  7. Same zone first, then same region. Another region is used only when the
+//     target is in danger, and within a budget of bytes.
+//  8. A prompt's prefix prefers a server, unless that one has more than its
+//     share of load.
+//  9. A slow server gets one probe at a time, of the work that minds least.
+//  10. Work is refused on arrival if it would wait beyond its target, and later
+//     when its deadline or target has passed. Rounds wait.
+//  11. A further attempt is paid from the retry budget, a hedge from the hedge
+//     budget. Only short work that may run twice is hedged.
+//  12. A suspect of a crash never runs beside another.
 //
 // # Usage
 //
 //	m := match.New(match.Standard())
 //	m.Report(now, server)
 //	err := m.Arrive(now, item)
-//	for _, g := range m.Next(now) { submit(g.Item, g.Node) }
-//	m.Finish(now, g.Item, g.Node)
+//	grants, refused := m.Next(now)
+//	m.Progress(now, g.Item, g.Node, tokens)
+//	m.Finish(now, g.Item, g.Node, match.Result{End: match.Served})
 package match
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/base/sets"
+	"github.com/jujuberamp/jujuberamp/internal/decide/queue"
+	"github.com/jujuberamp/jujuberamp/internal/decide/spend"
 )
 
-// Policy selects how the decision is made.
-type Policy struct {
-	Lease    clock.Millis // a server not heard of for so long is not used
-	MaxQueue int          // items that wait in one class
-}
-
-// Standard returns the policy of the product.
-func Standard() Policy { return Policy{Lease: 3 * clock.Second, MaxQueue: 10000} }
-
-// Item is one piece of work that waits for a server.
-type Item struct {
-	ID       uint64
-	Class    ident.Class
-	Service  ident.Service
-	StartBy  clock.Millis  // arrival plus the waiting target
-	Deadline clock.Millis  // not started after this instant; 0 for none
-	Floor    ident.Version // oldest version that may run it
-	Avoid    sets.Set[ident.Node]
-}
-
-// Server is what the entry knows of one agent and its backend server.
-type Server struct {
-	Node    ident.Node
-	Boot    ident.Incarnation // of the agent
-	Addr    string
-	Zone    ident.Zone
-	Region  ident.Region
-	Service ident.Service
-	Version ident.Version
-	Loading bool
-	Leaving bool
-	Slots   int
-	Running int
-}
-
-// Grant sends an item to a node.
-type Grant struct {
-	Item uint64
-	Node ident.Node
-}
-
-// Refusal ends the waiting of an item.
-type Refusal struct {
-	Item uint64
-	Err  error
-}
-
-type server struct {
-	Server
-	heard clock.Millis
-	sent  int // own items in flight
-}
-
 // Matcher holds the waiting work and the servers of one entry.
 type Matcher struct {
 	p       Policy
+	rng     *rand.Rand
 	servers map[ident.Node]*server
-	waiting []Item
-	flight  map[uint64]ident.Node
+	pools   map[ident.Service]*pool
+	order   []*pool // by service, so that decisions never follow a map's order
+	waiting map[uint64]*lane
+	limits  *queue.Queue[uint64] // items by the instant at which they are refused
+	flights map[uint64]*flight
+	hedges  *queue.Queue[uint64] // flights by the instant of their hedge
+	grown   *queue.Queue[uint64] // flights by the instant at which they count as long
+	cross   *spend.Meter
+	swept   clock.Millis
 }
 
 // New returns an empty matcher.
 func New(p Policy) *Matcher {
-	return &Matcher{p: p, servers: make(map[ident.Node]*server), flight: make(map[uint64]ident.Node)}
+	return &Matcher{
+		p:       p,
+		rng:     rand.New(rand.NewPCG(p.Seed, 0)),
+		servers: make(map[ident.Node]*server),
+		pools:   make(map[ident.Service]*pool),
+		waiting: make(map[uint64]*lane),
+		limits:  queue.New[uint64](),
+		flights: make(map[uint64]*flight),
+		hedges:  queue.New[uint64](),
+		grown:   queue.New[uint64](),
+		cross:   spend.NewMeter(p.CrossRate, p.CrossRate*crossBurst.Seconds()),
+	}
+}
+
+// Report takes in what a server's agent says of it. A report older than the
+// last one is dropped.
+func (m *Matcher) Report(now clock.Millis, sv Server) {
+	s, ok := m.servers[sv.Node]
+	if ok && s.Boot == sv.Boot && sv.Seq > 0 && sv.Seq <= s.Seq {
+		return
+	}
+	if ok && s.Service != sv.Service {
+		m.detach(s)
+		ok = false
+	}
+	if !ok {
+		s = m.attach(sv)
+	}
+	s.Server = sv
+	s.heard = now
+	s.place(now, m.p)
 }
 
-// Report takes in what a server's agent says of it.
-func (m *Matcher) Report(now clock.Millis, s Server) {
-	old, ok := m.servers[s.Node]
+func (m *Matcher) attach(sv Server) *server {
+	s, ok := m.servers[sv.Node]
 	if !ok {
-		old = &server{}
-		m.servers[s.Node] = old
+		s = &server{}
+		m.servers[sv.Node] = s
 	}
-	old.Server = s
-	old.heard = now
+	s.pool = m.pool(sv.Service)
+	s.tier = m.p.tier(sv)
+	s.pool.all = append(s.pool.all, s)
+	s.Server = sv
+	slices.SortFunc(s.pool.all, func(a, b *server) int { return cmp.Compare(a.Node, b.Node) })
+	s.pool.ring.Add(string(sv.Node), s)
+	return s
 }
 
-// Gone forgets a server.
-func (m *Matcher) Gone(n ident.Node) { delete(m.servers, n) }
+func (m *Matcher) detach(s *server) {
+	p := s.pool
+	s.close()
+	p.all = slices.DeleteFunc(p.all, func(o *server) bool { return o == s })
+	p.ring.Del(string(s.Node))
+}
 
-// Arrive puts an item into its queue, or refuses it.
-func (m *Matcher) Arrive(_ clock.Millis, it Item) error {
-	n := 0
-	for _, w := range m.waiting {
-		if w.Class == it.Class {
-			n++
-		}
+// Gone forgets a server. What runs there keeps its place until Finish.
+func (m *Matcher) Gone(n ident.Node) {
+	if s, ok := m.servers[n]; ok {
+		m.detach(s)
+		delete(m.servers, n)
+	}
+}
+
+func (m *Matcher) pool(svc ident.Service) *pool {
+	if p, ok := m.pools[svc]; ok {
+		return p
+	}
+	p := newPool(svc, m.p)
+	m.pools[svc] = p
+	m.order = append(m.order, p)
+	slices.SortFunc(m.order, func(a, b *pool) int { return cmp.Compare(a.service, b.service) })
+	return p
+}
+
+// Arrive puts an item into its queue, or refuses it as not run.
+func (m *Matcher) Arrive(now clock.Millis, it Item) error {
+	p := m.pool(it.Service)
+	c := p.class(it.Class)
+	if it.Deadline > 0 && now >= it.Deadline {
+		return fault.New(fault.PastDeadline, "the deadline passed before the work arrived")
+	}
+	if err := m.shed(now, c, &it); err != nil {
+		return err
+	}
+	if err := p.pay(&it); err != nil {
+		return err
 	}
-	if n >= m.p.MaxQueue {
-		return fault.New(fault.Overloaded, "queue of class "+string(it.Class)+" is full").After(clock.Second)
+	l := p.lane(laneKey{it.Class, it.Floor, it.Round})
+	l.class = c
+	it.arrived = now
+	l.q.Push(it.ID, it.due(c), it)
+	c.waiting++
+	m.waiting[it.ID] = l
+	if end := it.limit(); end > 0 {
+		m.limits.Push(it.ID, end, it.ID)
 	}
-	m.waiting = append(m.waiting, it)
 	return nil
 }
 
+// shed applies rule 10 on arrival.
+func (m *Matcher) shed(now clock.Millis, c *class, it *Item) error {
+	wait := c.wait(now)
+	if c.waiting >= m.p.MaxQueue {
+		return overloaded(it, "its queue is full", max(clock.Second, wait))
+	}
+	end := it.limit()
+	if !m.p.Shed || end == 0 || it.Moved || it.Round {
+		return nil
+	}
+	spare := (end - now - c.estimate()) / 2 // The other half allows for a wrong estimate.
+	if c.waiting > 0 && wait > max(spare, it.StartBy-now) {
+		return overloaded(it, "it would wait longer than its target allows", max(minAfter, wait-spare))
+	}
+	return nil
+}
+
+func overloaded(it *Item, why string, after clock.Millis) error {
+	return fault.New(fault.Overloaded, "class "+string(it.Class)+": "+why).After(after)
+}
+
 // Remove takes an item out of its queue.
 func (m *Matcher) Remove(id uint64) {
-	m.waiting = slices.DeleteFunc(m.waiting, func(it Item) bool { return it.ID == id })
+	l, ok := m.waiting[id]
+	if !ok {
+		return
+	}
+	l.q.Remove(id)
+	l.class.waiting--
+	m.limits.Remove(id)
+	delete(m.waiting, id)
 }
 
-// Finish frees the slot that an item had on a node.
-func (m *Matcher) Finish(id uint64) {
-	n, ok := m.flight[id]
-	if !ok {
+// Progress takes in tokens that an item has shown on a node.
+func (m *Matcher) Progress(now clock.Millis, id uint64, n ident.Node, tokens int) {
+	r := m.find(id, n)
+	if r == nil {
 		return
 	}
-	delete(m.flight, id)
-	if s, ok := m.servers[n]; ok {
-		s.sent--
+	r.shown += tokens
+	if r.flight.item.Round {
+		r.server.pace.Bulk(now, &r.stream, tokens)
+		return
 	}
+	r.server.pace.Progress(now, &r.stream, tokens)
 }
 
-// Next binds waiting items to servers. Items past their deadline are refused.
-func (m *Matcher) Next(now clock.Millis) (grants []Grant, refused []Refusal) {
-	slices.SortStableFunc(m.waiting, func(a, b Item) int { return cmp.Compare(a.StartBy, b.StartBy) })
-	keep := m.waiting[:0]
-	for _, it := range m.waiting {
-		if it.Deadline > 0 && now >= it.Deadline {
-			refused = append(refused, Refusal{it.ID, fault.New(fault.PastDeadline, "the deadline passed before the work was started")})
-			continue
-		}
-		s := m.pick(now, it)
-		if s == nil {
-			keep = append(keep, it)
-			continue
-		}
-		s.sent++
-		m.flight[it.ID] = s.Node
-		grants = append(grants, Grant{it.ID, s.Node})
+func (m *Matcher) find(id uint64, n ident.Node) *run {
+	f, ok := m.flights[id]
+	if !ok {
+		return nil
 	}
-	m.waiting = keep
-	return grants, refused
+	return f.on(n)
 }
 
-// pick returns the least used server that may run the item, or nil.
-func (m *Matcher) pick(now clock.Millis, it Item) *server {
-	var best *server
-	for _, s := range m.servers {
-		if !m.fits(now, s, it) {
-			continue
-		}
-		if best == nil || less(s, best) {
-			best = s
+// Finish frees the slot that an item had on a node. A second call, such as
+// one for the late answer of an attempt that was given up, has no effect.
+func (m *Matcher) Finish(now clock.Millis, id uint64, n ident.Node, res Result) {
+	r := m.find(id, n)
+	if r == nil {
+		return
+	}
+	f, s := r.flight, r.server
+	if res.End == Served {
+		if r.shown == 0 {
+			s.pace.Whole(now, &r.stream)
 		}
+		f.class.ended(now-r.began, r.shown)
 	}
-	return best
-}
-
-func (m *Matcher) fits(now clock.Millis, s *server, it Item) bool {
-	switch {
-	case s.Service != it.Service, s.Leaving, s.Loading:
-		return false
-	case now-s.heard > m.p.Lease:
-		return false
-	case s.Version < it.Floor, it.Avoid.Has(s.Node):
-		return false
+	s.pace.End(&r.stream)
+	s.ended(now, r, res)
+	f.drop(r)
+	f.pool.inflight[r.band]--
+	s.place(now, m.p)
+	if len(f.runs) == 0 {
+		m.hedges.Remove(id)
+		m.grown.Remove(id)
+		delete(m.flights, id)
 	}
-	return max(s.sent, s.Running) < s.Slots
 }
 
-func less(a, b *server) bool {
-	if c := cmp.Compare(max(a.sent, a.Running), max(b.sent, b.Running)); c != 0 {
-		return c < 0
+// Drop takes back an item, wherever it is.
+func (m *Matcher) Drop(now clock.Millis, id uint64) {
+	m.Remove(id)
+	f, ok := m.flights[id]
+	if !ok {
+		return
+	}
+	for _, r := range slices.Clone(f.runs) {
+		m.Finish(now, id, r.server.Node, Result{End: Dropped})
 	}
-	return a.Node < b.Node
 }
 
 // Server returns what is known of a node.
@@ -204,12 +275,34 @@
 
 // Hosts returns the servers of a service that are alive, by node.
 func (m *Matcher) Hosts(now clock.Millis, svc ident.Service) []Server {
+	p, ok := m.pools[svc]
+	if !ok {
+		return nil
+	}
 	var out []Server
-	for _, s := range m.servers {
-		if s.Service == svc && now-s.heard <= m.p.Lease {
+	for _, s := range p.all {
+		if now-s.heard <= m.p.Lease {
 			out = append(out, s.Server)
 		}
 	}
-	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.Node, b.Node) })
+	return out
+}
+
+// Health is how the matcher judges a server.
+type Health struct {
+	Node ident.Node
+	Own  int  // own work in progress there
+	Slow bool // gets probes only
+	Open bool // may get work now
+}
+
+// Health returns the judgement of all servers, by service and node.
+func (m *Matcher) Health() []Health {
+	var out []Health
+	for _, p := range m.order {
+		for _, s := range p.all {
+			out = append(out, Health{Node: s.Node, Own: s.own, Slow: s.pace.Slow(), Open: s.counted > 0})
+		}
+	}
 	return out
 }
--- /dev/null
+++ b/internal/decide/match/next.go
@@ -0,0 +1,239 @@
+package match
+
+import (
+	"math"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/decide/pace"
+)
+
+// Next binds waiting items to servers and refuses those whose time has passed.
+func (m *Matcher) Next(now clock.Millis) (grants []Grant, refused []Refusal) {
+	if now-m.swept >= sweepEvery || m.swept == 0 {
+		m.sweep(now)
+	}
+	refused = m.expire(now)
+	m.correct(now)
+	grants = m.hedge(now, grants)
+	for _, p := range m.order {
+		if m.p.Early {
+			grants = m.rotate(now, p, grants)
+			continue
+		}
+		if m.p.Pace {
+			grants = m.probe(now, p, grants)
+		}
+		grants = m.bind(now, p, grants)
+	}
+	return grants, refused
+}
+
+// sweep takes in what changes by the passing of time alone.
+func (m *Matcher) sweep(now clock.Millis) {
+	for _, p := range m.order {
+		if m.p.Pace {
+			m.judge(now, p)
+		}
+		for _, s := range p.all {
+			s.place(now, m.p)
+		}
+		p.measure(now - m.swept)
+	}
+	m.swept = now
+}
+
+func (m *Matcher) judge(now clock.Millis, p *pool) {
+	peers := make([]*pace.Pace, 0, len(p.all))
+	was := make([]bool, 0, len(p.all))
+	for _, s := range p.all {
+		peers = append(peers, &s.pace)
+		was = append(was, s.pace.Slow())
+	}
+	pace.Judge(now, peers)
+	for i, s := range p.all {
+		if s.pace.Slow() && !was[i] {
+			m.rescue(now, s)
+		}
+	}
+}
+
+// rescue lets the short work on a server that became slow be hedged at once.
+func (m *Matcher) rescue(now clock.Millis, s *server) {
+	for _, id := range sortedIDs(m.flights) {
+		f := m.flights[id]
+		if r := f.on(s.Node); r != nil && r.band == short && f.mayHedge(m.p) {
+			m.hedges.Push(id, now, id)
+		}
+	}
+}
+
+// Smoothing of the demand of short work: it rises fast and falls slowly.
+const (
+	demandRise = 500 * clock.Milli
+	demandFall = 5 * clock.Second
+)
+
+// measure takes in how many slots short work holds or waits for.
+func (p *pool) measure(passed clock.Millis) {
+	n := float64(p.inflight[short] + p.waitingIn(short))
+	memory := demandFall
+	if n > p.demand {
+		memory = demandRise
+	}
+	p.demand += (1 - fade(passed, memory)) * (n - p.demand)
+}
+
+func (p *pool) waitingIn(b band) int {
+	n := 0
+	for _, l := range p.lanes {
+		if l.q.Len() > 0 && p.band(l) == b {
+			n += l.q.Len()
+		}
+	}
+	return n
+}
+
+// expire applies rule 10 to items that wait.
+func (m *Matcher) expire(now clock.Millis) (out []Refusal) {
+	for {
+		id, ok := m.limits.PopDue(now)
+		if !ok {
+			return out
+		}
+		l := m.waiting[id]
+		it, _ := l.q.Remove(id)
+		m.Remove(id)
+		out = append(out, Refusal{id, m.lateErr(now, &it)})
+	}
+}
+
+func (m *Matcher) lateErr(now clock.Millis, it *Item) error {
+	if it.Deadline > 0 {
+		return fault.New(fault.PastDeadline, "the deadline passed before the work was started")
+	}
+	p := m.pool(it.Service)
+	for _, s := range p.all {
+		if s.lives(now, m.p) {
+			return overloaded(it, "its lateness target passed before a server was free", max(minAfter, p.class(it.Class).wait(now)))
+		}
+	}
+	return fault.New(fault.NoBackend, "no backend server offers "+string(it.Service)).After(clock.Second)
+}
+
+// correct applies rule 5.
+func (m *Matcher) correct(now clock.Millis) {
+	for {
+		id, ok := m.grown.PopDue(now)
+		if !ok {
+			return
+		}
+		f := m.flights[id]
+		for _, r := range f.runs {
+			if r.band == short {
+				f.pool.inflight[short]--
+				f.pool.inflight[long]++
+				r.band = long
+			}
+		}
+	}
+}
+
+// need returns how many slots must stay free for short work, by rule 3.
+func (p *pool) need(m *Matcher) int {
+	if !m.p.Reserve {
+		return 0
+	}
+	want := p.demand + math.Sqrt(p.demand)
+	want = min(want, float64(p.slots)/2)
+	return max(0, int(math.Ceil(want))-p.inflight[short])
+}
+
+// bind grants waiting items of a pool in the order of rules 2 to 4.
+func (m *Matcher) bind(now clock.Millis, p *pool, grants []Grant) []Grant {
+	for p.free > 0 {
+		l, b := m.nextLane(p)
+		if l == nil {
+			break
+		}
+		it, _ := l.q.Pop()
+		s := m.pick(now, p, &it, b)
+		if s == nil {
+			l.aside = append(l.aside, it)
+			l.blocked = len(l.aside) >= lookahead
+			continue
+		}
+		grants = append(grants, m.grant(now, p, l, it, s, b))
+	}
+	p.restore()
+	return grants
+}
+
+// restore puts the items that were passed over back in their places.
+func (p *pool) restore() {
+	keep := p.lanes[:0]
+	for _, l := range p.lanes {
+		for _, it := range l.aside {
+			l.q.Push(it.ID, it.due(l.class), it)
+		}
+		l.aside, l.blocked = nil, false
+		if l.q.Len() > 0 {
+			keep = append(keep, l)
+		}
+	}
+	clear(p.lanes[len(keep):])
+	p.lanes = keep
+}
+
+// nextLane returns the queue whose head goes next, and its band.
+func (m *Matcher) nextLane(p *pool) (*lane, band) {
+	if !m.p.Reserve {
+		return p.oldest(), short
+	}
+	var heads [bands]*lane
+	for _, l := range p.lanes {
+		if l.blocked || l.q.Len() == 0 {
+			continue
+		}
+		b := p.band(l)
+		if heads[b] == nil || l.dueBefore(heads[b]) {
+			heads[b] = l
+		}
+	}
+	floor := max(1, p.slots/floorShare)
+	for _, b := range [...]band{long, round} { // rule 4
+		if heads[b] != nil && p.inflight[b] < floor {
+			return heads[b], b
+		}
+	}
+	if heads[short] != nil {
+		return heads[short], short
+	}
+	spare := p.free - p.need(m) // rule 3
+	if heads[long] != nil && spare > 0 {
+		return heads[long], long
+	}
+	if heads[round] != nil && spare > p.slots/floorShare {
+		return heads[round], round
+	}
+	return nil, short
+}
+
+// oldest returns the queue whose head arrived first.
+func (p *pool) oldest() *lane {
+	var best *lane
+	var least uint64
+	for _, l := range p.lanes {
+		id, _, ok := l.q.Peek()
+		if ok && !l.blocked && (best == nil || id < least) {
+			best, least = l, id
+		}
+	}
+	return best
+}
+
+func (l *lane) dueBefore(o *lane) bool {
+	_, a, _ := l.q.Peek()
+	_, b, _ := o.q.Peek()
+	return a < b
+}
--- /dev/null
+++ b/internal/decide/spend/spend.go
@@ -0,0 +1,64 @@
+// Package spend holds budgets: a share of requests that may be repeated, and
+// a rate of bytes that may cross a link.
+//
+// A budget of a share can't amplify overload, since it fills only with first
+// attempts: n of them allow at most n times the share, plus a small initial
+// amount.
+//
+// # Usage
+//
+//	b := spend.NewShare(0.1, 10)
+//	b.Earn()            // for each first attempt
+//	if b.Take() { ... } // for each further one
+//
+//	m := spend.NewMeter(1e6, 2e6)
+//	if m.Take(now, bytes) { ... }
+package spend
+
+import "github.com/jujuberamp/jujuberamp/internal/base/clock"
+
+// Share allows a share of extra attempts.
+type Share struct {
+	share float64
+	limit float64
+	left  float64
+}
+
+// NewShare returns a budget that begins full: limit is the most it saves up.
+func NewShare(share, limit float64) *Share { return &Share{share: share, limit: limit, left: limit} }
+
+// Earn notes a first attempt.
+func (s *Share) Earn() { s.left = min(s.limit, s.left+s.share) }
+
+// Take pays for an extra attempt; false if the budget is spent.
+func (s *Share) Take() bool {
+	if s.left < 1 {
+		return false
+	}
+	s.left--
+	return true
+}
+
+// Meter allows a rate of bytes.
+type Meter struct {
+	rate  float64 // bytes/s
+	limit float64 // bytes saved up at most
+	left  float64
+	at    clock.Millis
+}
+
+// NewMeter returns a meter that begins full.
+func NewMeter(rate, limit float64) *Meter { return &Meter{rate: rate, limit: limit, left: limit} }
+
+// Take pays for some bytes; false if they exceed what is left.
+func (m *Meter) Take(now clock.Millis, bytes int) bool {
+	if now > m.at {
+		m.left = min(m.limit, m.left+m.rate*(now-m.at).Seconds())
+		m.at = now
+	}
+	if m.left < float64(bytes) {
+		return false
+	}
+	m.left -= float64(bytes)
+	return true
+}
--- a/internal/inner/wire/msgs.go
+++ b/internal/inner/wire/msgs.go
@@ -180,6 +180,7 @@
 	Seq     uint64
 	Hosted  Hosted
 	Running int
+	Yours   int // of Running, work that the receiver gave
 	Waiting int
 	Slots   int
 	Rate    float64 // tokens a second of one stream, measured by the agent
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -29,6 +29,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/limit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
@@ -73,7 +74,7 @@
 
 	mu      sync.Mutex
 	jobs    map[ident.Attempt]*job
-	open    int // jobs that are not done
+	limit   *limit.Limit
 	leaving bool
 
 	swap    swapper
@@ -114,6 +115,7 @@
 		ctx:    ctx,
 		stop:   stop,
 		jobs:   make(map[ident.Attempt]*job),
+		limit:  limit.New(p.Slots),
 	}
 	a.swap.init()
 	a.status.Store(&plat.Status{})
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -7,6 +7,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/limit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/proof"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
@@ -16,6 +17,7 @@
 // job is one attempt at this agent: its state and its answer so far.
 type job struct {
 	msg    wire.Job
+	entry  ident.Node // that gave it
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -35,8 +37,8 @@
 	endedAt clock.Millis
 }
 
-func newJob(parent context.Context, m wire.Job) *job {
-	j := &job{msg: m, grown: make(chan struct{}), proven: true}
+func newJob(parent context.Context, entry ident.Node, m wire.Job) *job {
+	j := &job{msg: m, entry: entry, grown: make(chan struct{}), proven: true}
 	j.tokens = append(j.tokens, m.Resume...)
 	j.spans = wire.ToSpans(m.Spans)
 	j.sure = len(j.tokens)
@@ -215,7 +217,7 @@
 }
 
 // admit starts a job or refuses it as not run.
-func (a *Agent) admit(m wire.Job) error {
+func (a *Agent) admit(entry ident.Node, m wire.Job) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
@@ -223,21 +225,23 @@
 		return fault.New(fault.Leaving, "agent "+string(a.p.Node)+" is shutting down")
 	case a.jobs[ident.Attempt(m.Attempt)] != nil:
 		return fault.New(fault.StaleAttempt, "attempt "+m.Attempt+" was already started")
-	case a.open >= a.p.Slots:
-		return fault.New(fault.Overloaded, "agent "+string(a.p.Node)+" has no free slot").After(a.p.Report)
 	case m.Call != (a.p.Plain != nil):
 		return fault.New(fault.NoBackend, "agent "+string(a.p.Node)+" does not offer "+m.Service)
 	}
 	if err := a.checkService(m); err != nil {
 		return err
 	}
-	j := newJob(a.ctx, m)
+	if err := a.limit.Admit(a.p.Node, askOf(m), a.p.Report); err != nil {
+		return err
+	}
+	j := newJob(a.ctx, entry, m)
 	a.jobs[ident.Attempt(m.Attempt)] = j
-	a.open++
 	go a.work(j)
 	return nil
 }
 
+func askOf(m wire.Job) limit.Ask { return limit.Ask{Short: m.Short, Suspect: m.Suspect} }
+
 // checkService refuses work for another service or on too old a version.
 func (a *Agent) checkService(m wire.Job) error {
 	if m.Call {
@@ -267,7 +271,7 @@
 	j.end(a.p.Clock.Now(), body, err)
 	a.recordJob(trace.Finish, j.msg, err)
 	a.mu.Lock()
-	a.open--
+	a.limit.Done(askOf(j.msg))
 	a.mu.Unlock()
 }
 
--- a/internal/node/agent/report.go
+++ b/internal/node/agent/report.go
@@ -50,6 +50,7 @@
 }
 
 func (a *Agent) reportTo(ctx context.Context, m roster.Member, args wire.ReportArgs) {
+	args.Yours = a.given(m.Node)
 	ctx, cancel := context.WithTimeout(ctx, a.p.Report.Duration())
 	defer cancel()
 	for range 2 {
@@ -84,12 +85,25 @@
 	return a.leaving || a.peers.View().IsLeaving(a.p.Node)
 }
 
+// given returns how much of the work in progress an entry gave.
+func (a *Agent) given(entry ident.Node) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, j := range a.jobs {
+		if j.entry == entry && !j.isDone() {
+			n++
+		}
+	}
+	return n
+}
+
 // state returns the report of this moment.
 func (a *Agent) state() wire.ReportArgs {
 	st := a.status.Load()
 	rate, first := a.speed.get()
 	a.mu.Lock()
-	open, leaving := a.open, a.isLeaving()
+	open, leaving := a.limit.Open(), a.isLeaving()
 	a.mu.Unlock()
 	return wire.ReportArgs{
 		Hello:  a.hello(),
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -32,7 +32,7 @@
 func (s *service) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
 	err := args.Hello.Check()
 	if err == nil {
-		err = s.a.admit(args.Job)
+		err = s.a.admit(ident.Node(args.Hello.Node), args.Job)
 		s.a.recordAdmit(args.Job, err)
 	}
 	reply.Fault = wire.ToFault(err)
--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -21,9 +21,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/class"
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
-	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/base/sets"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
@@ -35,12 +33,17 @@
 	Node   ident.Node
 	Boot   ident.Incarnation
 	Policy match.Policy
-	Pool   *wire.Pool
+	Pool   Peer
 	Clock  clock.Clock
 	Log    zerolog.Logger
 	Trace  *trace.Recorder // nil for none
 }
 
+// Peer carries a call to a node and waits for its answer; [wire.Pool] is one.
+type Peer interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+}
+
 // Work is one request to run.
 type Work struct {
 	Request   ident.Request
@@ -51,7 +54,7 @@
 	MaxTokens int
 	Deadline  clock.Millis // 0 for none
 	Sample    wire.Sample
-	Priority  int
+	Suspect   bool // ran at a crash before
 
 	// Claim returns the claim under which a server may run work that is not
 	// idempotent. It is called before each attempt; a second call means that
@@ -101,17 +104,23 @@
 	nextID  uint64
 }
 
+// grant is what the matcher decided on an item.
 type grant struct {
+	match.Grant
 	server match.Server
 	err    error
 }
 
+// maxGrants is the most that one item gets: its first grant and one hedge.
+const maxGrants = 2
+
 const (
 	tick       = 50 * time.Millisecond
 	fetchWait  = 2 * clock.Second
 	fetchSlack = 3 * clock.Second // beyond fetchWait, before an agent counts as lost
 	submitFor  = 3 * clock.Second
-	maxTries   = 6
+	maxFails   = 6  // attempts that may have run
+	maxTries   = 64 // all attempts, refused ones too
 )
 
 // New returns a dispatcher without servers.
@@ -154,7 +163,7 @@
 	grants, refused := c.match.Next(now)
 	for _, g := range grants {
 		s, _ := c.match.Server(g.Node)
-		c.answer(g.Item, grant{server: s})
+		c.answer(g.Item, grant{Grant: g, server: s})
 		c.recordGrant(now, g)
 	}
 	for _, r := range refused {
@@ -165,254 +174,42 @@
 func (c *Calls) answer(id uint64, g grant) {
 	if ch, ok := c.waiters[id]; ok {
 		ch <- g
-		delete(c.waiters, id)
 	}
 }
 
-// place waits for a server for the item.
-func (c *Calls) place(ctx context.Context, it match.Item) (match.Server, uint64, error) {
-	ch := make(chan grant, 1)
-	var id uint64
+// enqueue puts an item into its queue. Its grants come on the channel until
+// the item is left.
+func (c *Calls) enqueue(it match.Item) (uint64, <-chan grant, error) {
+	ch := make(chan grant, maxGrants)
 	var err error
 	c.decide(func(m *match.Matcher, now clock.Millis) {
 		c.nextID++
-		id = c.nextID
-		it.ID = id
+		it.ID = c.nextID
 		if err = m.Arrive(now, it); err == nil {
-			c.waiters[id] = ch
+			c.waiters[it.ID] = ch
 		}
 	})
-	if err != nil {
-		return match.Server{}, 0, err
-	}
-	select {
-	case g := <-ch:
-		return g.server, id, g.err
-	case <-ctx.Done():
-		c.abandon(id)
-		return match.Server{}, 0, fault.Wrap(fault.PastDeadline, ctx.Err(), "the caller or the deadline ended the wait")
-	}
+	return it.ID, ch, err
 }
 
-// abandon takes back an item, whether it waits or was just granted.
-func (c *Calls) abandon(id uint64) {
-	c.decide(func(m *match.Matcher, _ clock.Millis) {
+// leave takes an item back, wherever it is.
+func (c *Calls) leave(id uint64) {
+	c.decide(func(m *match.Matcher, now clock.Millis) {
 		delete(c.waiters, id)
-		m.Remove(id)
-		m.Finish(id)
+		m.Drop(now, id)
 	})
 }
 
-func (c *Calls) finish(id uint64) {
-	c.decide(func(m *match.Matcher, _ clock.Millis) { m.Finish(id) })
-}
-
-// run is Do without its record in the trace.
-func (c *Calls) run(ctx context.Context, w Work, sink Sink) (Answer, error) {
-	if w.Deadline > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, (w.Deadline - c.p.Clock.Now()).Duration())
-		defer cancel()
-	}
-	t := &try{c: c, w: w, sink: sink, avoid: sets.Of[ident.Node](), spans: wire.FromSpans(w.Spans)}
-	t.tokens = append(t.tokens, w.Resume...)
-	if w.Join.Attempt != "" {
-		if ans, err := t.follow(ctx, w.Join.Server, w.Join.Attempt); err == nil {
-			return ans, nil
-		}
-	}
-	var err error
-	for range maxTries {
-		var ans Answer
-		if ans, err = t.once(ctx); err == nil {
-			return ans, nil
-		}
-		if !t.mayRetry(ctx, err) {
-			break
-		}
-	}
-	return t.part(), err
-}
-
-// try is the state of one request over its attempts.
-type try struct {
-	c      *Calls
-	w      Work
-	sink   Sink
-	tokens []uint32    // delivered so far
-	spans  []wire.Span // versions of a sample's tokens
-	avoid  sets.Set[ident.Node]
-	claim  wire.Claim
-}
-
-func (t *try) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	f, ok := fault.As(err)
-	if !ok {
-		return false
-	}
-	switch f.Kind() {
-	case fault.PastDeadline, fault.Quarantined, fault.BadRequest, fault.TooLarge:
-		return false
-	}
-	return f.Outcome() == fault.NotRun || t.w.Class.Kind().IsIdempotent()
-}
-
-func (t *try) once(ctx context.Context) (Answer, error) {
-	since := t.w.Since
-	if since == 0 {
-		since = t.c.p.Clock.Now()
-	}
-	s, id, err := t.c.place(ctx, match.Item{
-		Class:    t.w.Class.Name(),
-		Service:  t.w.Class.Service(),
-		StartBy:  since + t.w.Class.Waiting(),
-		Deadline: t.w.Deadline,
-		Floor:    ident.Version(t.w.Sample.Floor),
-		Avoid:    t.avoid,
-	})
-	if err != nil {
-		return Answer{}, err
-	}
-	defer t.c.finish(id)
-	ans, err := t.at(ctx, s)
-	if err != nil {
-		t.avoid = sets.Of(s.Node) // Only the last one, so that a small fleet is not used up.
-	}
-	return ans, err
-}
-
-// at runs one attempt at a server.
-func (t *try) at(ctx context.Context, s match.Server) (Answer, error) {
-	att := ident.NewAttempt()
-	if t.w.Claim != nil {
-		var err error
-		if t.claim, err = t.w.Claim(ctx, s); err != nil {
-			return Answer{}, err
-		}
-	}
-	if err := t.submit(ctx, s, att); err != nil {
-		return Answer{}, err
-	}
-	return t.follow(ctx, s, att)
-}
-
-// follow reads an attempt to its end. An attempt that failed is ended; one of
-// a sample whose reader alone went away is not.
-func (t *try) follow(ctx context.Context, s match.Server, att ident.Attempt) (Answer, error) {
-	t.watch(s, att)
-	ans, err := t.read(ctx, s, att)
-	if err == nil {
-		return ans, nil
-	}
-	if t.w.Sample.Round == "" || ctx.Err() == nil || errors.Is(context.Cause(ctx), ErrUnwanted) {
-		t.c.cancel(s, att)
-	}
-	return ans, err
+// finish tells the matcher how an attempt ended.
+func (c *Calls) finish(id uint64, n ident.Node, r match.Result) {
+	c.decide(func(m *match.Matcher, now clock.Millis) { m.Finish(now, id, n, r) })
 }
 
-func (t *try) watch(s match.Server, att ident.Attempt) {
-	if t.w.Watch != nil {
-		t.w.Watch(Running{Server: s, Attempt: att, Tokens: len(t.tokens), Spans: wire.ToSpans(t.spans)})
-	}
-}
-
-func (t *try) submit(ctx context.Context, s match.Server, att ident.Attempt) error {
-	ctx, cancel := context.WithTimeout(ctx, submitFor.Duration())
-	defer cancel()
-	args := wire.SubmitArgs{Hello: t.c.hello(), Job: t.job(att)}
-	var reply wire.SubmitReply
-	if err := t.c.p.Pool.Call(ctx, s.Addr, "Agent.Submit", &args, &reply); err != nil {
-		return err
-	}
-	return reply.Fault.Err()
-}
-
-func (t *try) job(att ident.Attempt) wire.Job {
-	w := t.w
-	j := wire.Job{
-		Attempt:   string(att),
-		Request:   string(w.Request),
-		Class:     string(w.Class.Name()),
-		Service:   string(w.Class.Service()),
-		Call:      !w.Class.Kind().IsModel(),
-		Once:      !w.Class.Kind().IsIdempotent(),
-		Claim:     t.claim,
-		Sample:    w.Sample,
-		Body:      w.Body,
-		Prefix:    w.Prefix,
-		Seed:      w.Seed,
-		MaxTokens: w.MaxTokens,
-		Resume:    t.tokens,
-		Spans:     t.spans,
-		Priority:  w.Priority,
-	}
-	if w.Deadline > 0 {
-		j.Left = int64(max(1, w.Deadline-t.c.p.Clock.Now()))
-	}
-	return j
-}
-
-// read fetches the answer of an attempt to its end.
-func (t *try) read(ctx context.Context, s match.Server, att ident.Attempt) (Answer, error) {
-	for {
-		r, err := t.c.fetch(ctx, s, att, len(t.tokens))
-		if err != nil {
-			return Answer{}, err
-		}
-		if len(r.Tokens) > 0 && t.sink != nil {
-			if err := t.sink(r.Tokens); err != nil {
-				return Answer{}, fault.Wrap(fault.Canceled, err, "the caller went away")
-			}
-		}
-		t.tokens = append(t.tokens, r.Tokens...)
-		if len(r.Spans) > 0 {
-			t.spans = r.Spans
-			t.watch(s, att)
-		}
-		if err := r.Fault.Err(); err != nil {
-			return Answer{}, err
-		}
-		if r.Done {
-			return t.answer(s, att, r), nil
-		}
-	}
-}
-
-func (t *try) answer(s match.Server, att ident.Attempt, r wire.FetchReply) Answer {
-	a := t.part()
-	a.Attempt, a.Node, a.Body, a.Proven = att, s.Node, r.Body, r.Proven
-	return a
-}
-
-// part returns what was read so far, from which other work can go on.
-func (t *try) part() Answer { return Answer{Tokens: t.tokens, Spans: wire.ToSpans(t.spans)} }
-
-func (c *Calls) fetch(ctx context.Context, s match.Server, att ident.Attempt, from int) (wire.FetchReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, (fetchWait + fetchSlack).Duration())
-	defer cancel()
-	args := wire.FetchArgs{Hello: c.hello(), Attempt: string(att), From: from, Wait: int64(fetchWait)}
-	var reply wire.FetchReply
-	if err := c.p.Pool.Call(ctx, s.Addr, "Agent.Fetch", &args, &reply); err != nil {
-		// The attempt was started, so no failure to read it proves anything.
-		return reply, fault.Wrap(fault.Lost, err, "no answer to attempt "+string(att))
-	}
-	return reply, nil
-}
-
-// cancel ends an attempt that is no longer wanted; nobody waits for it.
-func (c *Calls) cancel(s match.Server, att ident.Attempt) {
-	go func() {
-		ctx, stop := context.WithTimeout(context.Background(), submitFor.Duration())
-		defer stop()
-		var ack wire.Ack
-		args := wire.CancelArgs{Hello: c.hello(), Attempt: string(att)}
-		if err := c.p.Pool.Call(ctx, s.Addr, "Agent.Cancel", &args, &ack); err != nil {
-			c.p.Log.Debug().Err(err).Str("node", string(s.Node)).Msg("Cancel failed.")
-		}
-	}()
+// progress tells the matcher that an attempt has shown tokens.
+func (c *Calls) progress(id uint64, n ident.Node, tokens int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.match.Progress(c.p.Clock.Now(), id, n, tokens)
 }
 
 func (c *Calls) hello() wire.Hello { return wire.NewHello(c.p.Node, c.p.Boot) }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -146,6 +146,7 @@
 // wire builds the parts and gives each what it needs of the others.
 func (e *Entry) wire() {
 	p := e.p
+	p.Policy.Zone, p.Policy.Region = p.Zone, p.Region
 	part := func(name string) zerolog.Logger { return p.Log.With().Str("part", name).Logger() }
 	e.config = follow.New(follow.Params{
 		Node:     p.Node,
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -42,6 +42,8 @@
 		Leaving: args.Leaving || e.peers.View().IsLeaving(ident.Node(args.Hello.Node)),
 		Slots:   args.Slots,
 		Running: args.Running,
+		Seq:     args.Seq,
+		Yours:   args.Yours,
 	})
 	reply.Config, reply.Behind = e.exchange(args.Config, args.Ahead)
 	reply.Versions = e.swaps.Wire()
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -74,7 +74,6 @@
 		Prefix:    m.Prefix,
 		Seed:      m.Seed,
 		MaxTokens: limit,
-		Priority:  priority(c),
 	}
 	if m.DeadlineMS > 0 {
 		w.Deadline = now + clock.Millis(m.DeadlineMS)
@@ -82,14 +81,6 @@
 	return w, nil
 }
 
-// priority of callers' work at the engine is above that of rounds.
-func priority(c class.Class) int {
-	if c.Kind() == class.Round {
-		return 0
-	}
-	return 1
-}
-
 // requestID is the same for the same request of a caller on every entry.
 func requestID(who ident.Caller, m codec.Request) ident.Request {
 	h := sha256.New()
--- /dev/null
+++ b/internal/proof/vtime/outcome.go
@@ -0,0 +1,103 @@
+package vtime
+
+import (
+	"slices"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+)
+
+// Outcome is what a run gave. Only requests that arrived between the warm-up
+// and the end count.
+type Outcome struct {
+	s       Scenario
+	Took    [][]clock.Millis // by kind: from arrival to the whole answer
+	Arrived []int            // by kind
+	Refused []int            // by kind, as not run
+	NoAfter int              // refusals for overload without a time to come back
+	Hedges  int
+	Retries int
+	Bounced int     // refused by an agent
+	Most    int     // work at one engine at once
+	Made    float64 // tokens of whole answers
+	Extra   float64 // tokens of other attempts of the same requests
+	Good    float64 // tokens of answers within the lateness target
+	Left    int     // requests without an end
+}
+
+func newOutcome(s Scenario) *Outcome {
+	n := len(s.Kinds)
+	return &Outcome{s: s, Took: make([][]clock.Millis, n), Arrived: make([]int, n), Refused: make([]int, n)}
+}
+
+func (o *Outcome) counts(wk *work) bool { return wk.arrived >= o.s.Warm }
+
+func (o *Outcome) arrived(wk *work) {
+	if o.counts(wk) {
+		o.Arrived[wk.kind]++
+	}
+}
+
+func (o *Outcome) started(a *attempt) {
+	if !o.counts(a.w) {
+		return
+	}
+	if a.hedge {
+		o.Hedges++
+	}
+	if a.w.item.Retry {
+		o.Retries++
+	}
+}
+
+func (o *Outcome) mostAt(n int) { o.Most = max(o.Most, n) }
+
+func (o *Outcome) made(a *attempt, tokens int, whole bool) {
+	switch {
+	case !o.counts(a.w):
+	case whole:
+		o.Made += float64(tokens)
+	default:
+		o.Extra += float64(tokens)
+	}
+}
+
+// refused counts a refusal as an answer at the lateness target, so that
+// refusing work can't improve a quantile.
+func (o *Outcome) refused(wk *work, f *fault.Fault) {
+	if !o.counts(wk) {
+		return
+	}
+	o.Refused[wk.kind]++
+	o.Took[wk.kind] = append(o.Took[wk.kind], o.s.Kinds[wk.kind].Lateness)
+	if f.Kind() == fault.Overloaded && f.Wait() == 0 {
+		o.NoAfter++
+	}
+}
+
+func (o *Outcome) finished(wk *work, now clock.Millis) {
+	if !o.counts(wk) {
+		return
+	}
+	took := now - wk.arrived
+	o.Took[wk.kind] = append(o.Took[wk.kind], took)
+	if took <= o.s.Kinds[wk.kind].Lateness {
+		o.Good += float64(wk.tokens)
+	}
+}
+
+// Quantile returns a quantile of the time to the whole answer of a kind.
+func (o *Outcome) Quantile(kind int, q float64) clock.Millis {
+	vs := slices.Clone(o.Took[kind])
+	if len(vs) == 0 {
+		return 0
+	}
+	slices.Sort(vs)
+	return vs[min(len(vs)-1, int(q*float64(len(vs))))]
+}
+
+// Goodput returns the tokens/s of answers within their lateness target.
+func (o *Outcome) Goodput() float64 { return o.Good / (o.s.Length - o.s.Warm).Seconds() }
+
+// ExtraShare returns the extra work as a share of the work that was needed.
+func (o *Outcome) ExtraShare() float64 { return o.Extra / max(1, o.Made) }
