--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -55,6 +55,7 @@
 	Deadline  clock.Millis // 0 for none
 	Sample    wire.Sample
 	Suspect   bool // ran at a crash before
+	Priority  int  // at the engine, added to that of the work's band
 
 	// Claim returns the claim under which a server may run work that is not
 	// idempotent. It is called before each attempt; a second call means that
--- a/internal/node/calls/race.go
+++ b/internal/node/calls/race.go
@@ -34,7 +34,7 @@
 	grant  grant
 	tokens []uint32 // from the first one on
 	spans  []wire.Span
-	begun  bool // the agent admitted it
+	begun  bool // it made tokens
 	moved  bool // the agent is leaving and gave it back
 	cancel context.CancelFunc
 }
@@ -164,8 +164,8 @@
 	if len(e.reply.Spans) > 0 {
 		a.spans = e.reply.Spans
 	}
-	a.begun = a.begun || e.err == nil
 	if n := len(e.reply.Tokens); n > 0 {
+		a.begun = true
 		r.t.c.progress(r.id, a.grant.server.Node, n)
 	}
 	err = errorOf(e)
--- a/internal/node/calls/try.go
+++ b/internal/node/calls/try.go
@@ -159,7 +159,7 @@
 		MaxTokens: w.MaxTokens,
 		Resume:    a.tokens,
 		Spans:     a.spans,
-		Priority:  a.grant.Priority,
+		Priority:  a.grant.Priority + w.Priority,
 		Short:     a.grant.Short,
 		Suspect:   w.Suspect,
 	}
@@ -210,7 +210,7 @@
 	if !t.moved {
 		t.fails++
 	}
-	if !t.moved || a.begun {
+	if !t.moved || a.begun || a.moved {
 		t.ran = fault.Wrap(fault.Broken, err, "the answer broke off and could not be made whole")
 		if ok && f.Outcome() != fault.NotRun {
 			t.ran = err
