Deal the orders of a swap over many entries; skip what is overtaken

Cause: one entry ordered all agents of a model; a failed order was tried every 2 s for ever; a version that was overtaken while its transfer waited was loaded all the same; after an order the owner ordered again until a report came. Change: zones are dealt into groups with an owner each, zones of one server take turns, waits double up to 15 s with a part of each server's own or as the weight store asks, agents refuse what a newer announcement overtook, and the owner believes its own success for 3 s.

--- a/internal/decide/swap/swap.go
+++ b/internal/decide/swap/swap.go
@@ -5,17 +5,30 @@
 //
 //  1. The highest announced version is the target; lower ones are skipped.
 //  2. In each zone at most a share of the servers loads at the same time, and
-//     at least one stays in service if there are two or more.
-//  3. A server that failed is tried again after a pause.
+//     at least one stays in service if there are two or more. Zones with one
+//     server count together as one zone, so that they take turns.
+//  3. Large zones are dealt into groups with one owner each, so that many
+//     entries order at once without asking each other; the share holds in each
+//     group.
+//  4. A server whose order failed is tried again after a wait that doubles up
+//     to a bound, or that the weight store asked for, with a part that differs
+//     from server to server.
+//  5. The servers with the lowest versions go first.
 //
 // # Usage
 //
-//	for _, n := range swap.Next(now, swap.Standard(), target, servers) { order(n, target) }
+//	for _, g := range swap.Groups(p, servers) {
+//		if owns(g) {
+//			for _, n := range swap.Next(now, p, target, g) { order(n, target) }
+//		}
+//	}
 package swap
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
+	"strconv"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
@@ -23,56 +36,128 @@
 
 // Policy selects how the swaps are staggered.
 type Policy struct {
-	Share float64      // of a zone's servers that may load at once
-	Retry clock.Millis // pause after a failed order
+	Share float64      // of a group's servers that may load at once
+	Size  int          // servers of a zone that make one group
+	Retry clock.Millis // wait after the first failed order
+	Most  clock.Millis // longest wait
 }
 
 // Standard returns the policy of the product.
-func Standard() Policy { return Policy{Share: 0.5, Retry: 2 * clock.Second} }
+func Standard() Policy {
+	return Policy{Share: 0.5, Size: 64, Retry: 500 * clock.Milli, Most: 15 * clock.Second}
+}
+
+// AtOnce returns the plain baseline: every server loads at the same time.
+func AtOnce() Policy {
+	return Policy{Share: 1, Size: 64, Retry: 2 * clock.Second, Most: 2 * clock.Second}
+}
 
 // Server is one backend server of the model.
 type Server struct {
 	Node    ident.Node
 	Zone    ident.Zone
+	Region  ident.Region
 	Version ident.Version
 	Loading bool         // it loads, or was ordered to
-	Failed  clock.Millis // instant of the last failed order, 0 for none
+	Leaving bool         // it takes no work
+	After   clock.Millis // no order before this instant
+}
+
+// Group is a part of a model's servers whose swaps one entry orders.
+type Group struct {
+	key     string
+	servers []Server
+}
+
+// Key names the group on every entry.
+func (g Group) Key() string { return g.key }
+
+// First returns the first server by zone and name. The entry that orders the
+// group is one to which this server's agent reports.
+func (g Group) First() Server {
+	return slices.MinFunc(g.servers, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Node, b.Node))
+	})
 }
 
-// Next returns the nodes that get an order now.
-func Next(now clock.Millis, p Policy, target ident.Version, servers []Server) []ident.Node {
-	zones := make(map[ident.Zone][]Server)
+// singles is the group of the zones with one server.
+const singles = "singles"
+
+// Groups deals the servers of a model into groups (rules 2 and 3).
+func Groups(p Policy, servers []Server) []Group {
+	sizes := make(map[ident.Zone]int)
 	for _, s := range servers {
-		zones[s.Zone] = append(zones[s.Zone], s)
+		sizes[s.Zone]++
 	}
-	var out []ident.Node
-	for _, z := range zones {
-		out = append(out, nextInZone(now, p, target, z)...)
+	byKey := make(map[string]*Group)
+	for _, s := range servers {
+		k := groupOf(p, s, sizes[s.Zone])
+		g := byKey[k]
+		if g == nil {
+			g = &Group{key: k}
+			byKey[k] = g
+		}
+		g.servers = append(g.servers, s)
+	}
+	out := make([]Group, 0, len(byKey))
+	for _, g := range byKey {
+		out = append(out, *g)
 	}
-	slices.Sort(out)
+	slices.SortFunc(out, func(a, b Group) int { return cmp.Compare(a.key, b.key) })
 	return out
 }
 
-func nextInZone(now clock.Millis, p Policy, target ident.Version, zone []Server) []ident.Node {
-	limit := max(1, int(p.Share*float64(len(zone)))) // rule 2
-	busy := 0
+func groupOf(p Policy, s Server, size int) string {
+	if size == 1 {
+		return singles
+	}
+	parts := uint64((size + p.Size - 1) / p.Size)
+	return "zone/" + string(s.Zone) + "/" + strconv.FormatUint(hash(s.Node)%parts, 10)
+}
+
+func hash(n ident.Node) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(n))
+	return h.Sum64()
+}
+
+// Next returns the nodes of a group that get an order now.
+func Next(now clock.Millis, p Policy, target ident.Version, g Group) []ident.Node {
+	serving, busy := 0, 0
 	var want []Server
-	for _, s := range zone {
+	for _, s := range g.servers {
+		if s.Leaving {
+			continue
+		}
+		serving++
 		switch {
 		case s.Loading:
 			busy++
 		case s.Version >= target: // rule 1
-		case s.Failed > 0 && now-s.Failed < p.Retry: // rule 3
+		case now < s.After: // rule 4
 		default:
 			want = append(want, s)
 		}
 	}
-	slices.SortFunc(want, func(a, b Server) int {
+	slices.SortFunc(want, func(a, b Server) int { // rule 5
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Node, b.Node))
 	})
+	limit := max(1, int(p.Share*float64(serving))) // rule 2
 	var out []ident.Node
 	for _, s := range want[:max(0, min(len(want), limit-busy))] {
 		out = append(out, s.Node)
 	}
 	return out
 }
+
+// maxShift bounds the doubling of the wait.
+const maxShift = 16
+
+// Wait returns how long a server waits after a number of failed orders, the
+// last of which asked for a wait of its own (rule 4).
+func Wait(p Policy, n ident.Node, failures int, asked clock.Millis) clock.Millis {
+	w := min(p.Most, p.Retry<<min(max(0, failures-1), maxShift))
+	const shares = 64
+	w = w/2 + w/2*clock.Millis(hash(n)%shares)/shares
+	return max(asked, w)
+}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -77,14 +77,15 @@
 	limit   *limit.Limit
 	leaving bool
 
-	swap    swapper
-	status  atomic.Pointer[plat.Status]
-	config  atomic.Pointer[wire.Snapshot]
-	peers   *peers.Peers
-	crashes crashes
-	fences  fences
-	speed   speed
-	seq     atomic.Uint64
+	swap      swapper
+	announced announced
+	status    atomic.Pointer[plat.Status]
+	config    atomic.Pointer[wire.Snapshot]
+	peers     *peers.Peers
+	crashes   crashes
+	fences    fences
+	speed     speed
+	seq       atomic.Uint64
 }
 
 // Standards of settings that may be left out.
--- a/internal/node/agent/report.go
+++ b/internal/node/agent/report.go
@@ -61,6 +61,7 @@
 		}
 		a.fences.learn(ident.Offset(reply.Fence))
 		a.learn(reply.Config)
+		a.announced.learn(reply.Versions)
 		if !reply.Behind {
 			return
 		}
--- a/internal/node/agent/swap.go
+++ b/internal/node/agent/swap.go
@@ -121,9 +121,10 @@
 // still on its way shows.
 const settleLooks = 3
 
-// order carries out one order to load a version. It refuses what is
-// out of date both before the transfer and after the wait for the runs, so that
-// a late order can't bring back an old version.
+// order carries out one order to load a version. It refuses what is out of
+// date before the transfer, after it, and after the wait for the runs, so that
+// a late order can't bring back an old version, and none is loaded that would
+// be replaced at once.
 func (a *Agent) order(o plat.Order) error {
 	if a.p.Engine == nil {
 		return fault.New(fault.BadRequest, "agent "+string(a.p.Node)+" has no engine")
@@ -134,6 +135,9 @@
 	if err := a.p.Weights.Fetch(a.ctx, o.Model, o.Version); err != nil {
 		return err
 	}
+	if err := a.mayOrder(o); err != nil {
+		return err
+	}
 	if !a.swap.begin() {
 		return fault.New(fault.Overloaded, "another order is running").After(clock.Second)
 	}
@@ -165,11 +169,38 @@
 		if st.Model != o.Model {
 			return fault.New(fault.StaleOrder, "the engine hosts another model; only the placement's holder moves it")
 		}
+		if a.announced.newest(o.Model) > o.Version {
+			return fault.New(fault.StaleOrder, "a newer version was announced meanwhile")
+		}
 		return nil
 	}
 	return a.fences.admit(o.Fence)
 }
 
+// announced is what entries told this agent of the versions of models.
+type announced struct {
+	mu       sync.Mutex
+	versions map[ident.Service]ident.Version
+}
+
+func (n *announced) learn(vs []wire.Announced) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.versions == nil {
+		n.versions = make(map[ident.Service]ident.Version)
+	}
+	for _, v := range vs {
+		m := ident.Service(v.Model)
+		n.versions[m] = max(n.versions[m], ident.Version(v.Version))
+	}
+}
+
+func (n *announced) newest(m ident.Service) ident.Version {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.versions[m]
+}
+
 // settle waits until the engine says so many times in a row that no order is
 // running and that its state is the same, so that a failed or lost order, or
 // one of an earlier agent, can't take effect beside later work. Then it lets
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -171,7 +171,7 @@
 		Node:    p.Node,
 		Boot:    e.boot,
 		Policy:  p.Swap,
-		Owns:    func(m ident.Service) bool { _, mine := e.peers.Owner("model/" + string(m)); return mine },
+		Owns:    e.ordersGroup,
 		Servers: e.serversOf,
 		Pool:    e.pool,
 		Clock:   p.Clock,
@@ -201,6 +201,14 @@
 	return out
 }
 
+// ordersGroup reports whether this entry orders the swaps of a group: it is
+// the first of those to which the agents of its zone report.
+func (e *Entry) ordersGroup(m ident.Service, g swap.Group) bool {
+	at := g.First()
+	near := e.peers.NearestTo(m, at.Zone, at.Region, 1)
+	return len(near) == 0 || near[0].Node == e.p.Node
+}
+
 // newest returns the highest version of a model that was announced or that an
 // engine holds.
 func (e *Entry) newest(m ident.Service) ident.Version {
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -183,14 +183,19 @@
 // Nearest returns the entries to which an agent of a service reports, also
 // those that leave: they finish work in progress.
 func (s *Peers) Nearest(svc ident.Service, n int) []roster.Member {
+	return s.NearestTo(svc, s.p.Self.Zone, s.p.Self.Region, n)
+}
+
+// NearestTo returns the entries to which the agents of a service in a zone
+// report.
+func (s *Peers) NearestTo(svc ident.Service, z ident.Zone, r ident.Region, n int) []roster.Member {
 	var es []roster.Member
 	for _, m := range s.View().members {
 		if m.Entry {
 			es = append(es, m)
 		}
 	}
-	self := s.p.Self
-	return roster.Nearest(string(svc)+"/"+string(self.Zone), es, self.Zone, self.Region, n)
+	return roster.Nearest(string(svc)+"/"+string(z), es, z, r, n)
 }
 
 // Owner returns the entry that owns a key, and whether it is this one.
--- a/internal/node/rounds/rounds.go
+++ b/internal/node/rounds/rounds.go
@@ -37,7 +37,7 @@
 	Boot    ident.Incarnation
 	Key     []byte // seals cursors; the same on all entries
 	Calls   *calls.Calls
-	Pool    *wire.Pool
+	Pool    wire.Caller
 	Owns    func(id ident.Round) bool // whether this entry should own a round
 	Newest  func(m ident.Service) ident.Version
 	Servers func(m ident.Service) []match.Server
--- a/internal/node/swaps/swaps.go
+++ b/internal/node/swaps/swaps.go
@@ -1,6 +1,6 @@
 // Package swaps carries announced versions to the engines: it keeps the
-// newest version of each model, and the entry that owns a model orders its
-// agents to load it, as package swap decides.
+// newest version of each model, and the entries that own the groups of a
+// model's agents order them to load it, as package swap decides.
 //
 // # Usage
 //
@@ -30,9 +30,9 @@
 	Node    ident.Node
 	Boot    ident.Incarnation
 	Policy  swap.Policy
-	Owns    func(m ident.Service) bool           // whether this entry orders the model's agents
-	Servers func(m ident.Service) []match.Server // agents that host the model
-	Pool    *wire.Pool
+	Owns    func(m ident.Service, g swap.Group) bool // whether this entry orders the group
+	Servers func(m ident.Service) []match.Server     // agents that host the model
+	Pool    wire.Caller
 	Clock   clock.Clock
 	Log     zerolog.Logger
 	Trace   *trace.Recorder // nil for none
@@ -44,23 +44,27 @@
 
 	mu       sync.Mutex
 	versions map[ident.Service]ident.Version
-	busy     map[ident.Node]bool
-	failed   map[ident.Node]clock.Millis
+	agents   map[ident.Node]*agent
+}
+
+// agent is what this entry knows of its own orders to an agent.
+type agent struct {
+	busy     bool
+	failures int
+	after    clock.Millis  // no order before
+	loaded   ident.Version // by the last order that succeeded
+	until    clock.Millis  // reports may not show it before
 }
 
 const (
-	tick     = 50 * time.Millisecond
-	orderFor = 3 * clock.Minute
+	tick      = 50 * time.Millisecond
+	orderFor  = 3 * clock.Minute
+	reportsIn = 3 * clock.Second // until reports show what an order did
 )
 
 // New returns an empty set of versions.
 func New(p Params) *Swaps {
-	return &Swaps{
-		p:        p,
-		versions: make(map[ident.Service]ident.Version),
-		busy:     make(map[ident.Node]bool),
-		failed:   make(map[ident.Node]clock.Millis),
-	}
+	return &Swaps{p: p, versions: make(map[ident.Service]ident.Version), agents: make(map[ident.Node]*agent)}
 }
 
 // Announce takes in a version; the highest one of a model stays.
@@ -111,35 +115,64 @@
 
 func (s *Swaps) step(ctx context.Context) {
 	for _, a := range s.Wire() {
-		m := ident.Service(a.Model)
-		if s.p.Owns(m) {
-			s.orders(ctx, m, ident.Version(a.Version))
-		}
+		s.orders(ctx, ident.Service(a.Model), ident.Version(a.Version))
 	}
 }
 
+// orders sends what is due for one model. A model whose servers all hold the
+// target costs no decision.
 func (s *Swaps) orders(ctx context.Context, m ident.Service, v ident.Version) {
 	known := s.p.Servers(m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	view := make([]swap.Server, 0, len(known))
+	now := s.p.Clock.Now()
+	behind := false
 	addrs := make(map[ident.Node]string, len(known))
+	view := make([]swap.Server, 0, len(known))
 	for _, k := range known {
 		addrs[k.Node] = k.Addr
-		view = append(view, swap.Server{
-			Node:    k.Node,
-			Zone:    k.Zone,
-			Version: k.Version,
-			Loading: k.Loading || s.busy[k.Node],
-			Failed:  s.failed[k.Node],
-		})
+		w := s.view(now, k)
+		behind = behind || w.Version < v
+		view = append(view, w)
 	}
-	for _, n := range swap.Next(s.p.Clock.Now(), s.p.Policy, v, view) {
-		s.busy[n] = true
-		go s.order(ctx, n, addrs[n], m, v)
+	if !behind {
+		return
+	}
+	for _, g := range swap.Groups(s.p.Policy, view) {
+		if !s.p.Owns(m, g) {
+			continue
+		}
+		for _, n := range swap.Next(now, s.p.Policy, v, g) {
+			s.agent(n).busy = true
+			go s.order(ctx, n, addrs[n], m, v)
+		}
 	}
 }
 
+func (s *Swaps) agent(n ident.Node) *agent {
+	a := s.agents[n]
+	if a == nil {
+		a = &agent{}
+		s.agents[n] = a
+	}
+	return a
+}
+
+// view joins an agent's report with this entry's own orders to it.
+func (s *Swaps) view(now clock.Millis, k match.Server) swap.Server {
+	w := swap.Server{Node: k.Node, Zone: k.Zone, Region: k.Region, Version: k.Version, Loading: k.Loading, Leaving: k.Leaving}
+	a := s.agents[k.Node]
+	if a == nil {
+		return w
+	}
+	w.Loading = w.Loading || a.busy
+	w.After = a.after
+	if now < a.until {
+		w.Version = max(w.Version, a.loaded)
+	}
+	return w
+}
+
 func (s *Swaps) order(ctx context.Context, n ident.Node, addr string, m ident.Service, v ident.Version) {
 	ctx, cancel := context.WithTimeout(ctx, orderFor.Duration())
 	defer cancel()
@@ -151,12 +184,29 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.busy, n)
 	s.p.Trace.Record(trace.Event{At: s.p.Clock.Now(), Kind: trace.Swap, Node: n, Service: m, Version: v, Fault: fault.KindOf(err)})
-	if err != nil {
-		s.failed[n] = s.p.Clock.Now()
-		s.p.Log.Warn().Err(err).Str("node", string(n)).Msg("Order failed, trying again later.")
+	s.ended(n, v, err)
+}
+
+// ended takes in the result of an order. One that was overtaken is no failure:
+// the next decision orders the newer version.
+func (s *Swaps) ended(n ident.Node, v ident.Version, err error) {
+	now := s.p.Clock.Now()
+	a := s.agent(n)
+	a.busy = false
+	if err == nil {
+		*a = agent{loaded: v, until: now + reportsIn}
 		return
 	}
-	delete(s.failed, n)
+	if fault.Is(err, fault.StaleOrder) {
+		a.failures, a.after = 0, now+s.p.Policy.Retry
+		return
+	}
+	var asked clock.Millis
+	if f, ok := fault.As(err); ok {
+		asked = f.Wait()
+	}
+	a.failures++
+	a.after = now + swap.Wait(s.p.Policy, n, a.failures, asked)
+	s.p.Log.Warn().Err(err).Str("node", string(n)).Stringer("wait", a.after-now).Msg("Order failed, trying again later.")
 }
--- a/internal/proof/size/bench_test.go
+++ b/internal/proof/size/bench_test.go
@@ -65,7 +65,9 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				_ = swap.Next(clock.Second, swap.Standard(), 2, ss)
+				for _, g := range swap.Groups(swap.Standard(), ss) {
+					_ = swap.Next(clock.Second, swap.Standard(), 2, g)
+				}
 			}
 		})
 	}
