Run actions at most once, through claims on the log

POST /v1/requests serves classes of the kind action and needs a UUIDv7 key. A refusal says "not run" only after the log showed that no claim of the key may have run, or if the caller says first-send; else it has the new kind claim-unsettled. New kind answer-gone for an answer too long to keep.

--- a/internal/base/fault/kinds.go
+++ b/internal/base/fault/kinds.go
@@ -20,6 +20,8 @@
 	KeyExpired   Kind = "key-expired"
 	LogDown      Kind = "log-unavailable"
 	Refused      Kind = "claim-refused"
+	Unsettled    Kind = "claim-unsettled"
+	AnswerGone   Kind = "answer-gone"
 	StaleAttempt Kind = "stale-attempt"
 	StaleOrder   Kind = "stale-order"
 	Conflict     Kind = "conflict"
@@ -57,6 +59,8 @@
 	KeyExpired:   {http.StatusUnprocessableEntity, NotRun, "use a new UUIDv7 idempotency key after checking the effect of the old one"},
 	LogDown:      {http.StatusServiceUnavailable, NotRun, "send again with the same key after the time in Retry-After"},
 	Refused:      {http.StatusServiceUnavailable, NotRun, "send again with the same key"},
+	Unsettled:    {http.StatusServiceUnavailable, Unknown, "send again with the same key after the time in Retry-After"},
+	AnswerGone:   {http.StatusGone, Done, "do not send again; read the effect from the service"},
 	StaleAttempt: {http.StatusConflict, NotRun, "drop the attempt; a newer one is in progress"},
 	StaleOrder:   {http.StatusConflict, NotRun, "drop the order; a newer one is in force"},
 	Conflict:     {http.StatusConflict, NotRun, "run plan again to see the newer revision, then apply"},
--- a/internal/edge/codec/api.go
+++ b/internal/edge/codec/api.go
@@ -5,7 +5,8 @@
 // Request is a caller's request.
 type Request struct {
 	Class      string `json:"class"`
-	Key        string `json:"key,omitempty"` // idempotency key, a UUIDv7; needed for actions
+	Key        string `json:"key,omitempty"`        // idempotency key, a UUIDv7; needed for actions
+	First      bool   `json:"first-send,omitempty"` // the caller never sent this key before
 	Body       string `json:"body"`
 	Prefix     string `json:"prefix,omitempty"`
 	Seed       int64  `json:"seed,omitempty"`
--- a/internal/inner/wire/msgs.go
+++ b/internal/inner/wire/msgs.go
@@ -113,15 +113,16 @@
 type SettleArgs struct {
 	Hello Hello
 	Claim Claim
+	Wait  int64 // ms to wait for a run in progress to end
 }
 
 // SettleReply is the outcome of a claim: "running", "done", "refused" or
 // "unknown".
 type SettleReply struct {
-	Fault   Fault
-	State   string
-	Body    []byte
-	Attempt string
+	Fault  Fault
+	State  string
+	Body   []byte
+	Detail string // why the outcome is unknown
 }
 
 // OrderArgs tells an agent which version of a model to load.
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -79,6 +79,7 @@
 
 	swap      swapper
 	announced announced
+	claims    *claims
 	status    atomic.Pointer[plat.Status]
 	config    atomic.Pointer[wire.Snapshot]
 	peers     *peers.Peers
@@ -119,6 +120,7 @@
 		limit:  limit.New(p.Slots),
 	}
 	a.swap.init()
+	a.claims = newClaims(a.boot)
 	a.status.Store(&plat.Status{})
 	a.config.Store(&wire.Snapshot{})
 	a.peers = peers.New(peers.Params{
@@ -159,6 +161,7 @@
 		a.watch(ctx)
 		a.report(ctx)
 		a.forget(a.p.Clock.Now())
+		a.claims.forget(a.p.Clock.Now())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -268,6 +268,9 @@
 	} else {
 		err = a.generate(j)
 	}
+	if j.msg.Once {
+		a.claims.end(a.p.Clock.Now(), j.msg.Claim, body, err)
+	}
 	j.end(a.p.Clock.Now(), body, err)
 	a.recordJob(trace.Finish, j.msg, err)
 	a.mu.Lock()
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -32,7 +32,7 @@
 func (s *service) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
 	err := args.Hello.Check()
 	if err == nil {
-		err = s.a.admit(ident.Node(args.Hello.Node), args.Job)
+		err = s.a.submit(ident.Node(args.Hello.Node), args.Job)
 		s.a.recordAdmit(args.Job, err)
 	}
 	reply.Fault = wire.ToFault(err)
@@ -74,8 +74,8 @@
 		return nil
 	}
 	j, ok := s.a.find(args.Attempt)
-	if !ok {
-		return nil
+	if !ok || j.msg.Once {
+		return nil // Work that may run once goes on, so that its outcome is known.
 	}
 	j.cancel()
 	s.a.mu.Lock()
@@ -85,13 +85,3 @@
 	}
 	return nil
 }
-
-// Settle implements the inner protocol.
-func (s *service) Settle(args *wire.SettleArgs, reply *wire.SettleReply) error {
-	err := args.Hello.Check()
-	if err == nil {
-		err = fault.New(fault.NotFound, "claims are not served yet")
-	}
-	reply.Fault = wire.ToFault(err)
-	return nil
-}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
+	"github.com/jujuberamp/jujuberamp/internal/node/claims"
 	"github.com/jujuberamp/jujuberamp/internal/node/follow"
 	"github.com/jujuberamp/jujuberamp/internal/node/peers"
 	"github.com/jujuberamp/jujuberamp/internal/node/rounds"
@@ -85,6 +86,7 @@
 	calls  *calls.Calls
 	swaps  *swaps.Swaps
 	rounds *rounds.Rounds
+	claims *claims.Claims
 
 	contact contact
 
@@ -178,6 +180,7 @@
 		Log:     part("swaps"),
 		Trace:   p.Trace,
 	})
+	e.claims = claims.New(e.ctx, claims.Params{Node: p.Node, Boot: e.boot, Source: p.Source, Calls: e.calls, Pool: e.pool, Clock: p.Clock, Log: part("claims")})
 	e.rounds = rounds.New(e.ctx, rounds.Params{
 		Node:    p.Node,
 		Boot:    e.boot,
--- a/internal/node/entry/round.go
+++ b/internal/node/entry/round.go
@@ -50,6 +50,8 @@
 		return serveOne(ctx, body, e.cancelHere)
 	case pathForget:
 		return serveOne(ctx, body, e.forgetHere)
+	case pathAction:
+		return serveOne(ctx, body, e.actionHere)
 	}
 	return nil, fault.New(fault.BadPeer, "call "+path+" is not known")
 }
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -38,7 +38,10 @@
 func (e *Entry) Request(ctx context.Context, who ident.Caller, m codec.Request, sink httpd.Sink) error {
 	c, err := e.classOf(m.Class, class.Draft, class.Lookup, class.Action)
 	if err != nil {
-		return err
+		return leftOpen(m, err)
+	}
+	if !c.Kind().IsIdempotent() {
+		return e.action(ctx, who, m, sink)
 	}
 	w, err := e.work(c, who, m)
 	if err != nil {
@@ -59,9 +62,6 @@
 	if m.MaxTokens < 0 {
 		return calls.Work{}, fault.New(fault.BadRequest, "max-tokens must not be negative")
 	}
-	if !c.Kind().IsIdempotent() {
-		return calls.Work{}, fault.New(fault.NotReady, "actions are not served yet")
-	}
 	limit := c.MaxTokens()
 	if m.MaxTokens > 0 {
 		limit = min(limit, m.MaxTokens)
@@ -97,7 +97,12 @@
 // owned runs a call at the entry that owns a round. If that entry can't be
 // reached the call runs here: two owners cost work, but no sample is repeated.
 func owned[In, Out any](ctx context.Context, e *Entry, id, path string, wait clock.Millis, m In, local func(context.Context, In) (Out, error)) (Out, error) {
-	vm, mine := e.peers.Owner("round/" + id)
+	return ownedBy(ctx, e, "round/"+id, path, wait, m, local)
+}
+
+// ownedBy is owned for any key.
+func ownedBy[In, Out any](ctx context.Context, e *Entry, key, path string, wait clock.Millis, m In, local func(context.Context, In) (Out, error)) (Out, error) {
+	vm, mine := e.peers.Owner(key)
 	if mine {
 		return local(ctx, m)
 	}
