Wait until a change is in force on every live node, and show who lags

Cause: apply returned when one entry had read the change back; plan named only classes; audit did not say from which value; a class that was removed could not be declared again; check gave the line of the class, not of the key; an entry that died lost the operator's command. Change: GET /v1/nodes asks all entries for the nodes that they hear, and apply waits for the revision on all that live, or names those that lag. plan and audit print the keys that differ. apply sends the same edits again after a lost answer, through the next entry. Targets that can't be met together are refused with the reason, also across classes.

--- a/internal/base/class/class.go
+++ b/internal/base/class/class.go
@@ -69,12 +69,36 @@
 // New checks the values and returns the class. Errors are of the kind
 // [fault.BadDeclare] and name the key.
 func New(p Params) (Class, error) {
+	if key, what := Problem(p); key != "" {
+		return Class{}, fault.New(fault.BadDeclare, "class "+string(p.Name)+": key "+key+": "+what)
+	}
+	return Class{p: p}, nil
+}
+
+// Problem returns the first key whose value can't be accepted, with the reason
+// or the remedy, and an empty key if there is none.
+func Problem(p Params) (key, what string) {
 	for _, c := range checks {
 		if c.fails(p) {
-			return Class{}, fault.New(fault.BadDeclare, "class "+string(p.Name)+": key "+c.key+": "+c.detail)
+			return c.key, c.detail
 		}
 	}
-	return Class{p: p}, nil
+	return "", ""
+}
+
+// Clash returns the first class that can't be declared together with the ones
+// before it, with the reason, or an empty name.
+func Clash(cs []Class) (name ident.Class, what string) {
+	model := make(map[ident.Service]Class)
+	for _, c := range cs {
+		o, ok := model[c.Service()]
+		if ok && o.Kind().IsModel() != c.Kind().IsModel() {
+			return c.Name(), "service " + string(c.Service()) + " is a model in one of the classes " +
+				string(o.Name()) + " and " + string(c.Name()) + ", and a plain service in the other; correct the kind or the service"
+		}
+		model[c.Service()] = c
+	}
+	return "", ""
 }
 
 // Stored returns a class that was checked before it was written to the log.
@@ -91,15 +115,24 @@
 // checks lists what a class must satisfy, in the order in which it is tested.
 var checks = []check{
 	{"name", "is empty", func(p Params) bool { return p.Name == "" }},
-	{"kind", "is none of round, draft, lookup, action", func(p Params) bool { return !p.Kind.isKnown() }},
+	{"kind", "must be one of round, draft, lookup, action", func(p Params) bool { return !p.Kind.isKnown() }},
 	{"service", "is empty; name the model or plain service", func(p Params) bool { return p.Service == "" }},
 	{"lateness", "must be above 0", func(p Params) bool { return p.Lateness <= 0 }},
 	{"waiting", "must be above 0", func(p Params) bool { return p.Waiting <= 0 }},
-	{"waiting", "can't be met together with lateness: it is the longer one", func(p Params) bool { return p.Waiting > p.Lateness }},
+	{"waiting", "can't be met together with lateness: the whole answer would be due before its start; lower waiting or raise lateness", func(p Params) bool { return p.Waiting > p.Lateness }},
 	{"staleness", "is for rounds only", func(p Params) bool { return p.Kind != Round && p.Staleness != 0 }},
 	{"scorer", "is for rounds only", func(p Params) bool { return p.Kind != Round && p.Scorer != "" }},
 	{"max-tokens", "must be above 0 for a model", func(p Params) bool { return p.Kind.IsModel() && p.MaxTokens <= 0 }},
 	{"max-tokens", "is for models only", func(p Params) bool { return !p.Kind.IsModel() && p.MaxTokens != 0 }},
+	{"lateness", "can't be met together with max-tokens: no engine makes more than 1000 tokens of one answer in a second; raise lateness or lower max-tokens", isTooLong},
+}
+
+// maxStreamRate is the number of tokens a second that no engine exceeds in one
+// answer.
+const maxStreamRate = 1000
+
+func isTooLong(p Params) bool {
+	return p.Kind.IsModel() && clock.Millis(p.MaxTokens)*clock.Second/maxStreamRate > p.Lateness
 }
 
 // Params returns a copy of the declared values.
--- a/internal/decide/ledger/ledger.go
+++ b/internal/decide/ledger/ledger.go
@@ -66,9 +66,10 @@
 // Result is the verdict with the winner of a conflict.
 type Result struct {
 	Verdict Verdict
-	Class   ident.Class  // the class in conflict
-	Winner  ident.Caller // who set the revision in force
-	InForce ident.Offset // that revision
+	Class   ident.Class    // the class in conflict
+	Winner  ident.Caller   // who set the revision in force
+	InForce ident.Offset   // that revision
+	From    []record.Entry // what was in force before each edit; empty for none
 }
 
 type writerKey struct {
@@ -217,7 +218,10 @@
 	if !differs {
 		return Result{Verdict: Unchanged}
 	}
+	res := Result{Verdict: Accepted}
 	for _, e := range c.Edits {
+		was, _ := s.Find(e.Name)
+		res.From = append(res.From, was)
 		if s.Holds(e) {
 			continue
 		}
@@ -226,7 +230,7 @@
 			removed: e.Removed,
 		}
 	}
-	return Result{Verdict: Accepted}
+	return res
 }
 
 // Holds reports whether an edit sets what is already in force.
--- a/internal/edge/codec/api.go
+++ b/internal/edge/codec/api.go
@@ -110,17 +110,28 @@
 
 // Config is the configuration in force on one entry.
 type Config struct {
-	Offset  int64   `json:"offset"`
-	Classes []Class `json:"classes"`
+	Offset  int64            `json:"offset"`
+	Classes []Class          `json:"classes"`
+	Removed map[string]int64 `json:"removed,omitempty"` // revisions at which classes were removed
 }
 
 // Audit is one line of the trail of changes.
 type Audit struct {
-	Offset  int64  `json:"offset"`
-	Author  string `json:"author"`
-	Comment string `json:"comment,omitempty"`
-	Verdict string `json:"verdict"`
-	Edits   []Edit `json:"edits"`
+	Offset  int64       `json:"offset"`
+	Author  string      `json:"author"`
+	Date    string      `json:"date,omitempty"`
+	Comment string      `json:"comment,omitempty"`
+	Verdict string      `json:"verdict"`
+	Winner  string      `json:"winner,omitempty"` // who won, after a conflict
+	Edits   []AuditEdit `json:"edits"`
+}
+
+// AuditEdit is one edit of a change: from which revision and value to which.
+type AuditEdit struct {
+	Name string           `json:"name"`
+	Base int64            `json:"base"`
+	From *record.ClassMsg `json:"from,omitempty"`
+	To   *record.ClassMsg `json:"to,omitempty"`
 }
 
 // EntryStatus is what an entry knows of the deployment.
@@ -128,10 +139,25 @@
 	Node    string       `json:"node"`
 	Ready   bool         `json:"ready"`
 	Offset  int64        `json:"offset"`
-	FreshMS int64        `json:"log-read-ms-ago"`
+	FreshMS int64        `json:"fresh-ms-ago"`     // since the configuration was known to be the newest, -1 for never
+	Unsure  bool         `json:"unsure,omitempty"` // a newer configuration may exist
+	Outages []string     `json:"outages,omitempty"`
+	Leases  []Lease      `json:"leases,omitempty"`
 	Nodes   []NodeStatus `json:"nodes"`
 }
 
+// Lease is a lease on the log as an entry has read it.
+type Lease struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder,omitempty"` // empty if nobody holds it
+	Fence  int64  `json:"fence,omitempty"`
+}
+
+// Nodes lists all nodes that any entry hears.
+type Nodes struct {
+	Nodes []NodeStatus `json:"nodes"`
+}
+
 // NodeStatus is one node as an entry knows it.
 type NodeStatus struct {
 	Node    string `json:"node"`
@@ -140,6 +166,7 @@
 	Service string `json:"service,omitempty"`
 	Version uint64 `json:"version,omitempty"`
 	Offset  int64  `json:"offset"`
-	HeardMS int64  `json:"heard-ms-ago"`
+	HeardMS int64  `json:"heard-ms-ago"` // -1 for an entry that did not answer
+	Live    bool   `json:"live"`
 	Leaving bool   `json:"leaving,omitempty"`
 }
--- a/internal/edge/decl/decl.go
+++ b/internal/edge/decl/decl.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -56,6 +57,7 @@
 func ReadDir(dir string) ([]class.Class, error) {
 	var out []class.Class
 	files := make(map[ident.Class]string)
+	read := 0
 	err := filepath.WalkDir(dir, func(path string, d os.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".toml") {
 			return err
@@ -64,6 +66,7 @@
 		if err != nil {
 			return err
 		}
+		read++
 		cs, err := Parse(path, string(b))
 		if err != nil {
 			return err
@@ -84,6 +87,12 @@
 		return nil, fault.Wrap(fault.BadDeclare, err, "declarations can't be read")
 	}
 	slices.SortFunc(out, func(a, b class.Class) int { return strings.Compare(string(a.Name()), string(b.Name())) })
+	if n, what := class.Clash(out); n != "" {
+		return nil, fault.New(fault.BadDeclare, fmt.Sprintf("file %s: class %s: %s", files[n], n, what))
+	}
+	if read == 0 {
+		return nil, fault.New(fault.BadDeclare, "directory "+dir+" holds no file of declarations: write a [class.NAME] table into a file that ends in .toml")
+	}
 	return out, nil
 }
 
@@ -94,59 +103,86 @@
 	if err != nil {
 		var pe toml.ParseError
 		if errors.As(err, &pe) {
-			return nil, fault.New(fault.BadDeclare, fmt.Sprintf("file %s: line %d: %s", file, pe.Position.Line, pe.Message))
+			return nil, fault.New(fault.BadDeclare, fmt.Sprintf("file %s: line %d: key %s: %s", file, pe.Position.Line, pe.LastKey, pe.Message))
 		}
 		return nil, fault.New(fault.BadDeclare, fmt.Sprintf("file %s: %v", file, err))
 	}
 	if left := md.Undecoded(); len(left) > 0 {
-		return nil, fault.New(fault.BadDeclare, fmt.Sprintf("file %s: line %d: key %s is not known", file, line(text, left[0]), left[0]))
+		return nil, problem(file, text, left[0], "is not known; the keys are kind, service, lateness, waiting, staleness-versions, scorer and max-tokens")
 	}
 	var out []class.Class
-	for name, e := range doc.Class {
-		c, err := class.New(class.Params{
-			Name:      ident.Class(name),
-			Kind:      class.Kind(e.Kind),
-			Service:   ident.Service(e.Service),
-			Lateness:  e.Lateness.Millis,
-			Waiting:   e.Waiting.Millis,
-			Staleness: ident.Version(e.Staleness),
-			Scorer:    ident.Service(e.Scorer),
-			MaxTokens: e.MaxTokens,
-		})
-		if err != nil {
-			return nil, locate(file, text, name, err)
+	for _, name := range slices.Sorted(maps.Keys(doc.Class)) {
+		p := params(name, doc.Class[name])
+		if key, what := class.Problem(p); key != "" {
+			return nil, problem(file, text, toml.Key{"class", name, fileKey(key)}, what)
 		}
-		out = append(out, c)
+		out = append(out, class.Stored(p))
 	}
 	return out, nil
 }
 
-// locate adds the file and the line of the class to an error.
-func locate(file, text, name string, err error) error {
-	f, ok := fault.As(err)
-	if !ok {
-		return err
+func params(name string, e entry) class.Params {
+	return class.Params{
+		Name:      ident.Class(name),
+		Kind:      class.Kind(e.Kind),
+		Service:   ident.Service(e.Service),
+		Lateness:  e.Lateness.Millis,
+		Waiting:   e.Waiting.Millis,
+		Staleness: ident.Version(e.Staleness),
+		Scorer:    ident.Service(e.Scorer),
+		MaxTokens: e.MaxTokens,
 	}
-	return fault.New(f.Kind(), fmt.Sprintf("file %s: line %d: %s", file, line(text, toml.Key{"class", name}), f.Detail()))
 }
 
-// line finds the line of a key, as well as text alone allows.
+// fileKey returns how a key of a class is written in files.
+func fileKey(key string) string {
+	if key == "staleness" {
+		return "staleness-versions"
+	}
+	return key
+}
+
+// problem names the file, the line, the key and the remedy.
+func problem(file, text string, k toml.Key, what string) error {
+	return fault.New(fault.BadDeclare, fmt.Sprintf("file %s: line %d: key %s: %s", file, line(text, k), k, what))
+}
+
+// line finds the line of a key, or of its table if the key is missing, as well
+// as the text alone allows.
 func line(text string, k toml.Key) int {
-	last := k[len(k)-1]
-	table := "[" + strings.Join(k[:min(2, len(k))], ".") + "]"
-	in := false
+	table := 1
+	in := len(k) < 2
 	for i, l := range strings.Split(text, "\n") {
 		l = strings.TrimSpace(l)
-		if l == table {
-			in = true
-			if len(k) <= 2 {
-				return i + 1
+		if strings.HasPrefix(l, "[") {
+			in = isTable(l, k)
+			if in {
+				table = i + 1
 			}
 			continue
 		}
-		if in && strings.HasPrefix(l, last) {
+		name, _, ok := strings.Cut(l, "=")
+		if in && ok && unquote(name) == k[len(k)-1] {
 			return i + 1
 		}
 	}
-	return 1
+	return table
 }
+
+// isTable reports whether a line opens the table that holds a key, or is the
+// table that the key names.
+func isTable(l string, k toml.Key) bool {
+	head, _, _ := strings.Cut(l, "#")
+	parts := strings.Split(strings.Trim(strings.TrimSpace(head), "[]"), ".")
+	if len(parts) > len(k) || len(parts) == 0 {
+		return false
+	}
+	for i, p := range parts {
+		if unquote(p) != k[i] {
+			return false
+		}
+	}
+	return len(parts) >= min(2, len(k))
+}
+
+func unquote(s string) string { return strings.Trim(strings.TrimSpace(s), "\"'") }
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -66,6 +66,7 @@
 	Config(ctx context.Context) (codec.Config, error)
 	Audit(ctx context.Context) ([]codec.Audit, error)
 	Status(ctx context.Context) (codec.EntryStatus, error)
+	Nodes(ctx context.Context) (codec.Nodes, error)
 }
 
 // none is the empty message of calls without a body.
@@ -85,6 +86,7 @@
 	mux.Handle("GET /v1/config", unary(g, "config", RoleOperator, noArgs(s.Config)))
 	mux.Handle("GET /v1/audit", unary(g, "audit", RoleOperator, noArgs(s.Audit)))
 	mux.Handle("GET /v1/status", unary(g, "status", RoleOperator, noArgs(s.Status)))
+	mux.Handle("GET /v1/nodes", unary(g, "nodes", RoleOperator, noArgs(s.Nodes)))
 	mux.Handle("GET /metrics", metrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { codec.WriteJSON(w, none{}) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/edge/opcli/opcli.go
+++ b/internal/edge/opcli/opcli.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	c := opcli.New("http://10.0.0.7:7400", token)
+//	c := opcli.New(token, "http://10.0.0.7:7400", "http://10.0.0.8:7400")
 //	cfg, err := c.Config(ctx)
 //	rev, err := c.Change(ctx, change)
 package opcli
@@ -11,7 +11,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -20,15 +19,17 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 )
 
-// Client talks to one entry.
+// Client talks to the first entry that can be reached.
 type Client struct {
-	url   string
+	urls  []string
 	token string
 	http  *http.Client
 }
 
-// New returns a client of the entry at a URL.
-func New(url, token string) *Client { return &Client{url: url, token: token, http: client.NewHTTP()} }
+// New returns a client of the entries at some URLs.
+func New(token string, urls ...string) *Client {
+	return &Client{urls: urls, token: token, http: client.NewHTTP()}
+}
 
 // Config returns the configuration in force on the entry.
 func (c *Client) Config(ctx context.Context) (codec.Config, error) {
@@ -45,38 +46,75 @@
 	return get[codec.EntryStatus](ctx, c, "/v1/status")
 }
 
+// State is the state of a deployment: one entry's view, and all nodes.
+type State struct {
+	Entry codec.EntryStatus  `json:"entry"`
+	Nodes []codec.NodeStatus `json:"nodes"`
+}
+
+// State returns what one entry knows, and all nodes.
+func (c *Client) State(ctx context.Context) (State, error) {
+	e, err := c.Status(ctx)
+	if err != nil {
+		return State{}, err
+	}
+	n, err := c.Nodes(ctx)
+	e.Nodes = nil // listed once
+	return State{Entry: e, Nodes: n.Nodes}, err
+}
+
+// Nodes returns all nodes that any entry hears.
+func (c *Client) Nodes(ctx context.Context) (codec.Nodes, error) {
+	return get[codec.Nodes](ctx, c, "/v1/nodes")
+}
+
 // Change publishes a change; it returns once the entry has read it back.
 func (c *Client) Change(ctx context.Context, m codec.Change) (codec.Changed, error) {
 	b, err := json.Marshal(m)
 	if err != nil {
 		return codec.Changed{}, errors.Wrap(err, "encode change")
 	}
-	return do[codec.Changed](ctx, c, http.MethodPost, "/v1/changes", bytes.NewReader(b))
+	return do[codec.Changed](ctx, c, http.MethodPost, "/v1/changes", b)
 }
 
 func get[Out any](ctx context.Context, c *Client, path string) (Out, error) {
 	return do[Out](ctx, c, http.MethodGet, path, nil)
 }
 
-func do[Out any](ctx context.Context, c *Client, method, path string, body io.Reader) (Out, error) {
+// do asks the entries in turn until one answers. An entry that was not reached
+// did nothing; of one whose answer was lost that is not known, and asking the
+// next one is safe since all calls here may be repeated.
+func do[Out any](ctx context.Context, c *Client, method, path string, body []byte) (Out, error) {
 	var out Out
-	r, err := http.NewRequestWithContext(ctx, method, c.url+path, body)
+	err := errors.New("no entry is named")
+	for _, u := range c.urls {
+		var answered bool
+		out, answered, err = ask[Out](ctx, c, method, u+path, body)
+		if answered || ctx.Err() != nil {
+			return out, err
+		}
+	}
+	return out, err
+}
+
+func ask[Out any](ctx context.Context, c *Client, method, u string, body []byte) (out Out, answered bool, err error) {
+	r, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
 	if err != nil {
-		return out, errors.Wrap(err, "make request")
+		return out, true, errors.Wrap(err, "make request")
 	}
 	r.Header.Set("Authorization", "Bearer "+c.token)
 	resp, err := c.http.Do(r)
 	if err != nil {
-		return out, errors.Wrap(err, "call entry")
+		return out, false, errors.Wrap(err, "call entry")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	dec := json.NewDecoder(resp.Body)
-	if resp.StatusCode/100 != 2 {
-		var m codec.Fault
-		if err := dec.Decode(&m); err != nil {
-			return out, errors.Errorf("entry answered %s", resp.Status)
-		}
-		return out, m.Err()
+	if resp.StatusCode/100 == 2 {
+		return out, true, errors.Wrap(dec.Decode(&out), "decode answer")
+	}
+	var m codec.Fault
+	if err := dec.Decode(&m); err != nil {
+		return out, true, errors.Errorf("entry answered %s", resp.Status)
 	}
-	return out, errors.Wrap(dec.Decode(&out), "decode answer")
+	return out, true, m.Err()
 }
--- a/internal/node/entry/oper.go
+++ b/internal/node/entry/oper.go
@@ -1,20 +1,19 @@
 package entry
 
 import (
-	"cmp"
 	"context"
-	"slices"
+	"time"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/class"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
-	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 )
 
 // Change implements [httpd.Service].
 func (e *Entry) Change(ctx context.Context, who ident.Caller, m codec.Change) (codec.Changed, error) {
-	c := record.Change{Author: who, Comment: m.Comment}
+	c := record.Change{Author: who, Date: time.Now().UTC().Format(time.RFC3339), Comment: m.Comment}
 	if len(m.Edits) == 0 {
 		return codec.Changed{}, fault.New(fault.BadRequest, "edits must not be empty")
 	}
@@ -32,14 +31,42 @@
 		}
 		c.Edits = append(c.Edits, ed)
 	}
+	if err := e.clash(c); err != nil {
+		return codec.Changed{}, err
+	}
 	rev, err := e.config.Change(ctx, c)
 	return codec.Changed{Revision: int64(rev)}, err
 }
 
+// clash refuses a change after which the classes could not stand together, as
+// far as this entry knows them.
+func (e *Entry) clash(c record.Change) error {
+	edited := make(map[ident.Class]bool)
+	var after []class.Class
+	for _, ed := range c.Edits {
+		edited[ed.Name] = true
+		if !ed.Removed {
+			after = append(after, ed.Class)
+		}
+	}
+	for _, en := range e.config.State().Entries() {
+		if !edited[en.Class.Name()] {
+			after = append(after, en.Class)
+		}
+	}
+	if n, what := class.Clash(after); n != "" {
+		return fault.New(fault.BadDeclare, "class "+string(n)+": "+what)
+	}
+	return nil
+}
+
 // Config implements [httpd.Service].
 func (e *Entry) Config(context.Context) (codec.Config, error) {
 	st := e.config.State()
-	out := codec.Config{Offset: int64(st.Offset())}
+	out := codec.Config{Offset: int64(st.Offset()), Removed: make(map[string]int64)}
+	for _, t := range st.Snapshot().Removed {
+		out.Removed[string(t.Name)] = int64(t.Revision)
+	}
 	for _, en := range st.Entries() {
 		out.Classes = append(out.Classes, codec.Class{
 			Class:    record.FromClass(en.Class),
@@ -55,43 +82,31 @@
 	lines := e.config.Audit()
 	out := make([]codec.Audit, 0, len(lines))
 	for _, l := range lines {
-		a := codec.Audit{Offset: int64(l.Offset), Author: string(l.Author), Comment: l.Comment, Verdict: l.Verdict.String()}
-		for _, ed := range l.Edits {
-			em := codec.Edit{Name: string(ed.Name), Base: int64(ed.Base), Removed: ed.Removed}
-			if !ed.Removed {
-				cm := record.FromClass(ed.Class)
-				em.Class = &cm
-			}
-			a.Edits = append(a.Edits, em)
+		a := codec.Audit{
+			Offset:  int64(l.Offset),
+			Author:  string(l.Change.Author),
+			Date:    l.Change.Date,
+			Comment: l.Change.Comment,
+			Verdict: l.Result.Verdict.String(),
+			Winner:  string(l.Result.Winner),
+		}
+		for i, ed := range l.Change.Edits {
+			a.Edits = append(a.Edits, auditEdit(ed, l.Result.From, i))
 		}
 		out = append(out, a)
 	}
 	return out, nil
 }
 
-// Status implements [httpd.Service].
-func (e *Entry) Status(context.Context) (codec.EntryStatus, error) {
-	now := e.p.Clock.Now()
-	out := codec.EntryStatus{
-		Node:    string(e.p.Node),
-		Ready:   e.Ready() == nil,
-		Offset:  int64(e.config.State().Offset()),
-		FreshMS: int64(now - e.config.Fresh()),
+func auditEdit(ed record.Edit, from []record.Entry, i int) codec.AuditEdit {
+	out := codec.AuditEdit{Name: string(ed.Name), Base: int64(ed.Base)}
+	if !ed.Removed {
+		m := record.FromClass(ed.Class)
+		out.To = &m
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for n, r := range e.nodes {
-		out.Nodes = append(out.Nodes, codec.NodeStatus{
-			Node:    string(n),
-			Role:    string(plat.RoleAgent),
-			Zone:    r.Zone,
-			Service: r.Hosted.Service,
-			Version: r.Hosted.Version,
-			Offset:  r.Config,
-			HeardMS: int64(now - e.heard[n]),
-			Leaving: r.Leaving,
-		})
+	if i < len(from) && from[i].Revision != 0 {
+		m := record.FromClass(from[i].Class)
+		out.From = &m
 	}
-	slices.SortFunc(out.Nodes, func(a, b codec.NodeStatus) int { return cmp.Compare(a.Node, b.Node) })
-	return out, nil
+	return out
 }
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -59,12 +59,9 @@
 
 // Audit is one line of the trail of changes.
 type Audit struct {
-	Offset  ident.Offset
-	Author  ident.Caller
-	Date    string
-	Comment string
-	Edits   []record.Edit
-	Verdict ledger.Verdict
+	Offset ident.Offset
+	Change record.Change
+	Result ledger.Result
 }
 
 const (
@@ -171,7 +168,7 @@
 		if c == nil || t.Result.Verdict == ledger.Repeated {
 			continue
 		}
-		f.audit = append(f.audit, Audit{t.At, c.Author, c.Date, c.Comment, c.Edits, t.Result.Verdict})
+		f.audit = append(f.audit, Audit{t.At, *c, t.Result})
 		f.wake(t)
 	}
 	f.audit = f.audit[max(0, len(f.audit)-maxAudit):]
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -76,11 +76,12 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	listed clock.Millis // instant at which the list was last believed
 }
 
 // New returns a membership that knows only its own node.
 func New(p Params) *Peers {
-	s := &Peers{p: p, roster: roster.New(p.Policy, p.Self)}
+	s := &Peers{p: p, roster: roster.New(p.Policy, p.Self), listed: p.Clock.Now()}
 	s.publish()
 	return s
 }
@@ -116,7 +117,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && !s.roster.List(s.p.Clock.Now(), members(vms)) {
+	now := s.p.Clock.Now()
+	switch {
+	case err != nil:
+	case s.roster.List(now, members(vms)):
+		s.listed = now
+	default:
 		s.p.Log.Warn().Msg("VM list is empty, the last one stays.")
 	}
 	s.publish()
@@ -173,6 +179,13 @@
 	return s.roster.Suspects(s.p.Clock.Now())
 }
 
+// Unlisted returns the time since the VM list was last read and believed.
+func (s *Peers) Unlisted() clock.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.p.Clock.Now() - s.listed
+}
+
 // Watch returns the entries that this node calls.
 func (s *Peers) Watch() []roster.Member {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/prod/cmds/apply_test.go
@@ -0,0 +1,165 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
+	"github.com/jujuberamp/jujuberamp/internal/edge/httpd"
+	"github.com/jujuberamp/jujuberamp/internal/edge/opcli"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/node/entry"
+	"github.com/jujuberamp/jujuberamp/internal/stand/logsvc"
+	"github.com/jujuberamp/jujuberamp/internal/stand/vmlist"
+)
+
+// site is two entries on loopback with operators who call the commands.
+type site struct {
+	*qt.C
+	t   *testing.T
+	log *logsvc.Log
+	vms *vmlist.List
+	url []string
+}
+
+func newSite(t *testing.T) *site {
+	t.Setenv(tokenVar, "ann-token")
+	clk := clock.NewSystem()
+	s := &site{C: qt.New(t), t: t, log: logsvc.New(clk, logsvc.Params{Seed: 3}), vms: vmlist.New(clk, 0)}
+	for _, n := range []ident.Node{"one", "two"} {
+		e, err := entry.New(entry.Params{
+			Node: n, HTTP: "127.0.0.1:0", Listen: "127.0.0.1:0", Key: []byte("k"), Poll: 20 * clock.Milli,
+			Tokens:  []httpd.Token{{Digest: sha256.Sum256([]byte("ann-token")), Name: "ann", Role: httpd.RoleOperator}},
+			Policy:  match.Standard(),
+			Clock:   clk,
+			Log:     zerolog.Nop(),
+			Meter:   noop.Meter{},
+			Metrics: http.NotFoundHandler(),
+			Source:  s.log,
+			VMs:     s.vms,
+		})
+		s.Assert(err, qt.IsNil)
+		ctx, stop := context.WithCancel(context.Background())
+		go e.Run(ctx)
+		t.Cleanup(func() { stop(); e.Close() })
+		s.vms.Put(plat.VM{Node: n, Role: plat.RoleEntry, Addr: e.Addr()})
+		s.url = append(s.url, e.URL())
+	}
+	for _, u := range s.url {
+		for ns := 0; ns < 2; time.Sleep(time.Millisecond) {
+			out, _ := opcli.New("ann-token", u).Nodes(t.Context())
+			ns = len(out.Nodes)
+		}
+	}
+	return s
+}
+
+// dir writes declarations: each text is "NAME LATENESS".
+func (s *site) dir(classes ...string) string {
+	dir := s.t.TempDir()
+	var b strings.Builder
+	for _, c := range classes {
+		f := strings.Fields(c)
+		b.WriteString("[class." + f[0] + "]\nkind = \"lookup\"\nservice = \"s\"\nwaiting = \"10ms\"\nlateness = \"" + f[1] + "\"\n")
+	}
+	s.Assert(os.WriteFile(filepath.Join(dir, "c.toml"), []byte(b.String()), 0o600), qt.IsNil)
+	return dir
+}
+
+// run calls a command through an entry and returns what it prints.
+func (s *site) run(entry int, args ...string) (text string, status int) {
+	var out bytes.Buffer
+	status = Run(append(args, "--entry", s.url[entry], "--wait", "20s"), &out, &out)
+	return out.String(), status
+}
+
+func (s *site) want(text string, parts ...string) {
+	for _, p := range parts {
+		s.Check(strings.Contains(text, p), qt.IsTrue, qt.Commentf("%q not in:\n%s", p, text))
+	}
+}
+
+// TestApply goes through the life of a class while the log loses answers.
+func TestApply(t *testing.T) {
+	s := newSite(t)
+	s.log.SetLose(0.5)
+	steps := []struct {
+		name string
+		args []string
+		want []string
+	}{
+		{"plan", []string{"plan", s.dir("a 1s")}, []string{"+ a", "lateness: 1s"}},
+		{"apply", []string{"apply", s.dir("a 1s"), "--comment", "first"}, []string{"Accepted as revision", "In force on all 2 live nodes"}},
+		{"twice", []string{"apply", s.dir("a 1s")}, []string{"No change", "In force on all 2 live nodes"}},
+		{"change", []string{"apply", s.dir("a 2s", "b 1s")}, []string{"~ a (from revision", "lateness: 1s -> 2s", "+ b", "In force"}},
+		{"remove", []string{"apply", s.dir("b 1s")}, []string{"- a (from revision", "In force"}},
+		{"again", []string{"apply", s.dir("a 3s", "b 1s")}, []string{"+ a", "In force"}},
+		{"show", []string{"show"}, []string{"a ", "lateness 3000ms", "by ann"}},
+		{"status", []string{"status"}, []string{"entry  one", "entry  two", "live=true"}},
+		{"audit", []string{"audit"}, []string{"ann accepted \"first\"", "lateness: 1s -> 2s", "- a (from revision"}},
+		{"audit in JSON", []string{"audit", "--json"}, []string{`"from"`, `"to"`, `"date"`}},
+	}
+	for i, st := range steps {
+		text, status := s.run(i%2, st.args...)
+		s.Check(status, qt.Equals, 0, qt.Commentf("%s: %s", st.name, text))
+		s.want(text, st.want...)
+	}
+}
+
+// TestApplyRace lets two operators publish different values from the same plan
+// through two entries, with lost answers: one is accepted, and the other learns
+// who won.
+func TestApplyRace(t *testing.T) {
+	s := newSite(t)
+	text, status := s.run(0, "apply", s.dir("a 1s"))
+	s.Assert(status, qt.Equals, 0, qt.Commentf(text))
+	s.log.SetLose(0.5)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	cs, ps, errs := make([]*opcli.Client, 2), make([]plan, 2), make([]error, 2)
+	for i, class := range []string{"a 2s", "a 3s"} {
+		var err error
+		cs[i] = opcli.New("ann-token", s.url[i])
+		ps[i], err = makePlan(ctx, cs[i], s.dir(class))
+		s.Assert(err, qt.IsNil)
+	}
+	var wg sync.WaitGroup
+	for i := range 2 {
+		wg.Go(func() { _, errs[i] = publish(ctx, cs[i], codec.Change{Edits: ps[i].edits}) })
+	}
+	wg.Wait()
+	s.Assert((errs[0] == nil) != (errs[1] == nil), qt.IsTrue, qt.Commentf("%v", errs))
+	s.want(fmt.Sprint(errs), "conflict", "was changed by ann at revision", "run plan again")
+}
+
+// TestLagging names a node that lags.
+func TestLagging(t *testing.T) {
+	s := newSite(t)
+	var out bytes.Buffer
+	s.vms.Put(plat.VM{Node: "three", Role: plat.RoleEntry, Addr: "127.0.0.1:1"})
+	status := 0
+	for status == 0 { // until the list is read
+		out.Reset()
+		status = Run([]string{"apply", s.dir("a 1s"), "--entry", s.url[0], "--wait", "300ms"}, &out, &out)
+	}
+	s.want(out.String(), "is accepted and stays", "not in force yet on", "three", "run status")
+	text, code := s.run(0, "apply", s.dir("a 1s")) // three counts as dead after its lease
+	s.Check(code, qt.Equals, 0)
+	s.want(text, "No change", "In force on all 2 live nodes")
+}
--- a/internal/prod/cmds/oper.go
+++ b/internal/prod/cmds/oper.go
@@ -10,12 +10,10 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/jujuberamp/jujuberamp/internal/base/class"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 	"github.com/jujuberamp/jujuberamp/internal/edge/decl"
 	"github.com/jujuberamp/jujuberamp/internal/edge/opcli"
-	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 )
 
 // tokenVar names the environment variable with the operator's token, so that
@@ -24,13 +22,13 @@
 
 // target are the flags that name an entry.
 type target struct {
-	entry string
-	wait  time.Duration
-	json  bool
+	entries []string
+	wait    time.Duration
+	json    bool
 }
 
 func (t *target) add(cmd *cobra.Command) *cobra.Command {
-	cmd.Flags().StringVar(&t.entry, "entry", "http://127.0.0.1:7400", "URL of an entry")
+	cmd.Flags().StringSliceVar(&t.entries, "entry", []string{"http://127.0.0.1:7400"}, "URLs of entries; the next one is asked if one can't be reached")
 	cmd.Flags().DurationVar(&t.wait, "wait", 30*time.Second, "how long to wait for the answer")
 	cmd.Flags().BoolVar(&t.json, "json", false, "print JSON")
 	return cmd
@@ -41,7 +39,7 @@
 	if tok == "" {
 		return nil, fault.New(fault.Unauthorized, "environment variable "+tokenVar+" is empty")
 	}
-	return opcli.New(t.entry, tok), nil
+	return opcli.New(tok, t.entries...), nil
 }
 
 func (t *target) context() (context.Context, context.CancelFunc) {
@@ -70,116 +68,6 @@
 	}
 }
 
-// difference returns the edits that lead from what is in force to what is
-// declared.
-func difference(cfg codec.Config, want []class.Class) []codec.Edit {
-	var out []codec.Edit
-	inForce := make(map[string]codec.Class, len(cfg.Classes))
-	for _, c := range cfg.Classes {
-		inForce[c.Class.Name] = c
-	}
-	for _, c := range want {
-		m := record.FromClass(c)
-		old, ok := inForce[m.Name]
-		delete(inForce, m.Name)
-		if ok && old.Class == m {
-			continue
-		}
-		out = append(out, codec.Edit{Name: m.Name, Base: old.Revision, Class: &m})
-	}
-	for _, c := range cfg.Classes {
-		if _, gone := inForce[c.Class.Name]; gone {
-			out = append(out, codec.Edit{Name: c.Class.Name, Base: c.Revision, Removed: true})
-		}
-	}
-	return out
-}
-
-func printEdits(w io.Writer, edits []codec.Edit) {
-	for _, e := range edits {
-		switch {
-		case e.Removed:
-			fmt.Fprintf(w, "- %s (revision %d)\n", e.Name, e.Base)
-		case e.Base == 0:
-			fmt.Fprintf(w, "+ %s\n", e.Name)
-		default:
-			fmt.Fprintf(w, "~ %s (revision %d)\n", e.Name, e.Base)
-		}
-	}
-	if len(edits) == 0 {
-		fmt.Fprintln(w, "No change: the declarations are in force.")
-	}
-}
-
-// plan reads the declarations and compares them with what is in force.
-func plan(ctx context.Context, t *target, dir string) ([]codec.Edit, *opcli.Client, error) {
-	want, err := decl.ReadDir(dir)
-	if err != nil {
-		return nil, nil, err
-	}
-	c, err := t.client()
-	if err != nil {
-		return nil, nil, err
-	}
-	cfg, err := c.Config(ctx)
-	if err != nil {
-		return nil, nil, err
-	}
-	return difference(cfg, want), c, nil
-}
-
-func planCmd() *cobra.Command {
-	t := &target{}
-	return t.add(&cobra.Command{
-		Use:   "plan DIR",
-		Short: "Print the difference between the declarations and what is in force",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := t.context()
-			defer cancel()
-			edits, _, err := plan(ctx, t, args[0])
-			if err != nil {
-				return err
-			}
-			if t.json {
-				return printJSON(cmd.OutOrStdout(), edits)
-			}
-			printEdits(cmd.OutOrStdout(), edits)
-			return nil
-		},
-	})
-}
-
-func applyCmd() *cobra.Command {
-	t := &target{}
-	var comment string
-	cmd := t.add(&cobra.Command{
-		Use:   "apply DIR",
-		Short: "Publish the declarations and wait until they are in force",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := t.context()
-			defer cancel()
-			edits, c, err := plan(ctx, t, args[0])
-			if err != nil {
-				return err
-			}
-			printEdits(cmd.OutOrStdout(), edits)
-			if len(edits) == 0 {
-				return nil
-			}
-			done, err := c.Change(ctx, codec.Change{Comment: comment, Edits: edits})
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "Accepted as revision %d.\n", done.Revision)
-			return nil
-		},
-	})
-	cmd.Flags().StringVar(&comment, "comment", "", "why, for the audit trail")
-	return cmd
-}
-
 func showCmd() *cobra.Command {
 	t := &target{}
 	return t.add(&cobra.Command{
@@ -206,14 +94,24 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return query(cmd, t, (*opcli.Client).Audit, func(w io.Writer, lines []codec.Audit) {
 				for _, l := range lines {
-					fmt.Fprintf(w, "%d %s %s %q\n", l.Offset, l.Author, l.Verdict, l.Comment)
-					printEdits(w, l.Edits)
+					printAudit(w, l)
 				}
 			})
 		},
 	})
 }
 
+func printAudit(w io.Writer, l codec.Audit) {
+	verdict := l.Verdict
+	if l.Winner != "" {
+		verdict += " with " + l.Winner
+	}
+	fmt.Fprintf(w, "%d %s %s %s %q\n", l.Offset, l.Date, l.Author, verdict, l.Comment)
+	for _, e := range l.Edits {
+		printDiff(w, e.Name, e.Base, e.From, e.To)
+	}
+}
+
 func statusCmd() *cobra.Command {
 	t := &target{}
 	return t.add(&cobra.Command{
@@ -221,17 +119,25 @@
 		Short: "Show the nodes, their revisions and whether the log is read",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return query(cmd, t, (*opcli.Client).Status, func(w io.Writer, s codec.EntryStatus) {
-				fmt.Fprintf(w, "%s ready=%t offset=%d log read %dms ago\n", s.Node, s.Ready, s.Offset, s.FreshMS)
-				for _, n := range s.Nodes {
-					fmt.Fprintf(w, "  %-12s %-6s %-8s %-16s version=%d offset=%d heard %dms ago leaving=%t\n",
-						n.Node, n.Role, n.Zone, n.Service, n.Version, n.Offset, n.HeardMS, n.Leaving)
-				}
-			})
+			return query(cmd, t, (*opcli.Client).State, printStatus)
 		},
 	})
 }
 
+func printStatus(w io.Writer, s opcli.State) {
+	fmt.Fprintf(w, "%s ready=%t revision=%d known to be the newest %dms ago\n", s.Entry.Node, s.Entry.Ready, s.Entry.Offset, s.Entry.FreshMS)
+	for _, o := range s.Entry.Outages {
+		fmt.Fprintf(w, "outage: %s\n", o)
+	}
+	for _, l := range s.Entry.Leases {
+		fmt.Fprintf(w, "lease: %s held by %s, fencing number %d\n", l.Name, l.Holder, l.Fence)
+	}
+	for _, n := range s.Nodes {
+		fmt.Fprintf(w, "  %-6s %-14s %-8s revision=%-6d %-16s version=%d heard %dms ago live=%t leaving=%t\n",
+			n.Role, n.Node, n.Zone, n.Offset, n.Service, n.Version, n.HeardMS, n.Live, n.Leaving)
+	}
+}
+
 // query asks an entry and prints the answer.
 func query[Out any](cmd *cobra.Command, t *target, ask func(*opcli.Client, context.Context) (Out, error), show func(io.Writer, Out)) error {
 	c, err := t.client()
--- a/internal/proof/demo/demo.go
+++ b/internal/proof/demo/demo.go
@@ -139,7 +139,7 @@
 }
 
 func (r *run) publish(ctx context.Context, ch codec.Change) (int64, error) {
-	op := opcli.New(r.w.urls()[0], operatorToken)
+	op := opcli.New(operatorToken, r.w.urls()[0])
 	done, err := op.Change(ctx, ch)
 	if err != nil {
 		return 0, err
@@ -159,7 +159,7 @@
 	for time.Now().Before(until) && ctx.Err() == nil {
 		behind := 0
 		for _, u := range r.w.urls() {
-			cfg, err := opcli.New(u, operatorToken).Config(ctx)
+			cfg, err := opcli.New(operatorToken, u).Config(ctx)
 			if err != nil || cfg.Offset < rev {
 				behind++
 			}
@@ -174,7 +174,7 @@
 
 // change sets another target while traffic runs, and looks that it stays.
 func (r *run) change(ctx context.Context) error {
-	op := opcli.New(r.w.urls()[0], operatorToken)
+	op := opcli.New(operatorToken, r.w.urls()[0])
 	cfg, err := op.Config(ctx)
 	if err != nil {
 		return err
@@ -192,7 +192,7 @@
 		return err
 	}
 	for _, u := range r.w.urls() {
-		cfg, err := opcli.New(u, operatorToken).Config(ctx)
+		cfg, err := opcli.New(operatorToken, u).Config(ctx)
 		if err != nil {
 			return err
 		}
@@ -208,7 +208,7 @@
 	want := r.o.Engines + r.o.Apps
 	for _, u := range r.w.urls() {
 		for {
-			st, err := opcli.New(u, operatorToken).Status(ctx)
+			st, err := opcli.New(operatorToken, u).Status(ctx)
 			if err == nil && len(st.Nodes) >= want {
 				break
 			}
