--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -2,13 +2,13 @@
 //
 // Entries choose agents by load reports that lag, so the agent itself must
 // refuse what exceeds its slots. It refuses before anything runs, so a refusal
-// proves that the work was not run. Some slots are kept for short work, and
-// two suspects of a crash never run beside each other.
+// proves that the work was not run. Some slots are kept for short work while
+// any has come lately, and two suspects of a crash never run beside each other.
 //
 // # Usage
 //
 //	l := limit.New(16)
-//	if err := l.Admit("agent-1", limit.Ask{Short: true}, hint); err != nil { refuse }
+//	if err := l.Admit(now, "agent-1", limit.Ask{Short: true}, hint); err != nil { refuse }
 //	l.Done(ask)
 package limit
 
@@ -18,8 +18,10 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 )
 
-// keptFor is the number of slots for each one kept for short work.
-const keptFor = 8
+const (
+	keptFor   = 8                 // slots for each one kept for short work
+	keptWhile = 30 * clock.Second // since the last short work
+)
 
 // Ask is what admission looks at.
 type Ask struct {
@@ -33,6 +35,7 @@
 	kept     int // slots for short work only
 	open     int
 	suspects int
+	short    clock.Millis // slots are kept until then
 }
 
 // New returns a limit of some slots. A small agent keeps none for short work.
@@ -45,9 +48,12 @@
 func (l *Limit) Open() int { return l.open }
 
 // Admit takes a slot, or refuses and tells when to come back.
-func (l *Limit) Admit(n ident.Node, a Ask, hint clock.Millis) error {
+func (l *Limit) Admit(now clock.Millis, n ident.Node, a Ask, hint clock.Millis) error {
+	if a.Short {
+		l.short = now + keptWhile
+	}
 	usable := l.slots
-	if !a.Short {
+	if !a.Short && now < l.short {
 		usable -= l.kept
 	}
 	switch {
--- a/internal/decide/match/match.go
+++ b/internal/decide/match/match.go
@@ -97,6 +97,9 @@
 	if !ok {
 		s = m.attach(sv)
 	}
+	if s.Boot != sv.Boot {
+		s.shut, s.failures = 0, 0
+	}
 	s.Server = sv
 	s.heard = now
 	s.place(now, m.p)
@@ -108,6 +111,7 @@
 		s = &server{}
 		m.servers[sv.Node] = s
 	}
+	s.gone = false
 	s.pool = m.pool(sv.Service)
 	s.tier = m.p.tier(sv)
 	s.pool.all = append(s.pool.all, s)
@@ -119,6 +123,7 @@
 
 func (m *Matcher) detach(s *server) {
 	p := s.pool
+	s.gone = true
 	s.close()
 	p.all = slices.DeleteFunc(p.all, func(o *server) bool { return o == s })
 	p.ring.Del(string(s.Node))
--- a/internal/decide/match/next.go
+++ b/internal/decide/match/next.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
@@ -35,7 +36,11 @@
 		if m.p.Pace {
 			m.judge(now, p)
 		}
-		for _, s := range p.all {
+		for _, s := range slices.Clone(p.all) {
+			if s.own == 0 && now-s.heard > forgetAfter {
+				m.Gone(s.Node)
+				continue
+			}
 			s.place(now, m.p)
 		}
 		p.measure(now - m.swept)
@@ -68,10 +73,10 @@
 	}
 }
 
-// Smoothing of the demand of short work: it rises fast and falls slowly.
+// Smoothing of the demand of short work: it rises faster than it falls.
 const (
-	demandRise = 500 * clock.Milli
-	demandFall = 5 * clock.Second
+	demandRise = clock.Second
+	demandFall = 2 * clock.Second
 )
 
 // measure takes in how many slots short work holds or waits for.
@@ -160,7 +165,8 @@
 		s := m.pick(now, p, &it, b)
 		if s == nil {
 			l.aside = append(l.aside, it)
-			l.blocked = len(l.aside) >= lookahead
+			// The other items of the queue differ only in what they avoid.
+			l.blocked = len(l.aside) >= lookahead || (len(it.Avoid) == 0 && !it.Suspect)
 			continue
 		}
 		grants = append(grants, m.grant(now, p, l, it, s, b))
@@ -200,11 +206,8 @@
 			heads[b] = l
 		}
 	}
-	floor := max(1, p.slots/floorShare)
-	for _, b := range [...]band{long, round} { // rule 4
-		if heads[b] != nil && p.inflight[b] < floor {
-			return heads[b], b
-		}
+	if l, b := p.starving(heads); l != nil { // rule 4
+		return l, b
 	}
 	if heads[short] != nil {
 		return heads[short], short
@@ -213,12 +216,29 @@
 	if heads[long] != nil && spare > 0 {
 		return heads[long], long
 	}
-	if heads[round] != nil && spare > p.slots/floorShare {
+	if heads[round] != nil && spare > int(math.Sqrt(p.demand)) {
 		return heads[round], round
 	}
 	return nil, short
 }
 
+// starving returns the queue of a band below its floor whose head was due
+// before the short band's. A pool too small for floors gives such a band one
+// of some grants.
+func (p *pool) starving(heads [bands]*lane) (*lane, band) {
+	floor := p.slots / floorShare
+	turn := floor == 0 && p.grants%floorShare == floorShare-1
+	for _, b := range [...]band{long, round} {
+		if heads[b] == nil || (heads[short] != nil && !heads[b].dueBefore(heads[short])) {
+			continue
+		}
+		if p.inflight[b] < floor || turn {
+			return heads[b], b
+		}
+	}
+	return nil, short
+}
+
 // oldest returns the queue whose head arrived first.
 func (p *pool) oldest() *lane {
 	var best *lane
--- a/internal/decide/match/pick.go
+++ b/internal/decide/match/pick.go
@@ -22,6 +22,7 @@
 	c := l.class
 	c.waiting--
 	c.started(now)
+	p.grants++
 	m.limits.Remove(it.ID)
 	delete(m.waiting, it.ID)
 	f := &flight{item: it, pool: p, class: c}
--- a/internal/decide/match/policy.go
+++ b/internal/decide/match/policy.go
@@ -56,6 +56,7 @@
 const (
 	crossBurst   = 2 * clock.Second // of CrossRate, saved up at most
 	sweepEvery   = 50 * clock.Milli // between looks at leases, pace and demand
+	forgetAfter  = clock.Minute     // a server not heard of for so long is forgotten
 	probeEvery   = clock.Second
 	minAfter     = 100 * clock.Milli // the shortest time to come back that a refusal names
 	failedFor    = 250 * clock.Milli // a server that failed is closed so long, doubled each time
@@ -65,6 +66,7 @@
 	floorShare   = 8            // a band's floor is the slots divided by this
 	affinityOver = 1.25         // a prefix's server may have this much of the mean load
 	lookahead    = 32           // items of a queue passed over in one decision
+	fewShort     = 0.1          // slots of demand below which none are kept for short work
 	retrySaved   = 10           // attempts that the budgets save up
 	tokenBytes   = 8            // of an answer on a link, each token
 )
--- a/internal/decide/match/pool.go
+++ b/internal/decide/match/pool.go
@@ -41,7 +41,8 @@
 	classes  []*class
 	retries  *spend.Share
 	hedges   *spend.Share
-	turn     int          // of the rotation
+	turn     int // of the rotation
+	grants   int
 	patient  clock.Millis // when work that minds a slow server least was last granted
 }
 
@@ -228,6 +229,7 @@
 	shut     clock.Millis // closed until then, after a refusal or failure
 	failures int
 	probed   clock.Millis
+	gone     bool
 	counted  int // credits counted in the pool
 	alive    int // slots counted in the pool
 }
@@ -248,7 +250,7 @@
 // place opens or closes the server for new work by what is known now.
 func (s *server) place(now clock.Millis, p Policy) {
 	slots, credits := 0, 0
-	if s.lives(now, p) && !s.pace.Slow() {
+	if !s.gone && s.lives(now, p) && !s.pace.Slow() {
 		slots = s.Slots
 		credits = max(0, s.Slots-s.load())
 	}
@@ -269,9 +271,9 @@
 }
 
 // room reports whether the server has a slot for a band. The agent keeps some
-// for short work.
+// for short work while there is any.
 func (s *server) room(b band) bool {
-	if b == short {
+	if b == short || s.pool.demand < fewShort {
 		return s.load() < s.Slots
 	}
 	return s.load() < s.Slots-limit.Kept(s.Slots)
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -231,7 +231,7 @@
 	if err := a.checkService(m); err != nil {
 		return err
 	}
-	if err := a.limit.Admit(a.p.Node, askOf(m), a.p.Report); err != nil {
+	if err := a.limit.Admit(a.p.Clock.Now(), a.p.Node, askOf(m), a.p.Report); err != nil {
 		return err
 	}
 	j := newJob(a.ctx, entry, m)
