Place models over the engines by the holder of a lease

Cause: a model that no engine hosted was never loaded, and engines did not follow demand. Change: each entry tells the holder its work by service once a second; the holder decides on that and on the agents' reports, weighted by the tightest target, and orders moves under its fencing number; agents learn the number from entries.

--- a/internal/inner/wire/msgs.go
+++ b/internal/inner/wire/msgs.go
@@ -256,6 +256,18 @@
 	Lifted   []string
 }
 
+// DemandArgs tells the holder of the placement lease what work an entry has.
+type DemandArgs struct {
+	Hello Hello
+	Work  []Demand
+}
+
+// Demand is the work of one service.
+type Demand struct {
+	Service string
+	Work    int // in progress and waiting
+}
+
 // ForwardArgs carries a call of a caller or trainer to the entry that owns it.
 type ForwardArgs struct {
 	Hello  Hello
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -25,7 +25,9 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/lease"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+	"github.com/jujuberamp/jujuberamp/internal/decide/place"
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
 	"github.com/jujuberamp/jujuberamp/internal/edge/httpd"
@@ -35,7 +37,9 @@
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
 	"github.com/jujuberamp/jujuberamp/internal/node/claims"
 	"github.com/jujuberamp/jujuberamp/internal/node/follow"
+	"github.com/jujuberamp/jujuberamp/internal/node/leases"
 	"github.com/jujuberamp/jujuberamp/internal/node/peers"
+	"github.com/jujuberamp/jujuberamp/internal/node/plans"
 	"github.com/jujuberamp/jujuberamp/internal/node/rounds"
 	"github.com/jujuberamp/jujuberamp/internal/node/swaps"
 	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
@@ -56,6 +60,7 @@
 	Roster  roster.Policy // zero for the standard
 	Policy  match.Policy
 	Swap    swap.Policy
+	Place   place.Policy // zero for the standard
 	Clock   clock.Clock
 	Log     zerolog.Logger
 	Meter   metric.Meter
@@ -87,7 +92,10 @@
 	swaps  *swaps.Swaps
 	rounds *rounds.Rounds
 	claims *claims.Claims
+	lease  *leases.Lease // of the placement
+	plans  *plans.Plans
 
+	demands demands
 	contact contact
 
 	mu      sync.Mutex
@@ -104,6 +112,9 @@
 	if p.Roster == (roster.Policy{}) {
 		p.Roster = roster.Standard()
 	}
+	if p.Place == (place.Policy{}) {
+		p.Place = place.Standard()
+	}
 	ln, err := net.Listen("tcp", p.Listen)
 	if err != nil {
 		return nil, fault.Wrap(fault.BadSetting, err, "inner-listen")
@@ -180,6 +191,7 @@
 		Log:     part("swaps"),
 		Trace:   p.Trace,
 	})
+	e.wirePlace(part("place"))
 	e.claims = claims.New(e.ctx, claims.Params{Node: p.Node, Boot: e.boot, Source: p.Source, Calls: e.calls, Pool: e.pool, Clock: p.Clock, Log: part("claims")})
 	e.rounds = rounds.New(e.ctx, rounds.Params{
 		Node:    p.Node,
@@ -197,6 +209,30 @@
 	})
 }
 
+// wirePlace builds the placement of models.
+func (e *Entry) wirePlace(log zerolog.Logger) {
+	p := e.p
+	e.lease = leases.New(leases.Params{
+		Name:     leaseName,
+		Node:     p.Node,
+		Boot:     e.boot,
+		Policy:   lease.Standard(),
+		Eligible: func() bool { return !e.leaving.Load() },
+		Source:   p.Source,
+		Clock:    p.Clock,
+		Log:      log,
+	})
+	e.plans = plans.New(plans.Params{
+		Policy: p.Place,
+		Lease:  e.lease,
+		Look:   e.placeView,
+		Newest: e.newest,
+		Send:   e.sendOrder,
+		Clock:  p.Clock,
+		Log:    log,
+	})
+}
+
 // serversOf returns the agents that host a service.
 func (e *Entry) serversOf(m ident.Service) []match.Server {
 	var out []match.Server
@@ -250,6 +286,9 @@
 	wg.Go(func() { e.calls.Run(ctx) })
 	wg.Go(func() { e.swaps.Run(ctx) })
 	wg.Go(func() { e.rounds.Run(ctx) })
+	wg.Go(func() { e.lease.Run(ctx) })
+	wg.Go(func() { e.plans.Run(ctx) })
+	wg.Go(func() { e.tellDemand(ctx) })
 	wg.Go(func() { e.gossip(ctx) })
 	wg.Wait()
 }
@@ -265,6 +304,7 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
+	e.lease.Release(ctx)
 	err := e.http.Shutdown(ctx)
 	e.Close()
 	return errors.Wrap(err, "shutdown with work in progress")
--- a/internal/node/entry/gauge.go
+++ b/internal/node/entry/gauge.go
@@ -20,6 +20,7 @@
 		{"jujuberamp.entry.agents", "agents heard of", e.agents},
 		{"jujuberamp.entry.config.offset", "log offset of the configuration in force", func() int64 { return int64(e.config.State().Offset()) }},
 		{"jujuberamp.entry.config.age", "ms since the log was read to its end", func() int64 { return int64(e.p.Clock.Now() - e.config.Fresh()) }},
+		{"jujuberamp.entry.moves", "placement moves that this entry ordered", e.plans.Moves},
 		{"jujuberamp.entry.peers", "entries that take work", func() int64 { return int64(len(e.peers.View().Entries())) }},
 	} {
 		_, err := m.Int64ObservableGauge(g.name, metric.WithDescription(g.doc),
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -47,6 +47,8 @@
 	})
 	reply.Config, reply.Behind = e.exchange(args.Config, args.Ahead)
 	reply.Versions = e.swaps.Wire()
+	_, fence := e.lease.Holder()
+	reply.Fence = int64(fence)
 	return nil
 }
 
