Attack rounds with every failure named, in virtual time

Cause: nothing tested rounds beyond the demonstration. The property test found that a stream cut off by an engine's restart could stay silent for ever, and its sample with it. Change: an agent ends runs whose engine shows another start. A small grid joins the real rounds, calls, swaps and agents with stand-in engines in memory; its oracle is the engines' and the trainer's own record.

--- a/internal/decide/proof/proof.go
+++ b/internal/decide/proof/proof.go
@@ -35,12 +35,16 @@
 // Version returns the version at the beginning of the run.
 func (r Run) Version() ident.Version { return r.before.Version }
 
+// IsGone reports whether the engine was restarted since the run began, so that
+// no more of it will come.
+func (r Run) IsGone(now model.Status) bool { return r.before.Boot != now.Boot }
+
 // End returns the version that made the run, or a fault of the kind
 // [fault.Unproven].
 func (r Run) End(after model.Status, orders uint64) (ident.Version, error) {
 	b := r.before
 	switch {
-	case b.Boot != after.Boot: // rule 2
+	case r.IsGone(after): // rule 2
 		return 0, fault.New(fault.Unproven, "the engine was restarted")
 	case b.Model != after.Model || b.Version != after.Version: // rule 2
 		return 0, fault.New(fault.Unproven, "the engine changed its version")
--- a/internal/inner/wire/wire.go
+++ b/internal/inner/wire/wire.go
@@ -201,12 +201,6 @@
 	return h.Sum(nil)
 }
 
-// Caller sends one call to a node and waits for its answer; a [Pool] does it
-// over the network.
-type Caller interface {
-	Call(ctx context.Context, addr, method string, args, reply any) error
-}
-
 // Pool keeps one connection to each peer and dials again after a failure.
 type Pool struct {
 	key   []byte
--- a/internal/node/agent/gen.go
+++ b/internal/node/agent/gen.go
@@ -50,7 +50,9 @@
 		return false, true, fault.New(fault.TooStale, "the engine holds an older version")
 	}
 	run := proof.Begin(before, a.swap.orders())
-	j.begin(run)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	j.begin(run, cancel)
 	defer j.close()
 	whole, err = a.stream(ctx, j, before)
 	if err != nil && !errors.Is(context.Cause(ctx), errSwap) {
@@ -104,36 +106,3 @@
 	a.recordJob(trace.Crash, j.msg, err)
 	return fault.Wrap(fault.Crashed, err, "the engine failed")
 }
-
-// mark is a position in a run of tokens, taken before the engine was asked for
-// its state.
-type mark struct {
-	job  *job
-	run  proof.Run
-	runs int
-	to   int
-}
-
-// marks returns the positions of all samples that run.
-func (a *Agent) marks() []mark {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var out []mark
-	for _, j := range a.jobs {
-		if m, ok := j.mark(); ok && j.isSample() {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-// confirm proves what was made up to the marks by a state that the engine told
-// after them, so that a sample that has to move takes its tokens along.
-func (a *Agent) confirm(ms []mark, st plat.Status) {
-	orders := a.swap.orders()
-	for _, m := range ms {
-		if v, err := m.run.End(st, orders); err == nil {
-			m.job.confirm(m, v)
-		}
-	}
-}
--- /dev/null
+++ b/internal/node/agent/grid_test.go
@@ -0,0 +1,325 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/class"
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+	"github.com/jujuberamp/jujuberamp/internal/decide/round"
+	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/node/calls"
+	"github.com/jujuberamp/jujuberamp/internal/node/rounds"
+	"github.com/jujuberamp/jujuberamp/internal/node/swaps"
+	"github.com/jujuberamp/jujuberamp/internal/stand/batch"
+	"github.com/jujuberamp/jujuberamp/internal/stand/engine"
+	"github.com/jujuberamp/jujuberamp/internal/stand/score"
+	"github.com/jujuberamp/jujuberamp/internal/stand/vmlist"
+	"github.com/jujuberamp/jujuberamp/internal/stand/weight"
+)
+
+// grid is a small deployment in virtual time: the rounds, calls and swaps of
+// some entries, agents and stand-in engines, joined in memory.
+type grid struct {
+	ctx    context.Context
+	clock  clock.Clock
+	store  *weight.Store
+	scorer *score.Scorer
+	class  class.Class
+
+	mu      sync.Mutex
+	engines []*engine.Engine
+	agents  []*runner
+	entries []*front
+	split   bool // two entries believe that they own every round
+	lose    int  // answers that are lost after the call took effect
+	version ident.Version
+}
+
+// runner is an agent and what ends it.
+type runner struct {
+	*Agent
+	stop context.CancelFunc
+}
+
+// front is the part of an entry that serves rounds.
+type front struct {
+	name   ident.Node
+	calls  *calls.Calls
+	rounds *rounds.Rounds
+	swaps  *swaps.Swaps
+	stop   context.CancelFunc
+	dead   bool
+}
+
+const (
+	gridModel   = "notice-model"
+	gridEngines = 3
+	gridKey     = "grid-key"
+)
+
+func newGrid(ctx context.Context, t *testing.T, scored bool) *grid {
+	c := clock.NewSystem()
+	p := class.Params{Name: "train", Kind: class.Round, Service: gridModel, Lateness: clock.Hour, Waiting: clock.Minute, Staleness: 1, MaxTokens: 200}
+	if scored {
+		p.Scorer = "tone-check"
+	}
+	cl, err := class.New(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &grid{ctx: ctx, clock: c, class: cl, version: 1, store: weight.New(c, 6), scorer: score.New(5 * clock.Milli)}
+	for i := range gridEngines {
+		e := engine.New(engine.Params{
+			Batch:   batch.Params{Slots: 4, Rate: 20, Knee: 4, Prefill: 5000, Prefixes: 8},
+			Model:   gridModel,
+			Version: 1,
+			Swap:    300 * clock.Milli,
+			Fenced:  i == 0, // the others ignore fencing numbers
+		}, c)
+		go e.Run(ctx)
+		g.engines = append(g.engines, e)
+		g.agents = append(g.agents, nil)
+		g.startAgent(t, i)
+	}
+	g.startEntry()
+	g.startEntry()
+	go g.gossip()
+	return g
+}
+
+// startAgent starts a new agent beside an engine; the one before dies.
+func (g *grid) startAgent(t *testing.T, i int) {
+	zone := ident.Zone(fmt.Sprintf("zone-%d", i%2))
+	a, err := New(Params{
+		Node:    ident.Node(fmt.Sprintf("agent-%d", i)),
+		Zone:    zone,
+		Listen:  "127.0.0.1:0",
+		Slots:   4,
+		Report:  250 * clock.Milli,
+		Keep:    2 * clock.Minute,
+		Clock:   g.clock,
+		Log:     zerolog.Nop(),
+		Meter:   noop.NewMeterProvider().Meter(""),
+		Engine:  g.engines[i],
+		VMs:     vmlist.New(g.clock, 0),
+		Weights: g.store,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(g.ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if old := g.agents[i]; old != nil {
+		old.stop()
+		old.Close()
+	}
+	g.agents[i] = &runner{Agent: a, stop: stop}
+	go a.settle(settleLooks)
+	go g.report(ctx, a)
+}
+
+// report does what an agent does in Run, over memory.
+func (g *grid) report(ctx context.Context, a *Agent) {
+	for ctx.Err() == nil {
+		a.watch(ctx)
+		args := a.state()
+		for _, e := range g.alive() {
+			e.calls.Report(match.Server{
+				Node:    a.p.Node,
+				Boot:    a.boot,
+				Seq:     args.Seq,
+				Addr:    string(a.p.Node),
+				Zone:    a.p.Zone,
+				Service: ident.Service(args.Hosted.Service),
+				Version: ident.Version(args.Hosted.Version),
+				Loading: args.Hosted.Loading,
+				Slots:   args.Slots,
+				Running: args.Running,
+			})
+			a.announced.learn(e.swaps.Wire())
+		}
+		a.forget(g.clock.Now())
+		sleep(ctx, a.p.Report)
+	}
+}
+
+func (g *grid) startEntry() {
+	ctx, stop := context.WithCancel(g.ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := &front{name: ident.Node(fmt.Sprintf("entry-%d", len(g.entries))), stop: stop}
+	boot := ident.NewIncarnation()
+	f.calls = calls.New(calls.Params{Node: f.name, Boot: boot, Policy: match.Standard(), Pool: g, Clock: g.clock, Log: zerolog.Nop()})
+	servers := func(m ident.Service) (out []match.Server) {
+		f.calls.Servers(func(mt *match.Matcher) { out = mt.Hosts(g.clock.Now(), m) })
+		return out
+	}
+	f.swaps = swaps.New(swaps.Params{
+		Node: f.name, Boot: boot, Policy: swap.Standard(), Pool: g, Clock: g.clock, Log: zerolog.Nop(), Servers: servers,
+		Owns: func(ident.Service, swap.Group) bool { return g.owns(f) },
+	})
+	f.rounds = rounds.New(ctx, rounds.Params{
+		Node: f.name, Boot: boot, Key: []byte(gridKey), Calls: f.calls, Pool: g, Clock: g.clock, Log: zerolog.Nop(), Servers: servers,
+		Agents: func() []match.Server { return servers(gridModel) },
+		Owns:   func(ident.Round) bool { return g.owns(f) },
+		Newest: f.swaps.Newest,
+		Scorer: func(ident.Service) (plat.Scorer, error) { return g.scorer, nil },
+	})
+	go f.calls.Run(ctx)
+	go f.swaps.Run(ctx)
+	go f.rounds.Run(ctx)
+	g.entries = append(g.entries, f)
+}
+
+func (g *grid) alive() []*front {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []*front
+	for _, e := range g.entries {
+		if !e.dead {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (g *grid) owns(f *front) bool {
+	es := g.alive()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(es) > 0 && (es[0] == f || g.split)
+}
+
+// kill ends the owner of the rounds; a fresh entry takes its address.
+func (g *grid) kill() {
+	e := g.alive()[0]
+	g.mu.Lock()
+	e.dead = true
+	g.mu.Unlock()
+	e.stop()
+	g.startEntry()
+}
+
+func (g *grid) gossip() {
+	for g.ctx.Err() == nil {
+		es := g.alive()
+		for _, e := range es {
+			for _, o := range es {
+				o.swaps.Learn(e.swaps.Wire())
+			}
+		}
+		sleep(g.ctx, 500*clock.Milli)
+	}
+}
+
+// announce tells one entry of the next version.
+func (g *grid) announce() {
+	g.mu.Lock()
+	g.version++
+	v := g.version
+	g.mu.Unlock()
+	for _, e := range g.alive() {
+		e.swaps.Announce(gridModel, v)
+	}
+}
+
+func (g *grid) newest() ident.Version {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.version
+}
+
+const hop = 2 * clock.Milli
+
+// Call implements [calls.Peer] in memory, with answers that are lost.
+func (g *grid) Call(ctx context.Context, addr, method string, args, reply any) error {
+	if !sleep(ctx, hop) {
+		return fault.Wrap(fault.Lost, ctx.Err(), "no answer")
+	}
+	a := g.agentAt(addr)
+	if a == nil || a.ctx.Err() != nil {
+		return fault.New(fault.NoBackend, "dial "+addr)
+	}
+	name := strings.TrimPrefix(method, "Agent.")
+	out := reflect.New(reflect.TypeOf(reply).Elem())
+	done := make(chan error, 1)
+	go func() {
+		r := reflect.ValueOf(&service{a}).MethodByName(name).Call([]reflect.Value{reflect.ValueOf(args), out})
+		err, _ := r[0].Interface().(error)
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		if err != nil || g.loses() || a.ctx.Err() != nil {
+			return fault.Wrap(fault.Lost, errors.New("connection closed"), "call "+method)
+		}
+	case <-a.ctx.Done():
+		return fault.Wrap(fault.Lost, a.ctx.Err(), "agent died")
+	case <-ctx.Done():
+		return fault.Wrap(fault.Lost, ctx.Err(), "no answer from "+addr)
+	}
+	reflect.ValueOf(reply).Elem().Set(out.Elem())
+	return nil
+}
+
+func (g *grid) agentAt(addr string) *Agent {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range g.agents {
+		if a != nil && string(a.p.Node) == addr {
+			return a.Agent
+		}
+	}
+	return nil
+}
+
+func (g *grid) loses() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lose == 0 {
+		return false
+	}
+	g.lose--
+	return true
+}
+
+// close ends everything that still runs.
+func (g *grid) close(cancel context.CancelFunc) {
+	cancel()
+	for _, a := range g.agents {
+		a.stop()
+		a.Close()
+	}
+	time.Sleep(clock.Minute.Duration())
+}
+
+// confirms reports whether the engines' records confirm every token.
+func (g *grid) confirms(s round.Spec, got round.Sample) bool {
+	to := 0
+	for _, sp := range got.Spans {
+		ok := false
+		for _, e := range g.engines {
+			ok = ok || e.Confirms(s.Prompt(got.Ordinal), s.SeedOf(got.Ordinal), sp)
+		}
+		if !ok || sp.From != to {
+			return false
+		}
+		to = sp.To
+	}
+	return to == len(got.Tokens)
+}
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -28,8 +28,9 @@
 	spans   []plat.Span
 	sure    int // tokens whose versions are proven
 	run     proof.Run
-	running bool // run is open
-	runs    int  // runs that ended
+	lose    context.CancelCauseFunc // ends the run
+	running bool                    // run is open
+	runs    int                     // runs that ended
 	proven  bool
 	done    bool
 	err     error
@@ -88,73 +89,6 @@
 	return j.tokens[:len(j.tokens):len(j.tokens)]
 }
 
-// begin notes the run of tokens that starts now and returns its position.
-func (j *job) begin(r proof.Run) int {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.run, j.running = r, true
-	return len(j.tokens)
-}
-
-// mark returns the run in progress and how far it has come.
-func (j *job) mark() (mark, bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return mark{job: j, run: j.run, runs: j.runs, to: len(j.tokens)}, j.running && !j.done
-}
-
-// prove notes that a version made the tokens from the last proven one up to
-// a position.
-func (j *job) prove(v ident.Version, to int) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.proveLocked(v, to)
-}
-
-func (j *job) proveLocked(v ident.Version, to int) {
-	from := j.sure
-	if to <= from {
-		return
-	}
-	j.sure = to
-	id := ident.Attempt(j.msg.Attempt)
-	if n := len(j.spans); n > 0 && j.spans[n-1].Version == v && j.spans[n-1].Attempt == id {
-		j.spans[n-1].To = to
-		return
-	}
-	j.spans = append(j.spans, plat.Span{Version: v, Attempt: id, From: from, To: to})
-}
-
-// confirm proves a part of a run that is still the same one.
-func (j *job) confirm(m mark, v ident.Version) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.running && j.runs == m.runs {
-		j.proveLocked(v, m.to)
-	}
-}
-
-// close ends the run in progress.
-func (j *job) close() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.running = false
-	j.runs++
-}
-
-// doubt drops the tokens of a sample whose version is not proven; other work
-// keeps them, since its caller does not ask for versions.
-func (j *job) doubt() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.isSample() {
-		j.tokens = j.tokens[:j.sure:j.sure]
-		return
-	}
-	j.proven = false
-	j.sure = len(j.tokens)
-}
-
 // end closes the job with its result.
 func (j *job) end(now clock.Millis, body []byte, err error) {
 	j.mu.Lock()
--- a/internal/node/rounds/rounds.go
+++ b/internal/node/rounds/rounds.go
@@ -27,7 +27,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
-	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
 )
 
@@ -37,7 +36,7 @@
 	Boot    ident.Incarnation
 	Key     []byte // seals cursors; the same on all entries
 	Calls   *calls.Calls
-	Pool    wire.Caller
+	Pool    calls.Peer
 	Owns    func(id ident.Round) bool // whether this entry should own a round
 	Newest  func(m ident.Service) ident.Version
 	Servers func(m ident.Service) []match.Server
--- a/internal/node/swaps/swaps.go
+++ b/internal/node/swaps/swaps.go
@@ -22,6 +22,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/node/calls"
 	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
@@ -32,7 +33,7 @@
 	Policy  swap.Policy
 	Owns    func(m ident.Service, g swap.Group) bool // whether this entry orders the group
 	Servers func(m ident.Service) []match.Server     // agents that host the model
-	Pool    wire.Caller
+	Pool    calls.Peer
 	Clock   clock.Clock
 	Log     zerolog.Logger
 	Trace   *trace.Recorder // nil for none
