Hand streams over at an agent's shutdown, let an entry end calls of peers

Cause: an agent waited for a long stream until its time was over and then cut it, closed before the last answers had left, and waited for cancelled work that nobody fetches; an entry closed on calls that other entries had passed on.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -22,7 +22,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
 
@@ -170,44 +169,6 @@
 	}
 }
 
-// errStopped ends the work that is left after a shutdown.
-var errStopped = errors.New("agent stopped")
-
-// drainPoll is how often a shutdown looks whether all work has ended.
-const drainPoll = 20 * time.Millisecond
-
-// Shutdown refuses new work and returns when all answers were fetched, or
-// when the context ends.
-func (a *Agent) Shutdown(ctx context.Context) error {
-	a.mu.Lock()
-	a.leaving = true
-	a.mu.Unlock()
-	a.report(ctx)
-	t := time.NewTicker(drainPoll)
-	defer t.Stop()
-	for a.busy() {
-		select {
-		case <-ctx.Done():
-			a.Close()
-			return errors.Wrap(ctx.Err(), "shutdown with work in progress")
-		case <-t.C:
-		}
-	}
-	a.Close()
-	return nil
-}
-
-func (a *Agent) busy() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, j := range a.jobs {
-		if !j.isFetched() {
-			return true
-		}
-	}
-	return false
-}
-
 // Close ends everything at once, as the death of the process does.
 func (a *Agent) Close() {
 	a.stop()
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -35,6 +35,7 @@
 	done    bool
 	err     error
 	fetched bool
+	moved   bool // ended so that it goes on elsewhere
 	endedAt clock.Millis
 }
 
@@ -141,7 +142,10 @@
 	if from < to {
 		r.Tokens = j.tokens[from:to:to]
 	}
-	if j.done {
+	switch {
+	case j.done && j.moved && j.err != nil:
+		r.Moves = true
+	case j.done:
 		r.Done = true
 		r.Body = j.body
 		r.Proven = j.proven
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -51,7 +51,7 @@
 	for {
 		r, grown := j.read(args.From)
 		// A sample is read in few large parts, since only its end is awaited.
-		if r.Done || (len(r.Tokens) > 0 && !j.isSample()) {
+		if r.Done || r.Moves || (len(r.Tokens) > 0 && !j.isSample()) {
 			*reply = r
 			return nil
 		}
@@ -77,7 +77,7 @@
 	if !ok || j.msg.Once {
 		return nil // Work that may run once goes on, so that its outcome is known.
 	}
-	j.cancel()
+	j.drop()
 	s.a.mu.Lock()
 	defer s.a.mu.Unlock()
 	if j.isDone() {
--- a/internal/node/claims/claims.go
+++ b/internal/node/claims/claims.go
@@ -141,6 +141,19 @@
 // isOwn reports whether this process wrote a record.
 func (c *Claims) isOwn(w record.Writer) bool { return w.Node == c.p.Node && w.Boot == c.p.Boot }
 
+// IsBusy reports whether a key is worked on, or a record waits to be appended.
+func (c *Claims) IsBusy() bool {
+	c.mu.Lock()
+	busy := len(c.flights) > 0
+	c.mu.Unlock()
+	for _, s := range c.streams {
+		s.mu.Lock()
+		busy = busy || len(s.pending) > 0
+		s.mu.Unlock()
+	}
+	return busy
+}
+
 // Appends returns how many appends were tried.
 func (c *Claims) Appends() int64 { return c.appends.Load() }
 
--- a/internal/node/claims/claims_test.go
+++ b/internal/node/claims/claims_test.go
@@ -99,6 +99,7 @@
 
 	mu     sync.Mutex
 	agents []*agent.Agent
+	hosts  map[ident.Service]*agent.Agent
 	calls  []*calls.Calls
 }
 
@@ -106,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	clk := clock.NewSystem()
-	r := &rig{c: qt.New(t), ctx: ctx, clock: clk, log: logsvc.New(clk, logsvc.Params{Seed: 1}), ledger: plain.NewLedger()}
+	r := &rig{c: qt.New(t), ctx: ctx, clock: clk, log: logsvc.New(clk, logsvc.Params{Seed: 1}), ledger: plain.NewLedger(), hosts: make(map[ident.Service]*agent.Agent)}
 	r.svc = plain.New(r.ledger, took)
 	r.agent()
 	go r.report()
@@ -115,28 +116,40 @@
 
 var testKey = []byte("0123456789abcdef")
 
+// agent starts another agent of the plain service, which entries use from now
+// on.
 func (r *rig) agent() *agent.Agent {
-	a, err := agent.New(agent.Params{
-		Node: "agent-1", Listen: "127.0.0.1:0", Key: testKey, Slots: 64, Service: "pages",
-		Report: 100 * clock.Milli, Keep: clock.Minute, Clock: r.clock, Log: zerolog.Nop(),
-		Plain: r.svc, VMs: vmlist.New(r.clock, 0), Meter: noop.Meter{},
-	})
+	a := r.start(agent.Params{Node: "agent-1", Slots: 64, Service: "pages", Plain: r.svc})
+	r.host("pages", a)
+	return a
+}
+
+func (r *rig) start(p agent.Params) *agent.Agent {
+	p.Listen, p.Key, p.Clock, p.Log = "127.0.0.1:0", testKey, r.clock, zerolog.Nop()
+	p.Report, p.Keep = 100*clock.Milli, clock.Minute
+	p.VMs, p.Meter = vmlist.New(r.clock, 0), noop.Meter{}
+	a, err := agent.New(p)
 	r.c.Assert(err, qt.IsNil)
 	go a.Run(r.ctx)
 	r.c.Cleanup(a.Close)
+	return a
+}
+
+// host tells the entries from now on that an agent serves a service.
+func (r *rig) host(svc ident.Service, a *agent.Agent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.agents = append(r.agents, a)
-	return a
+	r.hosts[svc] = a
 }
 
-// report tells all entries of the newest agent.
 func (r *rig) report() {
-	for r.ctx.Err() == nil {
+	for seq := uint64(1); r.ctx.Err() == nil; seq++ {
 		r.mu.Lock()
-		a := r.agents[len(r.agents)-1]
-		for _, c := range r.calls {
-			c.Report(match.Server{Node: "agent-1", Boot: a.Boot(), Addr: a.Addr(), Service: "pages", Slots: 64})
+		for svc, a := range r.hosts {
+			for _, c := range r.calls {
+				c.Report(match.Server{Node: ident.Node("at-" + a.Addr()), Seq: seq, Boot: a.Boot(), Addr: a.Addr(), Service: svc, Version: 1, Slots: 4})
+			}
 		}
 		r.mu.Unlock()
 		pause(r.ctx, 20)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -18,7 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
 
@@ -85,6 +84,7 @@
 	ctx     context.Context // of the work; ends last
 	stop    context.CancelFunc
 	leaving atomic.Bool
+	passed  atomic.Int64 // calls of other entries in progress
 
 	config *follow.Follower
 	peers  *peers.Peers
@@ -293,23 +293,6 @@
 	wg.Wait()
 }
 
-// Shutdown stops being ready, serves on for the balancer's delay, and returns
-// when all work in progress has ended.
-func (e *Entry) Shutdown(ctx context.Context) error {
-	e.leaving.Store(true)
-	go e.gossipOnce(e.ctx)
-	t := time.NewTimer(e.p.Delay.Duration())
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	e.lease.Release(ctx)
-	err := e.http.Shutdown(ctx)
-	e.Close()
-	return errors.Wrap(err, "shutdown with work in progress")
-}
-
 // Close ends everything at once, as the death of the process does.
 func (e *Entry) Close() {
 	e.record(trace.Event{Kind: trace.Stop, Node: e.p.Node})
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -150,6 +150,8 @@
 		reply.Fault = wire.ToFault(err)
 		return nil
 	}
+	s.e.passed.Add(1)
+	defer s.e.passed.Add(-1)
 	ctx, cancel := context.WithTimeout(s.e.ctx, clock.Millis(args.Wait).Duration())
 	defer cancel()
 	body, err := s.e.serveForward(ctx, args.Path, args.Body)
