--- a/internal/node/calls/trace.go
+++ b/internal/node/calls/trace.go
@@ -27,6 +27,7 @@
 		At:      now,
 		Kind:    trace.Arrive,
 		Work:    c.p.Trace.NextWork(),
+		Node:    c.p.Node,
 		Class:   w.Class.Name(),
 		Service: w.Class.Service(),
 		Prefix:  trace.Hash(w.Prefix),
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -277,7 +277,7 @@
 
 // Run serves until the context ends.
 func (e *Entry) Run(ctx context.Context) {
-	e.record(trace.Event{Kind: trace.Start, Node: e.p.Node})
+	e.record(trace.Event{Kind: trace.Start})
 	var wg sync.WaitGroup
 	go func() { _ = e.server.Serve(e.ln) }()
 	go func() { _ = e.http.Serve(e.httpLn) }()
@@ -295,7 +295,7 @@
 
 // Close ends everything at once, as the death of the process does.
 func (e *Entry) Close() {
-	e.record(trace.Event{Kind: trace.Stop, Node: e.p.Node})
+	e.record(trace.Event{Kind: trace.Stop})
 	e.stop()
 	_ = e.http.Close()
 	_ = e.ln.Close()
--- a/internal/node/entry/trace.go
+++ b/internal/node/entry/trace.go
@@ -82,7 +82,7 @@
 }
 
 func (e *Entry) record(ev trace.Event) {
-	ev.At = e.p.Clock.Now()
+	ev.At, ev.Node = e.p.Clock.Now(), e.p.Node
 	e.p.Trace.Record(ev)
 }
 
--- /dev/null
+++ b/internal/proof/replay/decide.go
@@ -0,0 +1,73 @@
+package replay
+
+import (
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/ledger"
+	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+	"github.com/jujuberamp/jujuberamp/internal/decide/round"
+	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
+	"github.com/jujuberamp/jujuberamp/internal/inner/record"
+)
+
+// Matcher is the decision about waiting work, as package match makes it.
+type Matcher interface {
+	Report(now clock.Millis, s match.Server)
+	Arrive(now clock.Millis, it match.Item) error
+	Next(now clock.Millis) ([]match.Grant, []match.Refusal)
+	Finish(now clock.Millis, id uint64, n ident.Node, end End)
+}
+
+// End tells how an attempt ended.
+type End uint8
+
+// The ends of an attempt.
+const (
+	Served  End = iota // with a whole answer
+	Bounced            // by the agent, as not run
+	Failed             // its server crashed
+)
+
+// Round is the decision about the samples of a round, as package round makes
+// it.
+type Round interface {
+	Start(now clock.Millis, limit int) []round.Begin
+	Finished(s round.Sample, needsScore bool) bool
+	Ended(now clock.Millis, ordinal int, part round.Part, why round.Reason) clock.Millis
+	Read(cur round.Cursor, asked ident.Version, limit int) round.Page
+	Take(now clock.Millis, cur round.Cursor) round.Taken
+}
+
+// Ledger is the state of the configuration, as package ledger keeps it.
+type Ledger interface {
+	Apply(at ident.Offset, r record.Record) ledger.Result
+	Find(n ident.Class) (record.Entry, bool)
+	Offset() ident.Offset
+}
+
+// Decisions are what a trace is played against. Tests wrap one of them to see
+// that a broken decision shows.
+type Decisions struct {
+	Match  func() Matcher
+	Round  func(now clock.Millis, s round.Spec, held round.Cursor) Round
+	Swap   func(now clock.Millis, target ident.Version, servers []swap.Server) []ident.Node
+	Ledger func() Ledger
+}
+
+// Product returns the decisions of the product with their standard policies.
+func Product() Decisions {
+	return Decisions{
+		Match:  func() Matcher { return matcher{match.New(match.Standard())} },
+		Round:  func(now clock.Millis, s round.Spec, held round.Cursor) Round { return round.New(now, s, held) },
+		Ledger: func() Ledger { return ledger.New() },
+		Swap: func(now clock.Millis, target ident.Version, servers []swap.Server) []ident.Node {
+			return swap.Next(now, swap.Standard(), target, servers)
+		},
+	}
+}
+
+// matcher fits package match to [Matcher].
+type matcher struct{ *match.Matcher }
+
+// Finish implements [Matcher].
+func (m matcher) Finish(_ clock.Millis, id uint64, _ ident.Node, _ End) { m.Matcher.Finish(id) }
--- /dev/null
+++ b/internal/proof/replay/server.go
@@ -0,0 +1,228 @@
+package replay
+
+import (
+	"strconv"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/stand/batch"
+)
+
+// Limits of the model of a server.
+const (
+	silentAfter = 1200 * clock.Milli // a trace tells of a live agent once a second
+	reportEvery = 250 * clock.Milli
+	prefixes    = 64
+	prefill     = 50_000 // prompt bytes/s
+)
+
+// server is one backend server with its agent.
+type server struct {
+	node    ident.Node
+	zone    ident.Zone
+	region  ident.Region
+	service ident.Service
+	call    bool
+	slots   int
+	version ident.Version
+	loading bool
+	down    bool
+	failed  clock.Millis // instant of the last failed load
+	leaving clock.Millis // instant at which it said so
+	heard   clock.Millis // last line in the trace
+	told    clock.Millis // last report to the matcher
+	seq     uint64
+	boot    ident.Incarnation
+	wake    uint64
+	core    *batch.Engine
+	jobs    map[string]*run
+}
+
+// run is one attempt at a server.
+type run struct {
+	w       *work
+	s       *server
+	grant   match.Grant
+	started ident.Version // version that made the first token
+}
+
+func (r *run) id() string { return strconv.FormatUint(r.w.item.ID, 10) + "/" + string(r.s.node) }
+
+func (w *world) serverOf(e trace.Event) *server {
+	s, ok := w.servers[e.Node]
+	if !ok {
+		s = &server{node: e.Node, zone: e.Zone, region: e.Region, call: e.Call, version: e.Version, boot: 1, jobs: make(map[string]*run)}
+		w.servers[e.Node] = s
+		w.nodes = append(w.nodes, s)
+	}
+	return s
+}
+
+// hear takes in a recorded report.
+func (w *world) hear(e trace.Event) {
+	s := w.serverOf(e)
+	s.heard = w.Now()
+	if e.Leaving && s.leaving == 0 {
+		s.leaving = w.Now()
+	}
+	s.slots = max(s.slots, e.Slots)
+	if e.Service == "" {
+		return
+	}
+	if s.service == "" {
+		s.service = e.Service
+		s.core = batch.New(batch.Params{Slots: max(1, s.slots), Rate: w.facts.rate, Knee: max(1, s.slots), Prefill: prefill, Prefixes: prefixes})
+	}
+	if s.down {
+		s.down, s.version = false, e.Version
+		s.boot++
+	}
+	if e.Rate > 0 {
+		w.settle(s)
+		s.core.SetSpeed(e.Rate / w.facts.rate)
+		w.plan(s)
+	}
+	w.tell(s)
+}
+
+// tell reports the state of the model's server to the matcher.
+func (w *world) tell(s *server) {
+	s.told = w.Now()
+	s.seq++
+	sv := match.Server{
+		Node:    s.node,
+		Zone:    s.zone,
+		Region:  s.region,
+		Service: s.service,
+		Version: s.version,
+		Loading: s.loading,
+		Leaving: s.leaving > 0,
+		Slots:   s.slots,
+		Running: len(s.jobs),
+	}
+	if s.down {
+		sv.Service = ""
+	}
+	w.match.Report(w.Now(), stamp(sv, s))
+}
+
+// tellAll reports for every server that the trace shows as heard.
+func (w *world) tellAll() {
+	for _, s := range w.nodes {
+		if s.service != "" && w.Now()-s.heard <= silentAfter && w.Now()-s.told >= reportEvery {
+			w.tell(s)
+		}
+	}
+}
+
+// crash ends all work on a server; a second line about one crash is dropped.
+func (w *world) crash(e trace.Event) {
+	s, ok := w.servers[e.Node]
+	if !ok || s.down {
+		return
+	}
+	s.down, s.loading = true, false
+	for _, r := range sortedRuns(s) {
+		s.core.Cancel(r.id())
+		w.ended(r, Failed)
+	}
+}
+
+// begin starts an attempt, unless the server has no room.
+func (w *world) begin(r *run) bool {
+	s := r.s
+	if s.down || len(s.jobs) >= s.slots {
+		return false
+	}
+	r.started = s.version
+	s.jobs[r.id()] = r
+	if s.call {
+		w.After(w.callFor(r.w.class), func() { w.done(r) })
+		return true
+	}
+	w.settle(s)
+	s.core.Add(w.Now(), batch.Job{ID: r.id(), Prefix: r.w.prefix, Tokens: max(1, r.w.tokens), Priority: priority(r)})
+	w.plan(s)
+	return true
+}
+
+func (w *world) callFor(c ident.Class) clock.Millis {
+	if t, ok := w.facts.callFor[c]; ok {
+		return t
+	}
+	return usualCall
+}
+
+// settle brings an engine up to now.
+func (w *world) settle(s *server) {
+	if s.core == nil || s.call {
+		return
+	}
+	for _, id := range s.core.Advance(w.Now()) {
+		if r, ok := s.jobs[id]; ok {
+			w.done(r)
+		}
+	}
+}
+
+// plan wakes up when the engine's next job finishes.
+func (w *world) plan(s *server) {
+	s.wake++
+	mine := s.wake
+	at := s.core.Next()
+	if at == clock.Never {
+		return
+	}
+	w.At(at, func() {
+		if s.wake == mine {
+			w.settle(s)
+			w.plan(s)
+		}
+	})
+}
+
+// done ends an attempt with a whole answer, once.
+func (w *world) done(r *run) {
+	if r.s.jobs[r.id()] == r {
+		w.ended(r, Served)
+	}
+}
+
+// view returns the servers of a model as the swap decision sees them.
+func (w *world) view(m ident.Service) []swap.Server {
+	var out []swap.Server
+	for _, s := range w.nodes {
+		if s.service == m && !s.call && !s.down && w.Now()-s.heard <= silentAfter && s.leaving == 0 {
+			out = append(out, swap.Server{Node: s.node, Zone: s.zone, Version: s.version, Loading: s.loading, Failed: s.failed})
+		}
+	}
+	return out
+}
+
+// load swaps the weights of a server. The work there waits and goes on.
+func (w *world) load(s *server, v ident.Version) {
+	w.settle(s)
+	s.loading = true
+	s.core.Halt(true)
+	w.tell(s)
+	w.noteDark(s)
+	boot := s.boot
+	w.After(w.facts.swapFor, func() {
+		w.settle(s)
+		s.core.Halt(false)
+		s.loading = false
+		switch {
+		case s.boot != boot || s.down:
+		case w.facts.failing[s.node].has(w.recorded()):
+			s.failed = w.Now()
+		default:
+			s.version = v
+		}
+		w.plan(s)
+		w.tell(s)
+		w.noteSwap()
+	})
+}
