--- a/internal/proof/replay/decide.go
+++ b/internal/proof/replay/decide.go
@@ -15,19 +15,10 @@
 	Report(now clock.Millis, s match.Server)
 	Arrive(now clock.Millis, it match.Item) error
 	Next(now clock.Millis) ([]match.Grant, []match.Refusal)
-	Finish(now clock.Millis, id uint64, n ident.Node, end End)
+	Progress(now clock.Millis, id uint64, n ident.Node, tokens int)
+	Finish(now clock.Millis, id uint64, n ident.Node, res match.Result)
 }
 
-// End tells how an attempt ended.
-type End uint8
-
-// The ends of an attempt.
-const (
-	Served  End = iota // with a whole answer
-	Bounced            // by the agent, as not run
-	Failed             // its server crashed
-)
-
 // Round is the decision about the samples of a round, as package round makes
 // it.
 type Round interface {
@@ -57,7 +48,7 @@
 // Product returns the decisions of the product with their standard policies.
 func Product() Decisions {
 	return Decisions{
-		Match:  func() Matcher { return matcher{match.New(match.Standard())} },
+		Match:  func() Matcher { return match.New(match.Standard()) },
 		Round:  func(now clock.Millis, s round.Spec, held round.Cursor) Round { return round.New(now, s, held) },
 		Ledger: func() Ledger { return ledger.New() },
 		Swap: func(now clock.Millis, target ident.Version, servers []swap.Server) []ident.Node {
@@ -65,9 +56,3 @@
 		},
 	}
 }
-
-// matcher fits package match to [Matcher].
-type matcher struct{ *match.Matcher }
-
-// Finish implements [Matcher].
-func (m matcher) Finish(_ clock.Millis, id uint64, _ ident.Node, _ End) { m.Matcher.Finish(id) }
--- a/internal/proof/replay/fit.go
+++ b/internal/proof/replay/fit.go
@@ -6,19 +6,24 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 )
 
-// fit fills in what the class says of an item.
-func fit(*work, class.Class) {}
+// fit fills in what the class says of an item, as package calls does.
+func fit(wk *work, c class.Class) {
+	it := &wk.item
+	it.Class, it.Service, it.Prefix = wk.class, wk.service, wk.prefix
+	it.Round = wk.player != nil
+	if c.Name() == "" {
+		return
+	}
+	it.Service = c.Service()
+	it.StartBy = wk.arrived + c.Waiting()
+	it.FinishBy = wk.arrived + c.Lateness()
+	it.Tokens = c.MaxTokens()
+	it.Once = !c.Kind().IsIdempotent()
+}
 
 // again prepares an item for another attempt.
-func again(wk *work, r *run, _ End) { wk.item.Avoid = sets.Of(r.s.node) }
-
-// stamp adds what tells an old report from a new one.
-func stamp(sv match.Server, _ *server) match.Server { return sv }
-
-// priority of an attempt at its engine.
-func priority(r *run) int {
-	if r.w.player != nil {
-		return 0
-	}
-	return 1
+func again(wk *work, r *run, res match.Result) {
+	wk.item.Avoid = sets.Of(r.s.node)
+	wk.item.Retry = true
+	wk.item.Moved = res.End == match.Refused
 }
--- a/internal/proof/replay/replay.go
+++ b/internal/proof/replay/replay.go
@@ -39,6 +39,7 @@
 type Result struct {
 	Length clock.Millis  // of virtual time
 	Took   time.Duration // of real time
+	shift  clock.Millis  // from virtual time to the instants of the trace
 	works  []*work       // callers' work in order of arrival
 	rounds []*player     // in order of opening
 	given  []given       // samples handed over, in order
--- a/internal/proof/replay/server.go
+++ b/internal/proof/replay/server.go
@@ -5,6 +5,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/limit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
 	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
@@ -38,6 +39,7 @@
 	boot    ident.Incarnation
 	wake    uint64
 	core    *batch.Engine
+	lim     *limit.Limit
 	jobs    map[string]*run
 }
 
@@ -47,6 +49,8 @@
 	s       *server
 	grant   match.Grant
 	started ident.Version // version that made the first token
+	ask     limit.Ask
+	shown   int // tokens that the matcher knows of
 }
 
 func (r *run) id() string { return strconv.FormatUint(r.w.item.ID, 10) + "/" + string(r.s.node) }
@@ -54,7 +58,7 @@
 func (w *world) serverOf(e trace.Event) *server {
 	s, ok := w.servers[e.Node]
 	if !ok {
-		s = &server{node: e.Node, zone: e.Zone, region: e.Region, call: e.Call, version: e.Version, boot: 1, jobs: make(map[string]*run)}
+		s = &server{node: e.Node, zone: e.Zone, region: e.Region, call: e.Call, version: e.Version, boot: 1, lim: limit.New(max(1, e.Slots)), jobs: make(map[string]*run)}
 		w.servers[e.Node] = s
 		w.nodes = append(w.nodes, s)
 	}
@@ -102,11 +106,14 @@
 		Leaving: s.leaving > 0,
 		Slots:   s.slots,
 		Running: len(s.jobs),
+		Yours:   len(s.jobs),
+		Boot:    s.boot,
+		Seq:     s.seq,
 	}
 	if s.down {
 		sv.Service = ""
 	}
-	w.match.Report(w.Now(), stamp(sv, s))
+	w.match.Report(w.Now(), sv)
 }
 
 // tellAll reports for every server that the trace shows as heard.
@@ -127,14 +134,14 @@
 	s.down, s.loading = true, false
 	for _, r := range sortedRuns(s) {
 		s.core.Cancel(r.id())
-		w.ended(r, Failed)
+		w.ended(r, match.Result{End: match.Failed})
 	}
 }
 
 // begin starts an attempt, unless the server has no room.
 func (w *world) begin(r *run) bool {
 	s := r.s
-	if s.down || len(s.jobs) >= s.slots {
+	if s.down || s.lim.Admit(s.node, r.ask, reportEvery) != nil {
 		return false
 	}
 	r.started = s.version
@@ -144,7 +151,7 @@
 		return true
 	}
 	w.settle(s)
-	s.core.Add(w.Now(), batch.Job{ID: r.id(), Prefix: r.w.prefix, Tokens: max(1, r.w.tokens), Priority: priority(r)})
+	s.core.Add(w.Now(), batch.Job{ID: r.id(), Prefix: r.w.prefix, Tokens: max(1, r.w.tokens), Priority: r.grant.Priority})
 	w.plan(s)
 	return true
 }
@@ -187,7 +194,28 @@
 // done ends an attempt with a whole answer, once.
 func (w *world) done(r *run) {
 	if r.s.jobs[r.id()] == r {
-		w.ended(r, Served)
+		w.show(r, r.w.tokens)
+		w.ended(r, match.Result{End: match.Served})
+	}
+}
+
+// show tells the matcher how many tokens an attempt has shown.
+func (w *world) show(r *run, made int) {
+	if made > r.shown {
+		w.match.Progress(w.Now(), r.w.item.ID, r.s.node, made-r.shown)
+		r.shown = made
+	}
+}
+
+// showAll tells the progress of everything that runs.
+func (w *world) showAll() {
+	for _, s := range w.nodes {
+		w.settle(s)
+		for _, r := range sortedRuns(s) {
+			if !s.call {
+				w.show(r, s.core.Made(r.id()))
+			}
+		}
 	}
 }
 
--- a/internal/proof/replay/world.go
+++ b/internal/proof/replay/world.go
@@ -9,8 +9,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/base/sets"
 	"github.com/jujuberamp/jujuberamp/internal/decide/ledger"
+	"github.com/jujuberamp/jujuberamp/internal/decide/limit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
@@ -77,6 +77,7 @@
 		res:     &Result{},
 	}
 	w.start = w.Now()
+	w.res.shift = t.Events[0].At - w.start
 	for _, c := range o.Classes {
 		w.classes[c.Name()] = c
 	}
@@ -90,7 +91,7 @@
 )
 
 // recorded returns the present instant as the trace counts it.
-func (w *world) recorded() clock.Millis { return w.Now() - w.start + w.t.Events[0].At }
+func (w *world) recorded() clock.Millis { return w.res.stamp(w.Now()) }
 
 // play runs the whole trace and what is left at its end.
 func (w *world) play() {
@@ -148,7 +149,8 @@
 
 func (w *world) tick() {
 	w.tellAll()
-	for _, m := range slices.Sorted(maps.Keys(w.targets)) {
+	w.showAll()
+	for _, m := range sortedKeys(w.targets) {
 		for _, n := range w.o.Decisions.Swap(w.Now(), w.targets[m], w.view(m)) {
 			w.load(w.servers[n], w.targets[m])
 		}
@@ -208,13 +210,7 @@
 	w.nextID++
 	wk.arrived = w.Now()
 	wk.item.ID = w.nextID
-	wk.item.Class, wk.item.Service = wk.class, wk.service
 	wk.item.StartBy = w.Now() + clock.Minute
-	wk.item.Avoid = sets.Of[ident.Node]()
-	if c, ok := w.classes[wk.class]; ok {
-		wk.item.StartBy = w.Now() + c.Waiting()
-		wk.item.Service = c.Service()
-	}
 	fit(wk, w.classes[wk.class])
 	w.works[wk.item.ID] = wk
 	w.queue(wk)
@@ -252,7 +248,7 @@
 
 func (w *world) grant(wk *work, g match.Grant) {
 	s := w.servers[g.Node]
-	r := &run{w: wk, s: s, grant: g}
+	r := &run{w: wk, s: s, grant: g, ask: limit.Ask{Short: g.Short}}
 	note := granted{at: w.Now(), node: g.Node, left: s.leaving, heard: s.heard}
 	if wk.player == nil {
 		note.work = wk
@@ -264,29 +260,32 @@
 	note.bounced = !w.begin(r)
 	w.res.grants = append(w.res.grants, note)
 	if note.bounced {
-		w.After(1, func() { w.ended(r, Bounced) })
+		w.After(1, func() { w.ended(r, match.Result{End: match.Refused, After: reportEvery}) })
 	}
 }
 
 // ended takes in the end of an attempt; other attempts of the same work end
 // with the first whole answer.
-func (w *world) ended(r *run, end End) {
+func (w *world) ended(r *run, res match.Result) {
 	wk := r.w
-	delete(r.s.jobs, r.id())
+	if r.s.jobs[r.id()] == r {
+		delete(r.s.jobs, r.id())
+		r.s.lim.Done(r.ask)
+	}
 	wk.runs = slices.DeleteFunc(wk.runs, func(o *run) bool { return o == r })
-	w.match.Finish(w.Now(), wk.item.ID, r.s.node, end)
+	w.match.Finish(w.Now(), wk.item.ID, r.s.node, res)
 	if w.works[wk.item.ID] != wk {
 		return
 	}
 	switch {
-	case end == Served:
+	case res.End == match.Served:
 		w.served(wk, r)
 	case len(wk.runs) > 0:
-	case wk.tries >= maxTry:
+	case res.End == match.Failed && wk.tries >= maxTry:
 		w.refuse(wk, fault.New(fault.Crashed, "every attempt failed"))
 	default:
 		wk.tries++
-		again(wk, r, end)
+		again(wk, r, res)
 		w.queue(wk)
 	}
 	w.At(w.Now(), w.decide)
@@ -296,21 +295,26 @@
 	wk.ended = w.Now()
 	delete(w.works, wk.item.ID)
 	for _, o := range slices.Clone(wk.runs) {
-		o.s.core.Cancel(o.id())
-		w.ended(o, Bounced)
+		w.end(o)
 	}
 	if wk.player != nil {
 		w.sampleDone(wk, r)
 	}
 }
 
+// end gives an attempt up.
+func (w *world) end(r *run) {
+	r.s.core.Cancel(r.id())
+	w.ended(r, match.Result{End: match.Dropped})
+}
+
 // lose plays the end of an entry: its work ends without an answer.
 func (w *world) lose(n ident.Node) {
 	if w.isLast(n) {
 		return
 	}
 	w.gone[n] = true
-	for _, id := range slices.Sorted(maps.Keys(w.works)) {
+	for _, id := range sortedKeys(w.works) {
 		wk := w.works[id]
 		if wk.entry != n {
 			continue
@@ -318,10 +322,7 @@
 		delete(w.works, id)
 		wk.ended, wk.refused = w.Now(), fault.Lost
 		for _, r := range slices.Clone(wk.runs) {
-			if r.s.core != nil {
-				r.s.core.Cancel(r.id())
-			}
-			w.ended(r, Bounced)
+			w.end(r)
 		}
 	}
 }
@@ -336,6 +337,8 @@
 	return n != ""
 }
 
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
 func sortedRuns(s *server) []*run {
 	out := slices.Collect(maps.Values(s.jobs))
 	slices.SortFunc(out, func(a, b *run) int { return cmp.Compare(a.w.item.ID, b.w.item.ID) })
