--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -43,15 +43,55 @@
 
 // Table lists all promises.
 var Table = []Promise{
-	{ID: TrueVersion, Text: "each sample names the versions that made it", Keeps: []string{"internal/decide/proof", "internal/node/agent"}},
-	{ID: FreshSample, Text: "no sample handed over is older than the staleness bound", Keeps: []string{"internal/decide/round"}},
-	{ID: SampleOnce, Text: "each sample reaches its trainer exactly once", Keeps: []string{"internal/decide/round", "trainer"}},
-	{ID: WholeAnswer, Text: "each caller gets the whole answer to its own request", Keeps: []string{"internal/node/calls", "internal/node/agent"}},
-	{ID: TrueRefusal, Text: "a request refused as not run was not run", Keeps: []string{"internal/base/fault", "internal/node/calls"}},
-	{ID: AtMostOnce, Text: "a request that is not idempotent runs at most once", Keeps: []string{"internal/node/calls"}},
-	{ID: LeavingIdle, Text: "a leaving backend server gets no new work after a few seconds", Keeps: []string{"internal/node/agent", "internal/decide/match"}},
-	{ID: CleanDrain, Text: "a graceful shutdown cuts no request", Keeps: []string{"internal/node/agent", "internal/node/entry"}},
-	{ID: ConfigStands, Text: "an accepted configuration is in force within seconds and stays", Keeps: []string{"internal/decide/ledger", "internal/node/follow"}},
+	{
+		TrueVersion, "each sample names the versions that made it",
+		[]string{"internal/decide/proof", "internal/node/agent"},
+		[]string{"internal/node/agent TestMayOrder"},
+	},
+	{
+		FreshSample, "no sample handed over is older than the staleness bound",
+		[]string{"internal/decide/round"},
+		[]string{"internal/proof/replay TestBrokenDecisionShows", "internal/proof/replay TestRecordedTraces"},
+	},
+	{
+		SampleOnce, "each sample reaches its trainer exactly once",
+		[]string{"internal/decide/round", "internal/node/rounds", "trainer"},
+		[]string{"internal/proof/procs TestProcesses", "internal/proof/replay TestBrokenDecisionShows", "internal/proof/replay TestRecordedTraces"},
+	},
+	{
+		WholeAnswer, "each caller gets the whole answer to its own request",
+		[]string{"internal/node/calls", "internal/node/agent"},
+		[]string{"internal/node/claims TestCallersApart", "internal/proof/procs TestProcesses"},
+	},
+	{
+		TrueRefusal, "a request refused as not run was not run",
+		[]string{"internal/base/fault", "internal/decide/claim", "internal/decide/limit"},
+		[]string{"internal/decide/claim TestAnyOrder", "internal/node/claims TestAtMostOnce"},
+	},
+	{
+		AtMostOnce, "a request that is not idempotent runs at most once",
+		[]string{"internal/decide/claim", "internal/node/claims"},
+		[]string{"internal/decide/claim TestAnyOrder", "internal/decide/claim TestState", "internal/node/claims TestAtMostOnce"},
+	},
+	{
+		LeavingIdle, "a leaving backend server gets no new work after a few seconds",
+		[]string{"internal/node/agent", "internal/decide/match"},
+		[]string{"internal/node/entry TestListedLeaving", "internal/proof/replay TestBrokenDecisionShows"},
+	},
+	{
+		CleanDrain, "a graceful shutdown cuts no request",
+		[]string{"internal/node/agent", "internal/node/entry"},
+		[]string{"internal/proof/procs TestProcesses"},
+	},
+	{
+		ConfigStands, "an accepted configuration is in force within seconds and stays",
+		[]string{"internal/decide/ledger", "internal/node/follow"},
+		[]string{
+			"internal/decide/ledger TestReaders", "internal/node/entry TestColdStart", "internal/node/follow TestConcurrentSnapshot",
+			"internal/node/follow TestLongOutage", "internal/node/follow TestRace", "internal/node/follow TestReplacedInOutage",
+			"internal/proof/replay TestBrokenDecisionShows",
+		},
+	},
 }
 
 // maxShown bounds the failures listed for one promise.
--- a/internal/proof/replay/decide.go
+++ b/internal/proof/replay/decide.go
@@ -51,8 +51,15 @@
 		Match:  func() Matcher { return match.New(match.Standard()) },
 		Round:  func(now clock.Millis, s round.Spec, held round.Cursor) Round { return round.New(now, s, held) },
 		Ledger: func() Ledger { return ledger.New() },
-		Swap: func(now clock.Millis, target ident.Version, servers []swap.Server) []ident.Node {
-			return swap.Next(now, swap.Standard(), target, servers)
-		},
+		Swap:   nextSwaps,
 	}
 }
+
+// nextSwaps decides over all groups of a model, as their owners do together.
+func nextSwaps(now clock.Millis, target ident.Version, servers []swap.Server) []ident.Node {
+	var out []ident.Node
+	for _, g := range swap.Groups(swap.Standard(), servers) {
+		out = append(out, swap.Next(now, swap.Standard(), target, g)...)
+	}
+	return out
+}
--- a/internal/proof/replay/server.go
+++ b/internal/proof/replay/server.go
@@ -31,7 +31,8 @@
 	version ident.Version
 	loading bool
 	down    bool
-	failed  clock.Millis // instant of the last failed load
+	fails   int          // failed loads in a row
+	after   clock.Millis // no order before this instant
 	leaving clock.Millis // instant at which it said so
 	heard   clock.Millis // last line in the trace
 	told    clock.Millis // last report to the matcher
@@ -224,7 +225,7 @@
 	var out []swap.Server
 	for _, s := range w.nodes {
 		if s.service == m && !s.call && !s.down && w.Now()-s.heard <= silentAfter && s.leaving == 0 {
-			out = append(out, swap.Server{Node: s.node, Zone: s.zone, Version: s.version, Loading: s.loading, Failed: s.failed})
+			out = append(out, swap.Server{Node: s.node, Zone: s.zone, Version: s.version, Loading: s.loading, After: s.after})
 		}
 	}
 	return out
@@ -245,9 +246,10 @@
 		switch {
 		case s.boot != boot || s.down:
 		case w.facts.failing[s.node].has(w.recorded()):
-			s.failed = w.Now()
+			s.fails++
+			s.after = w.Now() + swap.Wait(swap.Standard(), s.node, s.fails, 0)
 		default:
-			s.version = v
+			s.version, s.fails = v, 0
 		}
 		w.plan(s)
 		w.tell(s)
--- a/internal/proof/replay/world.go
+++ b/internal/proof/replay/world.go
@@ -249,7 +249,7 @@
 func (w *world) grant(wk *work, g match.Grant) {
 	s := w.servers[g.Node]
 	r := &run{w: wk, s: s, grant: g, ask: limit.Ask{Short: g.Short}}
-	note := granted{at: w.Now(), node: g.Node, left: s.leaving, heard: s.heard}
+	note := granted{at: w.Now(), node: g.Node, left: s.leaving, heard: s.told}
 	if wk.player == nil {
 		note.work = wk
 	}
