--- a/internal/proof/replay/server.go
+++ b/internal/proof/replay/server.go
@@ -142,7 +142,7 @@
 // begin starts an attempt, unless the server has no room.
 func (w *world) begin(r *run) bool {
 	s := r.s
-	if s.down || s.lim.Admit(s.node, r.ask, reportEvery) != nil {
+	if s.down || s.lim.Admit(w.Now(), s.node, r.ask, reportEvery) != nil {
 		return false
 	}
 	r.started = s.version
