--- a/internal/node/calls/race.go
+++ b/internal/node/calls/race.go
@@ -203,9 +203,11 @@
 	if len(r.live) == 1 && len(a.tokens) > len(r.t.tokens) {
 		_ = r.t.deliver(a) // If the caller is gone, its context tells.
 	}
-	r.end(a)
-	r.drop(a)
 	r.t.failed(a, err)
+	if !r.t.moved || a.moved { // What was refused needs no cancel.
+		r.end(a)
+	}
+	r.drop(a)
 	r.t.c.finish(r.id, a.grant.server.Node, resultOf(err))
 	return len(r.live) == 0
 }
