Bound the inner protocol: size, concurrency, silence, dials; refuse versions at the opening

Cause: gob accepts messages of 1 GB; a peer that takes no bytes blocked all calls over its connection; a call over a connection that had ended counted as perhaps run, though it was never sent; each call dialled a dead peer anew; a peer of another version failed in the decoder. Change: a codec of 32 MB a message that closes for good beyond it, 1024 calls a connection, 5 s to take a message; the codec marks a call as sent before its first byte, so an unsent one is sent again or refused as not run; one dial at a time and a wait of up to 1 s after a failure; the opening names the version.

--- /dev/null
+++ b/internal/inner/record/record_test.go
@@ -0,0 +1,99 @@
+package record
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/class"
+)
+
+var (
+	someClass = class.Stored(class.Params{Name: "a", Kind: class.Draft, Service: "m", Lateness: 5, Waiting: 1, MaxTokens: 3})
+	someRecs  = map[string]Record{
+		"change": {Writer: Writer{"n", 1 << 63, 7}, Change: &Change{Author: "ann", Date: "d", Comment: "c", Edits: []Edit{
+			{Name: "a", Base: 3, Class: someClass}, {Name: "b", Base: 4, Removed: true},
+		}}},
+		"snapshot": {Snapshot: &Snapshot{
+			Covers:  9,
+			Entries: []Entry{{someClass, 3, "ann"}},
+			Removed: []Tombstone{{"b", 4, "bob"}},
+			Writers: []Seen{{Writer{"n", 1, 7}, 4}},
+		}},
+	}
+)
+
+func TestCodec(t *testing.T) {
+	for name, r := range someRecs {
+		t.Run(name, func(t *testing.T) {
+			data, err := Encode(r)
+			qt.Assert(t, err, qt.IsNil)
+			back, err := Decode(data)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, reflect.DeepEqual(back, r), qt.IsTrue, qt.Commentf("%+v", back))
+		})
+	}
+}
+
+func TestDecode(t *testing.T) {
+	tests := map[string]struct {
+		data  string
+		newer bool
+		ok    bool
+	}{
+		"broken":           {data: "{"},
+		"empty":            {data: "{}"},
+		"both parts":       {data: `{"change":{"edits":[]},"snapshot":{"covers":1,"entries":[]}}`},
+		"other name":       {data: `{"change":{"edits":[{"name":"a","class":{"name":"b"}}]}}`},
+		"class and remove": {data: `{"change":{"edits":[{"name":"a","removed":true,"class":{"name":"a"}}]}}`},
+		"newer":            {data: `{"format":2,"needs":2,"change":{"edits":[]}}`, newer: true},
+		"newer, readable":  {data: `{"format":2,"needs":1,"change":{"edits":[],"x":1}}`, ok: true},
+		"unknown kind":     {data: `{"change":{"edits":[{"name":"a","class":{"name":"a","kind":"poem"}}]}}`, ok: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := Decode([]byte(tc.data))
+			qt.Assert(t, err == nil, qt.Equals, tc.ok, qt.Commentf("%v", err))
+			qt.Assert(t, errors.Is(err, ErrNewer), qt.Equals, tc.newer)
+		})
+	}
+}
+
+// FuzzDecode checks that no bytes stop the decoders, and that what they accept
+// keeps its meaning when it is written again.
+func FuzzDecode(f *testing.F) {
+	for _, r := range someRecs {
+		data, _ := Encode(r)
+		f.Add(data)
+	}
+	lease, _ := EncodeLease(Lease{Kind: Bid, Node: "n", Boot: 1, Seq: 2, Read: 3, Term: 4})
+	f.Add(lease)
+	f.Add([]byte(`{"needs":2}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if l, err := DecodeLease(data); err == nil {
+			again, _ := EncodeLease(l)
+			back, err := DecodeLease(again)
+			if err != nil || back != l {
+				t.Fatalf("%+v became %+v: %v", l, back, err)
+			}
+		}
+		r, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Encode(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := Decode(again)
+		if err != nil {
+			t.Fatalf("%s: %v", again, err)
+		}
+		third, _ := Encode(back)
+		if string(third) != string(again) {
+			t.Fatalf("%s became %s", again, third)
+		}
+	})
+}
--- a/internal/inner/wire/wire.go
+++ b/internal/inner/wire/wire.go
@@ -20,14 +20,17 @@
 // A call that fails after it was sent may have taken effect: its error has the
 // kind [fault.Lost]. A call that could not be sent has the kind
 // [fault.BadPeer] or [fault.NoBackend], both proven as not run.
+//
+// Bounds: a message is at most 32 MB, a connection serves at most 1024 calls at
+// once and reads no further ones meanwhile, a peer that takes no bytes for 5 s
+// is cut off, and a peer that can't be reached is dialled at most once a second.
+// The time of a call is bounded by its context.
+//
+// The proof guards the opening of a connection, not each byte after it: someone
+// who can change packets between two nodes is not kept out.
 package wire
 
 import (
-	"context"
-	"crypto/hmac"
-	"crypto/rand"
-	"crypto/sha256"
-	"io"
 	"net"
 	"net/rpc"
 	"sync"
@@ -41,10 +44,10 @@
 )
 
 const (
-	nonceBytes       = 32
-	handshakeTimeout = 2 * time.Second
-	dialTimeout      = time.Second
-	maxConns         = 4096
+	maxConns    = 4096
+	maxInFlight = 1024     // calls of one connection that are being served
+	maxMessage  = 32 << 20 // bytes
+	writeFor    = 5 * time.Second
 )
 
 // ToFault maps an error to its message form; nil is success.
@@ -143,7 +146,7 @@
 		_ = conn.Close()
 		return
 	}
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeCodec(newServerCodec(conn))
 }
 
 func (s *Server) track(c net.Conn) bool {
@@ -161,125 +164,3 @@
 	defer s.mu.Unlock()
 	delete(s.conns, c)
 }
-
-// handshake proves the key in both directions: each side sends a nonce and
-// answers the other's with a keyed digest. Both sides run the same steps; a
-// nonce equal to the own one is refused, so that a proof can't be reflected.
-func handshake(conn net.Conn, key []byte) error {
-	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return errors.Wrap(err, "set deadline")
-	}
-	mine := make([]byte, nonceBytes)
-	_, _ = rand.Read(mine)
-	if _, err := conn.Write(mine); err != nil {
-		return errors.Wrap(err, "send nonce")
-	}
-	theirs := make([]byte, nonceBytes)
-	if _, err := io.ReadFull(conn, theirs); err != nil {
-		return errors.Wrap(err, "read nonce")
-	}
-	if hmac.Equal(mine, theirs) {
-		return fault.New(fault.BadPeer, "peer reflected the nonce")
-	}
-	if _, err := conn.Write(prove(key, theirs, mine)); err != nil {
-		return errors.Wrap(err, "send proof")
-	}
-	proof := make([]byte, sha256.Size)
-	if _, err := io.ReadFull(conn, proof); err != nil {
-		return errors.Wrap(err, "read proof")
-	}
-	if !hmac.Equal(proof, prove(key, mine, theirs)) {
-		return fault.New(fault.BadPeer, "peer does not hold the inner key")
-	}
-	return errors.Wrap(conn.SetDeadline(time.Time{}), "clear deadline")
-}
-
-func prove(key, nonce, own []byte) []byte {
-	h := hmac.New(sha256.New, key)
-	h.Write(nonce)
-	h.Write(own)
-	return h.Sum(nil)
-}
-
-// Pool keeps one connection to each peer and dials again after a failure.
-type Pool struct {
-	key   []byte
-	mu    sync.Mutex
-	peers map[string]*rpc.Client
-}
-
-// NewPool returns an empty pool that proves the key to its peers.
-func NewPool(key []byte) *Pool {
-	return &Pool{key: key, peers: make(map[string]*rpc.Client)}
-}
-
-// Call sends one call to an address and waits for its answer or the context.
-func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
-	c, err := p.client(ctx, addr)
-	if err != nil {
-		return err
-	}
-	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-ctx.Done():
-		return fault.Wrap(fault.Lost, ctx.Err(), "no answer from "+addr)
-	case <-call.Done:
-	}
-	if call.Error == nil {
-		return nil
-	}
-	if _, ok := call.Error.(rpc.ServerError); !ok { //nolint:errorlint // net/rpc returns it bare.
-		p.drop(addr, c)
-	}
-	return fault.Wrap(fault.Lost, call.Error, "call "+method+" at "+addr)
-}
-
-func (p *Pool) client(ctx context.Context, addr string) (*rpc.Client, error) {
-	p.mu.Lock()
-	c, ok := p.peers[addr]
-	p.mu.Unlock()
-	if ok {
-		return c, nil
-	}
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, fault.Wrap(fault.NoBackend, err, "dial "+addr)
-	}
-	if err := handshake(conn, p.key); err != nil {
-		_ = conn.Close()
-		return nil, fault.Wrap(fault.BadPeer, err, "handshake with "+addr)
-	}
-	return p.keep(addr, rpc.NewClient(conn)), nil
-}
-
-// keep stores the client, or closes it if another call stored one first.
-func (p *Pool) keep(addr string, c *rpc.Client) *rpc.Client {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if old, ok := p.peers[addr]; ok {
-		_ = c.Close()
-		return old
-	}
-	p.peers[addr] = c
-	return c
-}
-
-func (p *Pool) drop(addr string, c *rpc.Client) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.peers[addr] == c {
-		delete(p.peers, addr)
-	}
-	_ = c.Close()
-}
-
-// Close ends all connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for a, c := range p.peers {
-		_ = c.Close()
-		delete(p.peers, a)
-	}
-}
--- a/internal/inner/wire/wire_test.go
+++ b/internal/inner/wire/wire_test.go
@@ -17,6 +17,17 @@
 	return nil
 }
 
+// serve offers a service as "Agent" and returns its address.
+func serve(c *qt.C, svc any) string {
+	srv := NewServer([]byte("k"))
+	c.Assert(srv.Register("Agent", svc), qt.IsNil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = srv.Serve(ln) }()
+	c.Cleanup(func() { _ = ln.Close(); srv.Close() })
+	return ln.Addr().String()
+}
+
 func TestHandshake(t *testing.T) {
 	tests := map[string]struct {
 		key   string
@@ -30,19 +41,12 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			srv := NewServer([]byte("k"))
-			c.Assert(srv.Register("Agent", echo{}), qt.IsNil)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			c.Assert(err, qt.IsNil)
-			defer func() { _ = ln.Close() }()
-			go func() { _ = srv.Serve(ln) }()
-			defer srv.Close()
-
+			addr := serve(c, echo{})
 			pool := NewPool([]byte(tc.key))
 			defer pool.Close()
 			var ack Ack
 			args := CancelArgs{Hello: Hello{Protocol: tc.proto, Node: "n"}}
-			err = pool.Call(context.Background(), ln.Addr().String(), "Agent.Cancel", &args, &ack)
+			err := pool.Call(context.Background(), addr, "Agent.Cancel", &args, &ack)
 			if err == nil {
 				err = ack.Fault.Err()
 			}
