Keep short work's slots by demand at the agent; try short work beyond an old report

Cause: three entries with reports 5 s old let long work fill the agents in a burst to twice the capacity; entries then closed whole servers for a report's interval after one refusal, and took servers for full by work that had ended. Change: an agent keeps slots by the measured demand of short work and hints by the pace of its ends; a refusal of long work closes the server for long work only; short work that has waited for a quarter of its target is tried on a server that only an old report shows as full (rule 13).

--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -2,17 +2,25 @@
 //
 // Entries choose agents by load reports that lag, so the agent itself must
 // refuse what exceeds its slots. It refuses before anything runs, so a refusal
-// proves that the work was not run. Some slots are kept for short work while
-// any has come lately, and two suspects of a crash never run beside each other.
+// proves that the work was not run.
+//
+//  1. Some slots are kept for short work: a fixed share while any has come
+//     lately, and more by its measured demand. Several entries that each see
+//     old reports can fill all other slots, but not these.
+//  2. Two suspects of a crash never run beside each other.
+//  3. A refusal tells to come back when a slot is likely to be free, by the
+//     pace at which work has ended lately.
 //
 // # Usage
 //
 //	l := limit.New(16)
 //	if err := l.Admit(now, "agent-1", limit.Ask{Short: true}, hint); err != nil { refuse }
-//	l.Done(ask)
+//	l.Done(now, ask)
 package limit
 
 import (
+	"math"
+
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
@@ -21,6 +29,11 @@
 const (
 	keptFor   = 8                 // slots for each one kept for short work
 	keptWhile = 30 * clock.Second // since the last short work
+	keptMost  = 2                 // slots for each one kept by demand
+	headroom  = 1.25              // of the demand of short work
+	memory    = 2 * clock.Second  // of the demand
+	endShare  = 0.2               // weight of a new span between two ends
+	leastHint = 20 * clock.Milli
 )
 
 // Ask is what admission looks at.
@@ -32,46 +45,86 @@
 // Limit counts the work of one agent.
 type Limit struct {
 	slots    int
-	kept     int // slots for short work only
 	open     int
+	short    int // of open
 	suspects int
-	short    clock.Millis // slots are kept until then
+	until    clock.Millis // slots are kept until then
+	demand   float64      // slots that short work needs, smoothed
+	at       clock.Millis // of demand
+	ended    clock.Millis
+	between  float64 // ms between two ends, smoothed
 }
 
-// New returns a limit of some slots. A small agent keeps none for short work.
-func New(slots int) *Limit { return &Limit{slots: slots, kept: Kept(slots)} }
+// New returns a limit of some slots.
+func New(slots int) *Limit { return &Limit{slots: slots} }
 
-// Kept returns how many of an agent's slots only short work may use.
+// Kept returns how many of an agent's slots only short work may use, while
+// any has come lately. A small agent keeps none.
 func Kept(slots int) int { return slots / keptFor }
 
 // Open returns how much work is in progress.
 func (l *Limit) Open() int { return l.open }
 
-// Admit takes a slot, or refuses and tells when to come back.
-func (l *Limit) Admit(now clock.Millis, n ident.Node, a Ask, hint clock.Millis) error {
-	if a.Short {
-		l.short = now + keptWhile
+// kept returns how many free slots are left for short work now.
+func (l *Limit) kept(now clock.Millis) int {
+	if now >= l.until {
+		return 0
 	}
+	byDemand := min(int(headroom*l.demand), l.slots/keptMost) - l.short
+	return max(Kept(l.slots), byDemand)
+}
+
+// measure takes in how many slots short work has held since the last time.
+func (l *Limit) measure(now clock.Millis, short int) {
+	fade := math.Exp(-float64(now-l.at) / float64(memory))
+	l.demand += (1 - fade) * (float64(short) - l.demand)
+	l.at = now
+}
+
+// Admit takes a slot, or refuses and tells when to come back: hint at most.
+func (l *Limit) Admit(now clock.Millis, n ident.Node, a Ask, hint clock.Millis) error {
+	l.measure(now, l.short)
 	usable := l.slots
-	if !a.Short && now < l.short {
-		usable -= l.kept
+	if a.Short {
+		l.until = now + keptWhile
+	} else {
+		usable -= l.kept(now) // rule 1
 	}
 	switch {
 	case l.open >= usable:
-		return fault.New(fault.Overloaded, "agent "+string(n)+" has no free slot").After(hint)
-	case a.Suspect && l.suspects > 0:
+		return fault.New(fault.Overloaded, "agent "+string(n)+" has no free slot").After(l.hint(hint))
+	case a.Suspect && l.suspects > 0: // rule 2
 		return fault.New(fault.Overloaded, "agent "+string(n)+" runs another suspect of a crash").After(hint)
 	}
 	l.open++
+	if a.Short {
+		l.short++
+	}
 	if a.Suspect {
 		l.suspects++
 	}
 	return nil
 }
 
+// hint applies rule 3.
+func (l *Limit) hint(most clock.Millis) clock.Millis {
+	if l.between == 0 {
+		return most
+	}
+	return min(most, max(leastHint, clock.Millis(l.between)))
+}
+
 // Done gives the slot back.
-func (l *Limit) Done(a Ask) {
+func (l *Limit) Done(now clock.Millis, a Ask) {
+	l.measure(now, l.short)
+	if l.ended > 0 {
+		l.between += endShare * (float64(now-l.ended) - l.between)
+	}
+	l.ended = now
 	l.open--
+	if a.Short {
+		l.short--
+	}
 	if a.Suspect {
 		l.suspects--
 	}
--- a/internal/decide/match/match.go
+++ b/internal/decide/match/match.go
@@ -28,6 +28,9 @@
 //  11. A further attempt is paid from the retry budget, a hedge from the hedge
 //     budget. Only short work that may run twice is hedged.
 //  12. A suspect of a crash never runs beside another.
+//  13. Reports may be seconds old. Short work that has waited for a quarter of
+//     its target is tried on a server that only the work of others fills, by
+//     its last report; its agent refuses what is too much.
 //
 // # Usage
 //
@@ -98,7 +101,7 @@
 		s = m.attach(sv)
 	}
 	if s.Boot != sv.Boot {
-		s.shut, s.failures = 0, 0
+		s.shut, s.shutLong, s.failures = 0, 0, 0
 	}
 	s.Server = sv
 	s.heard = now
--- a/internal/decide/match/match_test.go
+++ b/internal/decide/match/match_test.go
@@ -294,3 +294,30 @@
 	m.Next(start + forgetAfter + 1)
 	c.Assert(m.Health(), qt.HasLen, 0)
 }
+
+// TestRegionCutOff lets the reports of the entry's own region stop. Work goes
+// to the other region at once, and comes back with the reports.
+func TestRegionCutOff(t *testing.T) {
+	c := qt.New(t)
+	p := Standard()
+	p.Zone, p.Region = "a", "main"
+	m := New(p)
+	far := with(idle(2), func(s *Server) { s.Zone, s.Region = "c", "far" })
+	at := func(now clock.Millis, id uint64) ident.Node {
+		it := plain(id)
+		it.StartBy, it.FinishBy = now+clock.Second, now+10*clock.Second
+		c.Assert(m.Arrive(now, it), qt.IsNil)
+		grants, _ := m.Next(now)
+		c.Assert(grants, qt.HasLen, 1)
+		return grants[0].Node
+	}
+	m.Report(start, idle(1))
+	m.Report(start, far)
+	c.Assert(at(start, 1), qt.Equals, node(1))
+	cut := start + 4*clock.Second
+	m.Report(cut, with(far, func(s *Server) { s.Seq = 2 }))
+	m.Finish(cut, 1, node(1), Result{End: Failed})
+	c.Assert(at(cut, 2), qt.Equals, node(2))
+	m.Report(cut+clock.Second, with(idle(1), func(s *Server) { s.Seq = 2 }))
+	c.Assert(at(cut+clock.Second, 3), qt.Equals, node(1))
+}
--- a/internal/decide/match/next.go
+++ b/internal/decide/match/next.go
@@ -172,9 +172,42 @@
 		grants = append(grants, m.grant(now, p, l, it, s, b))
 	}
 	p.restore()
+	return m.try(now, p, grants)
+}
+
+// try applies rule 13 to one item.
+func (m *Matcher) try(now clock.Millis, p *pool, grants []Grant) []Grant {
+	if !m.p.Reserve || len(p.all) == 0 {
+		return grants
+	}
+	l := p.heads()[short]
+	if l == nil {
+		return grants
+	}
+	it, _ := l.q.Pop()
+	if now >= it.arrived+(it.StartBy-it.arrived)/4 {
+		if s := m.unsure(now, p, &it); s != nil {
+			return append(grants, m.grant(now, p, l, it, s, short))
+		}
+	}
+	l.q.Push(it.ID, it.due(l.class), it)
 	return grants
 }
 
+// unsure returns a server with a slot if the work of others there has ended.
+func (m *Matcher) unsure(now clock.Millis, p *pool, it *Item) (best *server) {
+	for range triedServers {
+		s := p.all[m.rng.IntN(len(p.all))]
+		_, fits := loadFor(now, it, short, false)(s)
+		full := s.load() >= s.Slots && s.own < s.Slots && s.Version >= it.Floor && (!it.Suspect || s.suspects == 0)
+		usable := s.lives(now, m.p) && s.tier != otherRegion && !s.pace.Slow()
+		if usable && (fits || full) && (best == nil || s.own < best.own) {
+			best = s
+		}
+	}
+	return best
+}
+
 // restore puts the items that were passed over back in their places.
 func (p *pool) restore() {
 	keep := p.lanes[:0]
@@ -196,16 +229,7 @@
 	if !m.p.Reserve {
 		return p.oldest(), short
 	}
-	var heads [bands]*lane
-	for _, l := range p.lanes {
-		if l.blocked || l.q.Len() == 0 {
-			continue
-		}
-		b := p.band(l)
-		if heads[b] == nil || l.dueBefore(heads[b]) {
-			heads[b] = l
-		}
-	}
+	heads := p.heads()
 	if l, b := p.starving(heads); l != nil { // rule 4
 		return l, b
 	}
@@ -222,6 +246,20 @@
 	return nil, short
 }
 
+// heads returns the queue of each band whose head has the least slack.
+func (p *pool) heads() (heads [bands]*lane) {
+	for _, l := range p.lanes {
+		if l.blocked || l.q.Len() == 0 {
+			continue
+		}
+		b := p.band(l)
+		if heads[b] == nil || l.dueBefore(heads[b]) {
+			heads[b] = l
+		}
+	}
+	return heads
+}
+
 // starving returns the queue of a band below its floor whose head was due
 // before the short band's. A pool too small for floors gives such a band one
 // of some grants.
--- a/internal/decide/match/pick.go
+++ b/internal/decide/match/pick.go
@@ -58,9 +58,11 @@
 
 // loadFor returns a function that tells a server's load for an item, false if
 // the server may not run it.
-func loadFor(it *Item, b band, insist bool) func(*server) (float64, bool) {
+func loadFor(now clock.Millis, it *Item, b band, insist bool) func(*server) (float64, bool) {
 	return func(s *server) (float64, bool) {
 		switch {
+		case b != short && now < s.shutLong:
+			return 0, false
 		case !s.room(b), s.Version < it.Floor:
 			return 0, false
 		case insist && it.Avoid.Has(s.Node):
@@ -74,9 +76,9 @@
 
 // pick returns the server that an item goes to, or nil.
 func (m *Matcher) pick(now clock.Millis, p *pool, it *Item, b band) *server {
-	s := m.pickBy(now, p, it, loadFor(it, b, true))
+	s := m.pickBy(now, p, it, loadFor(now, it, b, true))
 	if s == nil && len(it.Avoid) > 0 && now-it.arrived >= avoidFor {
-		s = m.pickBy(now, p, it, loadFor(it, b, false))
+		s = m.pickBy(now, p, it, loadFor(now, it, b, false))
 	}
 	return s
 }
@@ -171,7 +173,7 @@
 		}
 		id, _, _ := l.q.Peek()
 		it, _ := l.q.Pop()
-		if _, ok := loadFor(&it, b, true)(s); !ok || it.Once || it.Suspect {
+		if _, ok := loadFor(now, &it, b, true)(s); !ok || it.Once || it.Suspect {
 			l.q.Push(id, it.due(l.class), it)
 			continue
 		}
@@ -222,7 +224,7 @@
 			continue
 		}
 		first := f.runs[0].server
-		s := m.second(f, first)
+		s := m.second(now, f, first)
 		if s == nil || !f.pool.hedges.Take() {
 			m.hedges.Push(id, now+sweepEvery, id)
 			continue
@@ -239,8 +241,8 @@
 }
 
 // second returns another server of this region for a hedge.
-func (m *Matcher) second(f *flight, first *server) *server {
-	load := loadFor(&f.item, short, true)
+func (m *Matcher) second(now clock.Millis, f *flight, first *server) *server {
+	load := loadFor(now, &f.item, short, true)
 	return m.near(f.pool, func(s *server) (float64, bool) {
 		if s == first {
 			return 0, false
--- a/internal/decide/match/policy.go
+++ b/internal/decide/match/policy.go
@@ -59,6 +59,7 @@
 	forgetAfter  = clock.Minute     // a server not heard of for so long is forgotten
 	probeEvery   = clock.Second
 	minAfter     = 100 * clock.Milli // the shortest time to come back that a refusal names
+	leastShut    = 20 * clock.Milli  // a server that refused is closed so long at least
 	failedFor    = 250 * clock.Milli // a server that failed is closed so long, doubled each time
 	failedMost   = 8 * clock.Second
 	firstGuess   = clock.Second // running time of a class not yet measured
@@ -67,6 +68,7 @@
 	affinityOver = 1.25         // a prefix's server may have this much of the mean load
 	lookahead    = 32           // items of a queue passed over in one decision
 	fewShort     = 0.1          // slots of demand below which none are kept for short work
+	triedServers = 4            // random servers that rule 13 looks at
 	retrySaved   = 10           // attempts that the budgets save up
 	tokenBytes   = 8            // of an answer on a link, each token
 )
--- a/internal/decide/match/pool.go
+++ b/internal/decide/match/pool.go
@@ -227,6 +227,7 @@
 	own      int
 	suspects int
 	shut     clock.Millis // closed until then, after a refusal or failure
+	shutLong clock.Millis // closed until then to all but short work
 	failures int
 	probed   clock.Millis
 	gone     bool
@@ -289,7 +290,11 @@
 	case Served:
 		s.failures = 0
 	case Refused:
-		s.shut = max(s.shut, now+max(res.After, sweepEvery))
+		if r.band != short { // The agent may still have slots kept for short work.
+			s.shutLong = max(s.shutLong, now+max(res.After, leastShut))
+			return
+		}
+		s.shut = max(s.shut, now+max(res.After, leastShut))
 	case Failed:
 		s.shut = max(s.shut, now+min(failedFor<<min(s.failures, 5), failedMost))
 		s.failures++
--- /dev/null
+++ b/internal/decide/pace/pace_test.go
@@ -0,0 +1,92 @@
+package pace
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+)
+
+// phase is a span in which each peer makes tokens at a rate.
+type phase struct {
+	span  clock.Millis
+	rates []float64 // tokens/s of one stream; 0 shows nothing
+}
+
+// TestJudge runs one stream on each of some peers through phases.
+func TestJudge(t *testing.T) {
+	tests := map[string]struct {
+		phases []phase
+		want   []bool
+	}{
+		"even":                          {[]phase{{2000, []float64{400, 400, 400, 400}}}, []bool{false, false, false, false}},
+		"one at a fifth":                {[]phase{{2000, []float64{400, 400, 400, 400}}, {1000, []float64{80, 400, 400, 400}}}, []bool{true, false, false, false}},
+		"half as fast is usual load":    {[]phase{{2000, []float64{200, 400, 400, 400}}}, []bool{false, false, false, false}},
+		"one stands still":              {[]phase{{2000, []float64{400, 400, 400, 400}}, {2000, []float64{0, 400, 400, 400}}}, []bool{true, false, false, false}},
+		"recovers":                      {[]phase{{1000, []float64{80, 400, 400, 400}}, {2000, []float64{400, 400, 400, 400}}}, []bool{false, false, false, false}},
+		"hysteresis below the way back": {[]phase{{1000, []float64{80, 400, 400, 400}}, {2000, []float64{240, 400, 400, 400}}}, []bool{true, false, false, false}},
+		"all at a fifth":                {[]phase{{2000, []float64{400, 400, 400, 400}}, {2000, []float64{80, 80, 80, 80}}}, []bool{false, false, false, false}},
+		"most at a fifth":               {[]phase{{2000, []float64{400, 400, 400, 400}}, {2000, []float64{80, 80, 80, 400}}}, []bool{false, false, false, false}},
+		"half at a fifth":               {[]phase{{2000, []float64{400, 400, 400, 400}}, {2000, []float64{80, 80, 400, 400}}}, []bool{true, true, false, false}},
+		"all stand still":               {[]phase{{2000, []float64{400, 400, 400, 400}}, {2000, []float64{0, 0, 0, 0}}}, []bool{false, false, false, false}},
+		"too few to compare":            {[]phase{{2000, []float64{80, 400}}}, []bool{false, false}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			peers := make([]*Pace, len(tc.want))
+			streams := make([]Stream, len(tc.want))
+			now := clock.Hour
+			for i := range peers {
+				peers[i] = &Pace{}
+				peers[i].Begin(now, &streams[i])
+			}
+			for _, ph := range tc.phases {
+				for end := now + ph.span; now < end; {
+					now += 50
+					for i, r := range ph.rates {
+						peers[i].Progress(now, &streams[i], int(r/20))
+					}
+					Judge(now, peers)
+				}
+			}
+			var got []bool
+			for _, p := range peers {
+				got = append(got, p.Slow())
+			}
+			c.Assert(got, qt.DeepEquals, tc.want)
+		})
+	}
+}
+
+// TestFirstToken compares the times to the first token.
+func TestFirstToken(t *testing.T) {
+	tests := map[string]struct {
+		firsts []clock.Millis
+		want   []bool
+	}{
+		"even":                        {[]clock.Millis{100, 120, 90}, []bool{false, false, false}},
+		"five times the median":       {[]clock.Millis{500, 100, 90}, []bool{true, false, false}},
+		"late, but below the floor":   {[]clock.Millis{200, 20, 20}, []bool{false, false, false}},
+		"all late":                    {[]clock.Millis{900, 900, 900}, []bool{false, false, false}},
+		"all but one late":            {[]clock.Millis{900, 900, 20}, []bool{false, false, false}},
+		"two peers can't be compared": {[]clock.Millis{900, 20}, []bool{false, false}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var peers []*Pace
+			for _, f := range tc.firsts {
+				p, s := &Pace{}, &Stream{}
+				p.Begin(clock.Hour, s)
+				p.Progress(clock.Hour+f, s, 1)
+				peers = append(peers, p)
+			}
+			Judge(clock.Hour+clock.Second, peers)
+			for i, p := range peers {
+				c.Assert(p.Slow(), qt.Equals, tc.want[i])
+			}
+		})
+	}
+}
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -212,7 +212,7 @@
 	j.end(a.p.Clock.Now(), body, err)
 	a.recordJob(trace.Finish, j.msg, err)
 	a.mu.Lock()
-	a.limit.Done(askOf(j.msg))
+	a.limit.Done(a.p.Clock.Now(), askOf(j.msg))
 	a.mu.Unlock()
 }
 
--- a/internal/proof/replay/world.go
+++ b/internal/proof/replay/world.go
@@ -270,7 +270,7 @@
 	wk := r.w
 	if r.s.jobs[r.id()] == r {
 		delete(r.s.jobs, r.id())
-		r.s.lim.Done(r.ask)
+		r.s.lim.Done(w.Now(), r.ask)
 	}
 	wk.runs = slices.DeleteFunc(wk.runs, func(o *run) bool { return o == r })
 	w.match.Finish(w.Now(), wk.item.ID, r.s.node, res)
--- /dev/null
+++ b/internal/proof/vtime/fault_test.go
@@ -0,0 +1,80 @@
+package vtime
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+)
+
+// TestEverySlow slows all servers of the class at once to a fifth, at a load
+// that they can still do. If most were ejected, work would be refused.
+func TestEverySlow(t *testing.T) {
+	c := qt.New(t)
+	for _, o := range runAll(goalSeeds, func(seed uint64) Scenario {
+		s := loaded(standard(seed), 0.12)
+		all := make([]int, s.Engines)
+		for i := range all {
+			all[i] = i
+		}
+		s.Faults = []Fault{{At: 20 * clock.Second, For: 20 * clock.Second, Engines: all, Speed: 0.2}}
+		return s
+	}) {
+		c.Assert(o.Refused, qt.DeepEquals, []int{0, 0})
+		c.Assert(o.ExtraShare() <= hedgeMost, qt.IsTrue, qt.Commentf("extra %v", o.ExtraShare()))
+		c.Assert(o.Left, qt.Equals, 0)
+	}
+}
+
+// TestBurstUnderOldReports lets a burst arrive at three entries whose reports
+// are 5 s old. No agent runs more than its slots, and short work keeps its
+// waiting target.
+func TestBurstUnderOldReports(t *testing.T) {
+	c := qt.New(t)
+	for _, o := range runAll(goalSeeds, func(seed uint64) Scenario {
+		s := standard(seed)
+		s.Entries = 3
+		s.Lag = 5 * clock.Second
+		s.Load = func(at clock.Millis) float64 {
+			if at >= 30*clock.Second && at < 36*clock.Second {
+				return 2
+			}
+			return 0.5
+		}
+		return s
+	}) {
+		t.Logf("short work's p99 %v, refused by agents %d times, %d requests", o.Quantile(shortWork, 0.99), o.Bounced, o.Arrived[shortWork]+o.Arrived[longWork])
+		c.Assert(o.Most <= o.s.Batch.Slots, qt.IsTrue, qt.Commentf("%d at once", o.Most))
+		c.Assert(o.Refused[shortWork], qt.Equals, 0)
+		c.Assert(o.Quantile(shortWork, 0.99) <= o.s.Kinds[shortWork].Waiting+155*slowedTimes, qt.IsTrue,
+			qt.Commentf("p99 %v, refused by agents %d", o.Quantile(shortWork, 0.99), o.Bounced))
+		c.Assert(o.Left, qt.Equals, 0)
+	}
+}
+
+// TestHiddenLength declares short and long work as one class, so that only the
+// time that a piece runs tells its length.
+func TestHiddenLength(t *testing.T) {
+	c := qt.New(t)
+	p99 := func(p match.Policy) float64 {
+		return each(runAll(goalSeeds, func(seed uint64) Scenario {
+			s := mixed(p, seed)
+			s.Kinds[longWork].Class = s.Kinds[shortWork].Class
+			return s
+		}), quantile(shortWork, 0.99)).median()
+	}
+	got, base := p99(match.Standard()), p99(match.Baseline())
+	c.Assert(got <= shortShare*base, qt.IsTrue, qt.Commentf("p99 %v ms, baseline %v ms", got, base))
+}
+
+// TestSameSeedSameRun repeats a run with faults and several entries.
+func TestSameSeedSameRun(t *testing.T) {
+	c := qt.New(t)
+	s := crashing(slowed(standard(7)))
+	s.Entries = 3
+	a, b := Run(s), Run(s)
+	c.Assert(a.Took, qt.DeepEquals, b.Took)
+	c.Assert(a.Hedges, qt.Equals, b.Hedges)
+}
--- a/internal/proof/vtime/world.go
+++ b/internal/proof/vtime/world.go
@@ -349,7 +349,7 @@
 		}
 	}
 	if !w.s.Policy.Early {
-		e.lim.Done(a.ask)
+		e.lim.Done(w.Now(), a.ask)
 	}
 }
 
