Race operators and watch every node's configuration in the demonstration

Cause: the promise that an accepted change stays was tested five times a run, after the faults were over. Change: two operators change one class from the same revision through two entries all the time, also while the log is down or loses answers; an observer looks at every entry and agent ten times a second: in force within 10 s, the accepted value, never back; a conflict names who won.

--- a/internal/proof/demo/demo.go
+++ b/internal/proof/demo/demo.go
@@ -21,7 +21,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 	"github.com/jujuberamp/jujuberamp/internal/edge/opcli"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 	"github.com/jujuberamp/jujuberamp/internal/proof/invar"
@@ -55,6 +54,7 @@
 	meas   *measures
 	deeds  deeds
 	began  time.Time
+	book   book
 }
 
 // Run carries out the demonstration and prints its progress and report. It
@@ -99,7 +99,6 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	errs := make(chan error, 4)
 	load, endLoad := context.WithCancel(ctx)
 	defer endLoad()
 	if err := r.probes(ctx); err != nil {
@@ -107,6 +106,8 @@
 	}
 	wg.Go(func() { r.callers(load) })
 	wg.Go(func() { r.actions(load) })
+	wg.Go(func() { r.operators(load) })
+	wg.Go(func() { r.watch(load) })
 	var events sync.WaitGroup
 	if r.o.Faults || r.o.Scene != standardScene {
 		events.Go(func() { r.faults(load) })
@@ -114,8 +115,7 @@
 	if r.isComplete() {
 		events.Go(func() { r.leaving(ctx) })
 	}
-	errs <- r.train(ctx)
-	errs <- r.change(ctx)
+	err := r.train(ctx)
 	if r.isComplete() {
 		events.Wait()
 		r.drain(ctx)
@@ -124,13 +124,7 @@
 	events.Wait()
 	wg.Wait()
 	r.judgeActions()
-	close(errs)
-	for err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return err
 }
 
 func firstClasses() []record.ClassMsg {
@@ -142,80 +136,6 @@
 	}
 }
 
-// apply publishes classes through one entry and waits until they are in force
-// on all entries.
-func (r *run) apply(ctx context.Context, classes []record.ClassMsg) error {
-	var edits []codec.Edit
-	for _, c := range classes {
-		edits = append(edits, codec.Edit{Name: c.Name, Class: &c})
-	}
-	_, err := r.publish(ctx, codec.Change{Comment: "first classes", Edits: edits})
-	return err
-}
-
-func (r *run) publish(ctx context.Context, ch codec.Change) (int64, error) {
-	op := opcli.New(operatorToken, r.w.urls()[0])
-	done, err := op.Change(ctx, ch)
-	if err != nil {
-		return 0, err
-	}
-	took := time.Now()
-	ok := r.inForce(ctx, done.Revision)
-	r.counts.Check(invar.ConfigStands, ok, fmt.Sprintf("revision %d is not in force everywhere after %s", done.Revision, configIn))
-	r.say("revision %d in force on every entry after %s", done.Revision, time.Since(took).Round(time.Millisecond))
-	return done.Revision, nil
-}
-
-// configIn is the stated bound from accepted to in force everywhere.
-const configIn = 10 * time.Second
-
-func (r *run) inForce(ctx context.Context, rev int64) bool {
-	until := time.Now().Add(configIn)
-	for time.Now().Before(until) && ctx.Err() == nil {
-		behind := 0
-		for _, u := range r.w.urls() {
-			cfg, err := opcli.New(operatorToken, u).Config(ctx)
-			if err != nil || cfg.Offset < rev {
-				behind++
-			}
-		}
-		if behind == 0 {
-			return true
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return false
-}
-
-// change sets another target while traffic runs, and looks that it stays.
-func (r *run) change(ctx context.Context) error {
-	op := opcli.New(operatorToken, r.w.urls()[0])
-	cfg, err := op.Config(ctx)
-	if err != nil {
-		return err
-	}
-	var e codec.Edit
-	for _, c := range cfg.Classes {
-		if c.Class.Name == "live-draft" {
-			m := c.Class
-			m.LatenessMS = 9000
-			e = codec.Edit{Name: m.Name, Base: c.Revision, Class: &m}
-		}
-	}
-	rev, err := r.publish(ctx, codec.Change{Comment: "more time for drafts", Edits: []codec.Edit{e}})
-	if err != nil {
-		return err
-	}
-	for _, u := range r.w.urls() {
-		cfg, err := opcli.New(operatorToken, u).Config(ctx)
-		if err != nil {
-			return err
-		}
-		r.counts.Check(invar.ConfigStands, cfg.Offset >= rev, fmt.Sprintf("%s fell back to offset %d", u, cfg.Offset))
-	}
-	return nil
-}
-
 // waitServing waits until every entry knows every agent.
 func (r *run) waitServing(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyFor)
--- a/internal/proof/demo/faults.go
+++ b/internal/proof/demo/faults.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// fault is one thing that goes wrong at a moment of the run.
-type fault struct {
+// mishap is one thing that goes wrong at a moment of the run.
+type mishap struct {
 	after time.Duration // since the one before
 	name  string
 	do    func(*run)
 }
 
 // schedule lists the faults in order.
-var schedule = []fault{
+var schedule = []mishap{
 	{500 * time.Millisecond, "an engine crashes", func(r *run) { r.w.agents[0].engine.Crash() }},
 	{300 * time.Millisecond, "two engines slow to a fifth", func(r *run) { r.slow(0.2) }},
 	{300 * time.Millisecond, "the log loses half of its answers", func(r *run) { r.w.store.SetLose(0.5) }},
--- a/internal/proof/demo/scene.go
+++ b/internal/proof/demo/scene.go
@@ -23,7 +23,7 @@
 type scene struct {
 	callers int // that send at the same time
 	lookups int // one request in so many is a lookup
-	faults  []fault
+	faults  []mishap
 }
 
 const (
@@ -39,40 +39,40 @@
 	standardScene:       {callers: callerCount, lookups: 3, faults: schedule},
 	"regie-hour":        {callers: 4, lookups: 4},
 	"lamphun-hour":      {callers: 12, lookups: 2},
-	"burst":             {callers: 4, lookups: 3, faults: []fault{{500 * time.Millisecond, "40 more callers for a second", (*run).burst}}},
+	"burst":             {callers: 4, lookups: 3, faults: []mishap{{500 * time.Millisecond, "40 more callers for a second", (*run).burst}}},
 	"swap-under-load":   {callers: 24, lookups: 6},
 	"slow-servers":      {callers: 6, lookups: 3, faults: slowFaults},
 	"engine-crash":      {callers: 6, lookups: 3, faults: crashFaults},
-	"entry-replaced":    {callers: 6, lookups: 3, faults: []fault{{time.Second, "an entry is replaced", (*run).replaceEntry}}},
+	"entry-replaced":    {callers: 6, lookups: 3, faults: []mishap{{time.Second, "an entry is replaced", (*run).replaceEntry}}},
 	"log-outage":        {callers: 6, lookups: 3, faults: outageFaults},
 	"crashing-request":  {callers: 6, lookups: 3, faults: poisonFaults},
 	"region-cut":        {callers: 6, lookups: 3, faults: cutFaults},
-	"mass-replacement":  {callers: 6, lookups: 3, faults: []fault{{time.Second, "all engines are replaced", (*run).replaceEngines}}},
+	"mass-replacement":  {callers: 6, lookups: 3, faults: []mishap{{time.Second, "all engines are replaced", (*run).replaceEngines}}},
 	"slow-and-crash":    {callers: 6, lookups: 3, faults: append(slices.Clone(slowFaults[:1]), crashFaults...)},
 	"crash-in-the-swap": {callers: 6, lookups: 3, faults: swapCrashFaults},
 }
 
-var slowFaults = []fault{
+var slowFaults = []mishap{
 	{500 * time.Millisecond, "two engines slow to a fifth", func(r *run) { r.slow(0.2) }},
 	{3 * time.Second, "the slow engines are back", func(r *run) { r.slow(1) }},
 }
 
-var crashFaults = []fault{
+var crashFaults = []mishap{
 	{500 * time.Millisecond, "an engine crashes", func(r *run) { r.w.agents[0].engine.Crash() }},
 	{1500 * time.Millisecond, "the engine is back", func(r *run) { r.w.agents[0].engine.Restart() }},
 }
 
-var swapCrashFaults = []fault{
+var swapCrashFaults = []mishap{
 	{600 * time.Millisecond, "loads fail on three engines", func(r *run) { r.failSwaps(true) }},
 	{2 * time.Second, "loads succeed again", func(r *run) { r.failSwaps(false) }},
 }
 
-var outageFaults = []fault{
+var outageFaults = []mishap{
 	{500 * time.Millisecond, "the log is down", func(r *run) { r.w.store.SetDown(true) }},
 	{2500 * time.Millisecond, "the log is back", func(r *run) { r.w.store.SetDown(false) }},
 }
 
-var poisonFaults = []fault{
+var poisonFaults = []mishap{
 	{500 * time.Millisecond, "a request crashes engines", (*run).poison},
 	{300 * time.Millisecond, "crashed engines are back", (*run).restartAll},
 	{300 * time.Millisecond, "its caller sends it again", (*run).poison},
@@ -80,7 +80,7 @@
 	{1500 * time.Millisecond, "crashed engines are back", (*run).restartAll},
 }
 
-var cutFaults = []fault{
+var cutFaults = []mishap{
 	{500 * time.Millisecond, "the far region is not heard", func(r *run) { r.cut(true) }},
 	{4 * time.Second, "the far region is heard again", func(r *run) { r.cut(false) }},
 }
