Bound appends and reads of the log per node, and name the settings

Cause: nothing kept many nodes below the log's limit, and all came back at once after an outage; 400 entries would all bid for a lease. Change: edge/logcl gives each node an equal share of the limit, sends appends to one stream that wait as one, and after a failure lets one append through at a time after a wait with jitter. An append that was never sent is refused as not run. Three entries bid for a lease.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -11,6 +11,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -30,6 +31,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
 	"github.com/jujuberamp/jujuberamp/internal/edge/httpd"
+	"github.com/jujuberamp/jujuberamp/internal/edge/logcl"
 	"github.com/jujuberamp/jujuberamp/internal/edge/meter"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
@@ -56,6 +58,8 @@
 	Poll    clock.Millis  // between looks at the VM list and messages to peers
 	Delay   clock.Millis  // the balancer's delay at a shutdown
 	Bound   clock.Millis  // see [Entry.Ready]; 0 for the standard
+	Keep    clock.Millis  // between snapshots of the configuration; 0 for the standard
+	Appends float64       // a second, all entries together; 0 for the standard
 	Roster  roster.Policy // zero for the standard
 	Policy  match.Policy
 	Swap    swap.Policy
@@ -106,15 +110,7 @@
 
 // New opens the listeners and returns the entry.
 func New(p Params) (*Entry, error) {
-	if p.Bound == 0 {
-		p.Bound = StandardBound
-	}
-	if p.Roster == (roster.Policy{}) {
-		p.Roster = roster.Standard()
-	}
-	if p.Place == (place.Policy{}) {
-		p.Place = place.Standard()
-	}
+	p.fill()
 	ln, err := net.Listen("tcp", p.Listen)
 	if err != nil {
 		return nil, fault.Wrap(fault.BadSetting, err, "inner-listen")
@@ -137,6 +133,11 @@
 		nodes:  make(map[ident.Node]wire.ReportArgs),
 		heard:  make(map[ident.Node]clock.Millis),
 	}
+	e.p.Source = logcl.New(p.Source, logcl.Params{
+		Limit: p.Appends,
+		Nodes: func() int { return len(e.peers.View().Entries()) },
+		Clock: p.Clock,
+	})
 	e.wire()
 	m, err := meter.New(p.Meter)
 	if err != nil {
@@ -152,10 +153,25 @@
 const (
 	headerFor = 5 * time.Second
 	peerFor   = 2 * clock.Second
+)
 
-	snapshotEvery = 10 * clock.Minute
+// Standards of settings that may be left out.
+const (
+	StandardBound   = 10 * clock.Second // from accepted to in force everywhere
+	standardKeep    = 10 * clock.Minute
+	standardAppends = 300
 )
 
+// fill sets the standards.
+func (p *Params) fill() {
+	p.Bound = cmp.Or(p.Bound, StandardBound)
+	p.Keep = cmp.Or(p.Keep, standardKeep)
+	p.Appends = cmp.Or(p.Appends, standardAppends)
+	if p.Roster == (roster.Policy{}) {
+		p.Roster = roster.Standard()
+	}
+}
+
 // wire builds the parts and gives each what it needs of the others.
 func (e *Entry) wire() {
 	p := e.p
@@ -164,7 +180,7 @@
 	e.config = follow.New(follow.Params{
 		Node:     p.Node,
 		Boot:     e.boot,
-		Snapshot: snapshotEvery,
+		Snapshot: p.Keep,
 		Writes:   func() bool { _, mine := e.peers.Owner("snapshot"); return mine },
 		Source:   p.Source,
 		Clock:    p.Clock,
@@ -209,6 +225,9 @@
 	})
 }
 
+// bidders is the number of entries that bid for a lease.
+const bidders = 3
+
 // wirePlace builds the placement of models.
 func (e *Entry) wirePlace(log zerolog.Logger) {
 	p := e.p
@@ -217,7 +236,7 @@
 		Node:     p.Node,
 		Boot:     e.boot,
 		Policy:   lease.Standard(),
-		Eligible: func() bool { return !e.leaving.Load() },
+		Eligible: func() bool { return !e.leaving.Load() && e.peers.IsAmong("lease/"+leaseName, bidders) },
 		Source:   p.Source,
 		Clock:    p.Clock,
 		Log:      log,
--- a/internal/node/entry/ready.go
+++ b/internal/node/entry/ready.go
@@ -7,9 +7,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 )
 
-// StandardBound is the time within which a change must be in force everywhere.
-const StandardBound = 10 * clock.Second
-
 // contact remembers how far this entry hears other nodes.
 type contact struct {
 	heard  atomic.Int64 // instant of the last message of another node, ms
--- a/internal/node/entry/status.go
+++ b/internal/node/entry/status.go
@@ -25,6 +25,8 @@
 		Outages: e.outages(),
 		Nodes:   e.reporting(),
 	}
+	holder, fence := e.lease.Holder()
+	out.Leases = []codec.Lease{{Name: leaseName, Holder: string(holder), Fence: int64(fence)}}
 	return out, nil
 }
 
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -220,3 +220,8 @@
 	}
 	return v.byName[n], false
 }
+
+// IsAmong reports whether this node is one of the first n entries for a key.
+func (s *Peers) IsAmong(key string, n int) bool {
+	return slices.Contains(spread.Top(key, s.View().entries, n), s.p.Self.Node)
+}
--- a/internal/prod/cmds/apply_test.go
+++ b/internal/prod/cmds/apply_test.go
@@ -111,7 +111,7 @@
 		{"remove", []string{"apply", s.dir("b 1s")}, []string{"- a (from revision", "In force"}},
 		{"again", []string{"apply", s.dir("a 3s", "b 1s")}, []string{"+ a", "In force"}},
 		{"show", []string{"show"}, []string{"a ", "lateness 3000ms", "by ann"}},
-		{"status", []string{"status"}, []string{"entry  one", "entry  two", "live=true"}},
+		{"status", []string{"status"}, []string{"entry  one", "entry  two", "live=true", "lease: placement"}},
 		{"audit", []string{"audit"}, []string{"ann accepted \"first\"", "lateness: 1s -> 2s", "- a (from revision"}},
 		{"audit in JSON", []string{"audit", "--json"}, []string{`"from"`, `"to"`, `"date"`}},
 	}
--- a/internal/prod/cmds/nodes.go
+++ b/internal/prod/cmds/nodes.go
@@ -17,6 +17,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
 	"github.com/jujuberamp/jujuberamp/internal/edge/client"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
@@ -105,6 +106,10 @@
 		Tokens:  s.Tokens(),
 		Poll:    s.Poll(),
 		Delay:   s.DrainDelay(),
+		Bound:   s.ConfigBound(),
+		Keep:    s.SnapshotEvery(),
+		Appends: s.LogAppends(),
+		Roster:  roster.Policy{Lease: s.Lease(), Fanout: s.PeerFanout()},
 		Policy:  policy,
 		Swap:    swap.Standard(),
 		Clock:   clock.NewSystem(),
@@ -152,6 +157,8 @@
 		Slots:   s.Slots(),
 		Service: s.PlainName(),
 		Report:  s.Report(),
+		Poll:    s.Poll(),
+		Entries: s.ReportEntries(),
 		Keep:    s.Keep(),
 		Clock:   clock.NewSystem(),
 		Log:     log,
--- a/internal/prod/cmds/oper.go
+++ b/internal/prod/cmds/oper.go
@@ -130,7 +130,7 @@
 		fmt.Fprintf(w, "outage: %s\n", o)
 	}
 	for _, l := range s.Entry.Leases {
-		fmt.Fprintf(w, "lease: %s held by %s, fencing number %d\n", l.Name, l.Holder, l.Fence)
+		fmt.Fprintf(w, "lease: %s held by %s, fencing number %d\n", l.Name, orNone(l.Holder), l.Fence)
 	}
 	for _, n := range s.Nodes {
 		fmt.Fprintf(w, "  %-6s %-14s %-8s revision=%-6d %-16s version=%d heard %dms ago live=%t leaving=%t\n",
--- a/internal/prod/setup/setup.go
+++ b/internal/prod/setup/setup.go
@@ -77,6 +77,8 @@
 	engineURL, plainURL         string
 	plainName                   string
 	slots                       int
+	fanout, reportTo, appends   int
+	configBound, snapshots      Span
 	poll, report, keep          Span
 	lease, drainDelay, drainFor Span
 	logLevel                    string
@@ -137,6 +139,22 @@
 // Keep returns how long an agent keeps an answer that nobody fetches.
 func (s *Settings) Keep() clock.Millis { return s.keep.Millis }
 
+// ReportEntries returns how many entries get an agent's reports.
+func (s *Settings) ReportEntries() int { return s.reportTo }
+
+// PeerFanout returns how many other entries an entry calls.
+func (s *Settings) PeerFanout() int { return s.fanout }
+
+// ConfigBound returns the time after which an entry that can't get the newest
+// configuration says so.
+func (s *Settings) ConfigBound() clock.Millis { return s.configBound.Millis }
+
+// SnapshotEvery returns the time between snapshots on the log.
+func (s *Settings) SnapshotEvery() clock.Millis { return s.snapshots.Millis }
+
+// LogAppends returns the appends a second of all entries together.
+func (s *Settings) LogAppends() float64 { return float64(s.appends) }
+
 // Lease returns how long a silent agent stays in use.
 func (s *Settings) Lease() clock.Millis { return s.lease.Millis }
 
@@ -212,6 +230,11 @@
 	{"poll", both, `"1s"`, "time between looks at the VM list", func(s *Settings) any { return &s.poll }, span(func(s *Settings) Span { return s.poll })},
 	{"report", agentOnly, `"500ms"`, "time between reports to the entries", func(s *Settings) any { return &s.report }, span(func(s *Settings) Span { return s.report })},
 	{"keep", agentOnly, `"2m"`, "time an answer that nobody fetches is kept", func(s *Settings) any { return &s.keep }, span(func(s *Settings) Span { return s.keep })},
+	{"report-entries", agentOnly, "8", "entries that get the reports, the nearest ones; in a deployment of fewer all of them", func(s *Settings) any { return &s.reportTo }, positive(func(s *Settings) int { return s.reportTo })},
+	{"peer-fanout", entryOnly, "8", "other entries that this one calls; in a deployment of fewer all of them", func(s *Settings) any { return &s.fanout }, positive(func(s *Settings) int { return s.fanout })},
+	{"config-bound", entryOnly, `"10s"`, "time after which an entry that can't get the newest configuration says so", func(s *Settings) any { return &s.configBound }, span(func(s *Settings) Span { return s.configBound })},
+	{"snapshot-every", entryOnly, `"10m"`, "time between snapshots of the configuration on the log; well below the time that the log keeps records", func(s *Settings) any { return &s.snapshots }, span(func(s *Settings) Span { return s.snapshots })},
+	{"log-appends", entryOnly, "300", "appends a second that all entries together may ask of the log", func(s *Settings) any { return &s.appends }, positive(func(s *Settings) int { return s.appends })},
 	{"lease", entryOnly, `"3s"`, "time a silent agent stays in use", func(s *Settings) any { return &s.lease }, span(func(s *Settings) Span { return s.lease })},
 	{"drain-delay", entryOnly, `"5s"`, "time the balancer needs to see that the entry leaves", func(s *Settings) any { return &s.drainDelay }, span(func(s *Settings) Span { return s.drainDelay })},
 	{"drain-for", both, `"10m"`, "time a shutdown waits for work in progress", func(s *Settings) any { return &s.drainFor }, span(func(s *Settings) Span { return s.drainFor })},
