Decide which requests are quarantined after crashes

Cause: a request that crashes each server that runs it was tried again without end. Conclusion: ten histories in five orders each, the exchange between two entries, a lift that meets an old crash again, and the bounds.

--- /dev/null
+++ b/internal/decide/crash/crash_test.go
@@ -0,0 +1,142 @@
+package crash
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+)
+
+func TestVerdict(t *testing.T) {
+	innocents := func(from, n int) []string {
+		var out []string
+		for i := range n {
+			out = append(out, fmt.Sprintf("i%d", from+i))
+		}
+		return out
+	}
+	bad := func(rs []string) []string { return append(rs, "bad") }
+	tests := map[string]struct {
+		crashes     []Crash
+		clear, lift []string
+		quarantined []string
+		suspects    []string
+	}{
+		"one crash makes suspects": {
+			crashes:  []Crash{{"a/1", bad(innocents(0, 30))}},
+			suspects: append(innocents(0, 30), "bad"),
+		},
+		"three crashes beside others": {
+			crashes:     []Crash{{"a/1", bad(innocents(0, 30))}, {"b/1", bad(innocents(30, 5))}, {"c/1", bad(nil)}},
+			quarantined: []string{"bad"},
+		},
+		"told several times": {
+			crashes: []Crash{{"a/1", bad(nil)}, {"a/1", bad(nil)}, {"a/1", bad(nil)}, {"b/1", bad(nil)}},
+		},
+		"one server only": {
+			crashes:     []Crash{{"a/1", bad(nil)}, {"a/2", bad(nil)}, {"a/3", bad(nil)}},
+			quarantined: []string{"bad"},
+		},
+		"a server that crashes by itself": {
+			crashes: []Crash{{"a/1", nil}, {"a/2", []string{"x"}}, {"a/3", nil}, {"a/4", []string{"x"}}, {"a/5", nil}, {"a/6", []string{"x"}}},
+		},
+		"innocent of another server's faults": {
+			crashes: []Crash{{"a/1", []string{"x"}}, {"a/2", nil}, {"b/1", []string{"x"}}, {"c/1", []string{"x"}}},
+		},
+		"ended elsewhere": {
+			crashes: []Crash{{"a/1", bad(nil)}, {"b/1", bad(nil)}, {"c/1", bad(nil)}},
+			clear:   []string{"bad"},
+		},
+		"lifted": {
+			crashes: []Crash{{"a/1", bad(nil)}, {"b/1", bad(nil)}, {"c/1", bad(nil)}},
+			lift:    []string{"bad"},
+		},
+		"two that always ran together": {
+			crashes:  []Crash{{"a/1", []string{"x", "y"}}, {"b/1", []string{"x", "y"}}, {"c/1", []string{"x", "y"}}},
+			suspects: []string{"x", "y"},
+		},
+		"together at first, apart later": {
+			crashes:     []Crash{{"a/1", []string{"x", "bad"}}, {"b/1", []string{"bad"}}, {"c/1", []string{"bad"}}},
+			quarantined: []string{"bad"},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) { // The order must not matter.
+				c := qt.New(t)
+				tb := New(Standard())
+				rand.New(rand.NewPCG(seed, 1)).Shuffle(len(tc.crashes), func(i, j int) {
+					tc.crashes[i], tc.crashes[j] = tc.crashes[j], tc.crashes[i]
+				})
+				for _, k := range tc.crashes {
+					tb.Crash(1, k)
+				}
+				for _, r := range tc.clear {
+					tb.Clear(r)
+				}
+				for _, r := range tc.lift {
+					c.Assert(tb.Lift(r), qt.IsTrue)
+				}
+				var got []string
+				for _, k := range tb.Quarantined() {
+					got = append(got, k.Request)
+				}
+				c.Assert(got, qt.DeepEquals, tc.quarantined)
+				for _, r := range tc.suspects {
+					c.Assert(tb.IsSuspect(r), qt.IsTrue)
+				}
+			}
+		})
+	}
+}
+
+// TestSpread shows that a second entry reaches the same verdict, that a lift
+// reaches it in any order, and that a new crash counts after a lift.
+func TestSpread(t *testing.T) {
+	c := qt.New(t)
+	a, b := New(Standard()), New(Standard())
+	for i := range 3 {
+		a.Crash(1, Crash{fmt.Sprintf("n%d/1", i), []string{"bad", fmt.Sprintf("i%d", i)}})
+	}
+	tell := func(from, to *Table, now clock.Millis) {
+		for _, k := range from.Crashes(now, clock.Minute) {
+			to.Crash(now, k)
+		}
+		to.Learn(now, from.Lifted())
+	}
+	tell(a, b, clock.Hour/2)
+	c.Assert(b.IsQuarantined("bad"), qt.IsTrue)
+	c.Assert(b.IsSuspect("i1"), qt.IsFalse) // Old crashes are told without bystanders.
+	b.Lift("bad")
+	tell(b, a, clock.Hour/2)
+	tell(a, b, clock.Hour/2)
+	c.Assert(a.IsQuarantined("bad"), qt.IsFalse)
+	c.Assert(b.IsQuarantined("bad"), qt.IsFalse)
+	for i := range 3 {
+		a.Crash(2, Crash{fmt.Sprintf("m%d/1", i), []string{"bad"}})
+	}
+	tell(b, a, 3)
+	c.Assert(a.IsQuarantined("bad"), qt.IsTrue)
+	a.Expire(2 * clock.Hour)
+	c.Assert(a.IsEmpty(), qt.IsTrue)
+}
+
+// TestBounds shows that the table forgets the oldest crash beyond its bounds.
+func TestBounds(t *testing.T) {
+	c := qt.New(t)
+	p := Standard()
+	tb := New(p)
+	for i := range 2 * p.Crashes {
+		tb.Crash(1, Crash{fmt.Sprintf("n%d/1", i), []string{fmt.Sprint(i)}})
+	}
+	c.Assert(len(tb.events), qt.Equals, p.Crashes)
+	var many []string
+	for i := range 2 * p.Requests {
+		many = append(many, fmt.Sprint("r", i))
+	}
+	tb.Crash(1, Crash{"x/1", many})
+	c.Assert(len(tb.events[len(tb.events)-1].requests), qt.Equals, p.Requests)
+}
