Quarantine requests that crash backend servers, on every entry

Cause: the crashing job's own request was missing from the agent's list of what ran, and entries did not use the list. Change: a job notes a crash before it leaves, and only if the server does not answer or answers as a later start; agents report crashes with their age for a minute, entries exchange crashes and lifts and pass news on at once (node/quar). The dispatcher asks before each try: a suspect goes without other suspects, a quarantined request is refused. GET /v1/quarantine and POST /v1/quarantine/lift for operators. A stream that broke without a crash has the kind broken-answer.

--- a/internal/decide/crash/crash.go
+++ b/internal/decide/crash/crash.go
@@ -65,7 +65,8 @@
 
 // Crash is one crash of a server.
 type Crash struct {
-	ID       string // node, slash, incarnation of the server
+	ID       string       // node, slash, incarnation of the server
+	Age      clock.Millis // since it happened
 	Requests []string
 }
 
@@ -97,7 +98,7 @@
 
 // Crash takes in a crash and reports whether it told anything new.
 func (t *Table) Crash(now clock.Millis, c Crash) bool {
-	e, isNew := t.event(now, c.ID)
+	e, isNew := t.event(now-c.Age, c.ID)
 	for _, r := range c.Requests {
 		if !e.requests.Has(r) && len(e.requests) < t.p.Requests {
 			e.requests.Add(r)
@@ -108,14 +109,12 @@
 }
 
 // event returns the crash of an identity (rule 1).
-func (t *Table) event(now clock.Millis, id string) (*event, bool) {
-	for _, e := range t.events {
-		if e.id == id {
-			return e, false
-		}
+func (t *Table) event(at clock.Millis, id string) (*event, bool) {
+	if e := t.find(id); e != nil {
+		return e, false
 	}
 	node, _, _ := strings.Cut(id, "/")
-	e := &event{id: id, node: node, at: now, requests: sets.Of[string](), cleared: sets.Of[string](), lifted: sets.Of[string]()}
+	e := &event{id: id, node: node, at: at, requests: sets.Of[string](), cleared: sets.Of[string](), lifted: sets.Of[string]()}
 	t.events = append(t.events, e)
 	if len(t.events) > t.p.Crashes {
 		t.events = t.events[1:]
@@ -123,6 +122,15 @@
 	return e, true
 }
 
+func (t *Table) find(id string) *event {
+	for _, e := range t.events {
+		if e.id == id {
+			return e
+		}
+	}
+	return nil
+}
+
 // Expire forgets old crashes.
 func (t *Table) Expire(now clock.Millis) {
 	t.events = slices.DeleteFunc(t.events, func(e *event) bool { return now-e.at > t.p.Window })
@@ -164,17 +172,18 @@
 	return out
 }
 
-// Learn takes in another entry's lifts.
-func (t *Table) Learn(now clock.Millis, lifted []string) {
+// Learn takes in another entry's lifts and reports whether any was new.
+func (t *Table) Learn(lifted []string) bool {
+	isNew := false
 	for _, l := range lifted {
-		r, id, ok := strings.Cut(l, mark)
-		if !ok {
-			continue
+		r, id, _ := strings.Cut(l, mark)
+		if e := t.find(id); e != nil && !e.lifted.Has(r) {
+			e.requests.Add(r)
+			e.lifted.Add(r)
+			isNew = true
 		}
-		e, _ := t.event(now, id)
-		e.requests.Add(r)
-		e.lifted.Add(r)
 	}
+	return isNew
 }
 
 // Crashes returns the crashes for other entries. Of those older than a span
@@ -182,9 +191,9 @@
 func (t *Table) Crashes(now, fresh clock.Millis) []Crash {
 	var out []Crash
 	for _, e := range t.events {
-		c := Crash{ID: e.id}
+		c := Crash{ID: e.id, Age: now - e.at}
 		for _, r := range e.requests.Sorted() {
-			if now-e.at <= fresh || t.count(r) > 1 {
+			if now-e.at <= fresh || t.Count(r) > 1 {
 				c.Requests = append(c.Requests, r)
 			}
 		}
@@ -195,8 +204,8 @@
 	return out
 }
 
-// count returns in how many crashes a request was.
-func (t *Table) count(r string) int {
+// Count returns in how many crashes a request was and was not cleared of.
+func (t *Table) Count(r string) int {
 	n := 0
 	for _, e := range t.events {
 		if e.holds(r) {
@@ -207,11 +216,11 @@
 }
 
 // IsSuspect reports whether a request ran at a crash (rule 2).
-func (t *Table) IsSuspect(r string) bool { return t.count(r) > 0 }
+func (t *Table) IsSuspect(r string) bool { return t.Count(r) > 0 }
 
 // IsQuarantined reports whether a request must not run (rule 6).
 func (t *Table) IsQuarantined(r string) bool {
-	n := t.count(r)
+	n := t.Count(r)
 	if n < t.p.Limit {
 		return false
 	}
@@ -231,7 +240,7 @@
 // pointsAt applies rule 4.
 func (t *Table) pointsAt(e *event, r string, n int) bool {
 	for o := range e.requests {
-		if o != r && e.holds(o) && t.count(o) >= n {
+		if o != r && e.holds(o) && t.Count(o) >= n {
 			return false
 		}
 	}
--- a/internal/decide/crash/crash_test.go
+++ b/internal/decide/crash/crash_test.go
@@ -26,40 +26,40 @@
 		suspects    []string
 	}{
 		"one crash makes suspects": {
-			crashes:  []Crash{{"a/1", bad(innocents(0, 30))}},
+			crashes:  []Crash{{ID: "a/1", Requests: bad(innocents(0, 30))}},
 			suspects: append(innocents(0, 30), "bad"),
 		},
 		"three crashes beside others": {
-			crashes:     []Crash{{"a/1", bad(innocents(0, 30))}, {"b/1", bad(innocents(30, 5))}, {"c/1", bad(nil)}},
+			crashes:     []Crash{{ID: "a/1", Requests: bad(innocents(0, 30))}, {ID: "b/1", Requests: bad(innocents(30, 5))}, {ID: "c/1", Requests: bad(nil)}},
 			quarantined: []string{"bad"},
 		},
 		"told several times": {
-			crashes: []Crash{{"a/1", bad(nil)}, {"a/1", bad(nil)}, {"a/1", bad(nil)}, {"b/1", bad(nil)}},
+			crashes: []Crash{{ID: "a/1", Requests: bad(nil)}, {ID: "a/1", Requests: bad(nil)}, {ID: "a/1", Requests: bad(nil)}, {ID: "b/1", Requests: bad(nil)}},
 		},
 		"one server only": {
-			crashes:     []Crash{{"a/1", bad(nil)}, {"a/2", bad(nil)}, {"a/3", bad(nil)}},
+			crashes:     []Crash{{ID: "a/1", Requests: bad(nil)}, {ID: "a/2", Requests: bad(nil)}, {ID: "a/3", Requests: bad(nil)}},
 			quarantined: []string{"bad"},
 		},
 		"a server that crashes by itself": {
-			crashes: []Crash{{"a/1", nil}, {"a/2", []string{"x"}}, {"a/3", nil}, {"a/4", []string{"x"}}, {"a/5", nil}, {"a/6", []string{"x"}}},
+			crashes: []Crash{{ID: "a/1", Requests: nil}, {ID: "a/2", Requests: []string{"x"}}, {ID: "a/3", Requests: nil}, {ID: "a/4", Requests: []string{"x"}}, {ID: "a/5", Requests: nil}, {ID: "a/6", Requests: []string{"x"}}},
 		},
 		"innocent of another server's faults": {
-			crashes: []Crash{{"a/1", []string{"x"}}, {"a/2", nil}, {"b/1", []string{"x"}}, {"c/1", []string{"x"}}},
+			crashes: []Crash{{ID: "a/1", Requests: []string{"x"}}, {ID: "a/2", Requests: nil}, {ID: "b/1", Requests: []string{"x"}}, {ID: "c/1", Requests: []string{"x"}}},
 		},
 		"ended elsewhere": {
-			crashes: []Crash{{"a/1", bad(nil)}, {"b/1", bad(nil)}, {"c/1", bad(nil)}},
+			crashes: []Crash{{ID: "a/1", Requests: bad(nil)}, {ID: "b/1", Requests: bad(nil)}, {ID: "c/1", Requests: bad(nil)}},
 			clear:   []string{"bad"},
 		},
 		"lifted": {
-			crashes: []Crash{{"a/1", bad(nil)}, {"b/1", bad(nil)}, {"c/1", bad(nil)}},
+			crashes: []Crash{{ID: "a/1", Requests: bad(nil)}, {ID: "b/1", Requests: bad(nil)}, {ID: "c/1", Requests: bad(nil)}},
 			lift:    []string{"bad"},
 		},
 		"two that always ran together": {
-			crashes:  []Crash{{"a/1", []string{"x", "y"}}, {"b/1", []string{"x", "y"}}, {"c/1", []string{"x", "y"}}},
+			crashes:  []Crash{{ID: "a/1", Requests: []string{"x", "y"}}, {ID: "b/1", Requests: []string{"x", "y"}}, {ID: "c/1", Requests: []string{"x", "y"}}},
 			suspects: []string{"x", "y"},
 		},
 		"together at first, apart later": {
-			crashes:     []Crash{{"a/1", []string{"x", "bad"}}, {"b/1", []string{"bad"}}, {"c/1", []string{"bad"}}},
+			crashes:     []Crash{{ID: "a/1", Requests: []string{"x", "bad"}}, {ID: "b/1", Requests: []string{"bad"}}, {ID: "c/1", Requests: []string{"bad"}}},
 			quarantined: []string{"bad"},
 		},
 	}
@@ -99,13 +99,13 @@
 	c := qt.New(t)
 	a, b := New(Standard()), New(Standard())
 	for i := range 3 {
-		a.Crash(1, Crash{fmt.Sprintf("n%d/1", i), []string{"bad", fmt.Sprintf("i%d", i)}})
+		a.Crash(1, Crash{ID: fmt.Sprintf("n%d/1", i), Requests: []string{"bad", fmt.Sprintf("i%d", i)}})
 	}
 	tell := func(from, to *Table, now clock.Millis) {
 		for _, k := range from.Crashes(now, clock.Minute) {
 			to.Crash(now, k)
 		}
-		to.Learn(now, from.Lifted())
+		to.Learn(from.Lifted())
 	}
 	tell(a, b, clock.Hour/2)
 	c.Assert(b.IsQuarantined("bad"), qt.IsTrue)
@@ -116,7 +116,7 @@
 	c.Assert(a.IsQuarantined("bad"), qt.IsFalse)
 	c.Assert(b.IsQuarantined("bad"), qt.IsFalse)
 	for i := range 3 {
-		a.Crash(2, Crash{fmt.Sprintf("m%d/1", i), []string{"bad"}})
+		a.Crash(2, Crash{ID: fmt.Sprintf("m%d/1", i), Requests: []string{"bad"}})
 	}
 	tell(b, a, 3)
 	c.Assert(a.IsQuarantined("bad"), qt.IsTrue)
@@ -130,13 +130,13 @@
 	p := Standard()
 	tb := New(p)
 	for i := range 2 * p.Crashes {
-		tb.Crash(1, Crash{fmt.Sprintf("n%d/1", i), []string{fmt.Sprint(i)}})
+		tb.Crash(1, Crash{ID: fmt.Sprintf("n%d/1", i), Requests: []string{fmt.Sprint(i)}})
 	}
 	c.Assert(len(tb.events), qt.Equals, p.Crashes)
 	var many []string
 	for i := range 2 * p.Requests {
 		many = append(many, fmt.Sprint("r", i))
 	}
-	tb.Crash(1, Crash{"x/1", many})
+	tb.Crash(1, Crash{ID: "x/1", Requests: many})
 	c.Assert(len(tb.events[len(tb.events)-1].requests), qt.Equals, p.Requests)
 }
--- a/internal/edge/codec/api.go
+++ b/internal/edge/codec/api.go
@@ -170,3 +170,14 @@
 	Live    bool   `json:"live"`
 	Leaving bool   `json:"leaving,omitempty"`
 }
+
+// Quarantined is one quarantined request.
+type Quarantined struct {
+	Request string   `json:"request"`
+	Crashes []string `json:"crashes"` // node and start of the server
+}
+
+// Lift names a request to be let run again.
+type Lift struct {
+	Request string `json:"request"`
+}
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -64,6 +64,8 @@
 	CancelRound(ctx context.Context, who ident.Caller, m codec.Round) error
 	Change(ctx context.Context, who ident.Caller, m codec.Change) (codec.Changed, error)
 	Config(ctx context.Context) (codec.Config, error)
+	Quarantine(ctx context.Context) ([]codec.Quarantined, error)
+	Lift(ctx context.Context, who ident.Caller, m codec.Lift) error
 	Audit(ctx context.Context) ([]codec.Audit, error)
 	Status(ctx context.Context) (codec.EntryStatus, error)
 	Nodes(ctx context.Context) (codec.Nodes, error)
@@ -87,6 +89,8 @@
 	mux.Handle("GET /v1/audit", unary(g, "audit", RoleOperator, noArgs(s.Audit)))
 	mux.Handle("GET /v1/status", unary(g, "status", RoleOperator, noArgs(s.Status)))
 	mux.Handle("GET /v1/nodes", unary(g, "nodes", RoleOperator, noArgs(s.Nodes)))
+	mux.Handle("GET /v1/quarantine", unary(g, "quarantine", RoleOperator, noArgs(s.Quarantine)))
+	mux.Handle("POST /v1/quarantine/lift", unary(g, "lift", RoleOperator, noReply(s.Lift)))
 	mux.Handle("GET /metrics", metrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { codec.WriteJSON(w, none{}) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/edge/opcli/opcli.go
+++ b/internal/edge/opcli/opcli.go
@@ -68,6 +68,21 @@
 	return get[codec.Nodes](ctx, c, "/v1/nodes")
 }
 
+// Quarantine lists the requests that are refused because they crash servers.
+func (c *Client) Quarantine(ctx context.Context) ([]codec.Quarantined, error) {
+	return get[[]codec.Quarantined](ctx, c, "/v1/quarantine")
+}
+
+// Lift lets a quarantined request run again.
+func (c *Client) Lift(ctx context.Context, request string) error {
+	b, err := json.Marshal(codec.Lift{Request: request})
+	if err != nil {
+		return errors.Wrap(err, "encode lift")
+	}
+	_, err = do[struct{}](ctx, c, http.MethodPost, "/v1/quarantine/lift", b)
+	return err
+}
+
 // Change publishes a change; it returns once the entry has read it back.
 func (c *Client) Change(ctx context.Context, m codec.Change) (codec.Changed, error) {
 	b, err := json.Marshal(m)
--- a/internal/inner/wire/msgs.go
+++ b/internal/inner/wire/msgs.go
@@ -195,6 +195,7 @@
 // Crash tells which requests ran when a backend server crashed.
 type Crash struct {
 	ID       string // names the crash on every entry
+	Age      int64  // ms since it happened
 	Requests []string
 }
 
--- a/internal/node/agent/gauge.go
+++ b/internal/node/agent/gauge.go
@@ -32,7 +32,7 @@
 		{"jujuberamp.agent.running", "work in progress", func() int64 { return int64(a.state().Running) }},
 		{"jujuberamp.agent.kept", "answers kept, running ones included", a.kept},
 		{"jujuberamp.agent.version", "version of the weights loaded", func() int64 { return int64(a.status.Load().Version) }},
-		{"jujuberamp.agent.crashes", "crashes of the backend server remembered", func() int64 { return int64(len(a.crashes.list())) }},
+		{"jujuberamp.agent.crashes", "crashes of the backend server remembered", func() int64 { return int64(a.crashes.seen.Load()) }},
 		{"jujuberamp.agent.config.offset", "log offset of the configuration known", func() int64 { return a.config.Load().Offset }},
 	} {
 		_, err := m.Int64ObservableGauge(g.name, metric.WithDescription(g.doc),
--- a/internal/node/agent/gen.go
+++ b/internal/node/agent/gen.go
@@ -83,14 +83,16 @@
 		Resume:    j.have(),
 		Priority:  j.msg.Priority,
 	}
-	a.crashes.enter(before.Boot, j.msg.Request)
-	defer a.crashes.leave(j.msg.Request)
+	defer a.crashes.enter(before.Boot, suspectID(j.msg))()
 	err = a.p.Engine.Generate(ctx, w, func(c plat.Chunk) error {
 		j.add(c.Tokens)
 		meter.add(a.p.Clock.Now(), len(c.Tokens))
 		whole = whole || c.Done
 		return nil
 	})
+	if err != nil && ctx.Err() == nil && a.sawCrash(before.Boot) {
+		err = fault.Wrap(fault.Crashed, err, "the engine crashed")
+	}
 	return whole, err
 }
 
@@ -102,7 +104,9 @@
 	if f, ok := fault.As(err); ok && f.Outcome() == fault.NotRun {
 		return err
 	}
-	a.crashes.note(a.p.Node)
-	a.recordJob(trace.Crash, j.msg, err)
-	return fault.Wrap(fault.Crashed, err, "the engine failed")
+	if fault.Is(err, fault.Crashed) {
+		a.recordJob(trace.Crash, j.msg, err)
+		return err
+	}
+	return fault.Wrap(fault.Broken, err, "the engine failed")
 }
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -218,6 +218,8 @@
 
 // call runs a call of the plain service.
 func (a *Agent) call(j *job) ([]byte, error) {
+	boot := a.status.Load().Boot
+	defer a.crashes.enter(boot, suspectID(j.msg))()
 	body, err := a.p.Plain.Do(j.ctx, plat.Call{
 		Attempt: ident.Attempt(j.msg.Attempt),
 		Body:    j.msg.Body,
@@ -229,6 +231,10 @@
 	if _, ok := fault.As(err); ok {
 		return nil, err
 	}
+	if j.ctx.Err() == nil && a.sawCrash(boot) {
+		a.recordJob(trace.Crash, j.msg, err)
+		return nil, fault.Wrap(fault.Crashed, err, "the service crashed")
+	}
 	return nil, fault.Wrap(fault.Lost, err, "call of "+j.msg.Service)
 }
 
--- a/internal/node/agent/report.go
+++ b/internal/node/agent/report.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
@@ -124,66 +123,10 @@
 		First:   int64(first),
 		Leaving: leaving,
 		Config:  a.config.Load().Offset,
-		Crashes: a.crashes.list(),
+		Crashes: a.crashes.list(a.p.Clock.Now()),
 	}
 }
 
-// crashes remembers which requests ran when the backend server crashed.
-type crashes struct {
-	mu      sync.Mutex
-	boot    ident.Incarnation
-	running map[string]int
-	last    []wire.Crash
-}
-
-// maxCrashes bounds the crashes kept for the next reports.
-const maxCrashes = 32
-
-func (c *crashes) enter(boot ident.Incarnation, request string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.running == nil {
-		c.running = make(map[string]int)
-	}
-	c.boot = boot
-	c.running[request]++
-}
-
-func (c *crashes) leave(request string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.running[request]--
-	if c.running[request] <= 0 {
-		delete(c.running, request)
-	}
-}
-
-// note records a crash once for each start of the backend server.
-func (c *crashes) note(n ident.Node) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	id := string(n) + "/" + strconv.FormatUint(uint64(c.boot), 16)
-	for _, k := range c.last {
-		if k.ID == id {
-			return
-		}
-	}
-	k := wire.Crash{ID: id}
-	for r := range c.running {
-		k.Requests = append(k.Requests, r)
-	}
-	c.last = append(c.last, k)
-	if len(c.last) > maxCrashes {
-		c.last = c.last[1:]
-	}
-}
-
-func (c *crashes) list() []wire.Crash {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return append([]wire.Crash(nil), c.last...)
-}
-
 // speed is the agent's own measure of the engine's progress.
 type speed struct {
 	mu    sync.Mutex
--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -37,6 +37,13 @@
 	Clock  clock.Clock
 	Log    zerolog.Logger
 	Trace  *trace.Recorder // nil for none
+
+	// Judge is asked before each try whether the work is a suspect of crashes;
+	// an error refuses it. crashes counts its attempts that ended in one. Nil
+	// judges nothing.
+	Judge func(ctx context.Context, w Work, crashes int) (suspect bool, err error)
+	// Served is told of work that ended with an answer after it was a suspect.
+	Served func(w Work)
 }
 
 // Peer carries a call to a node and waits for its answer; [wire.Pool] is one.
--- a/internal/node/calls/try.go
+++ b/internal/node/calls/try.go
@@ -33,6 +33,9 @@
 	for {
 		ans, err := t.once(ctx)
 		if err == nil {
+			if t.w.Suspect && t.c.p.Served != nil {
+				t.c.p.Served(t.w)
+			}
 			return ans, nil
 		}
 		if !t.mayRetry(ctx, err) {
@@ -55,6 +58,7 @@
 	spans   []wire.Span // versions of a sample's tokens
 	last    ident.Node  // that failed last, so that a small fleet is not used up
 	moved   bool        // the last attempt was refused as not run, or moved away
+	crashes int         // attempts that ended in a crash
 	ran     error       // of an attempt that may have run
 }
 
@@ -113,6 +117,9 @@
 // once puts the request into its queue and runs it on the server that it gets,
 // and on a second one if the matcher hedges.
 func (t *try) once(ctx context.Context) (Answer, error) {
+	if err := t.judge(ctx); err != nil {
+		return Answer{}, err
+	}
 	id, grants, err := t.c.enqueue(t.item())
 	if err != nil {
 		t.refused = true
@@ -123,6 +130,16 @@
 	return r.run()
 }
 
+// judge asks whether the work may run, and whether beside other suspects.
+func (t *try) judge(ctx context.Context) error {
+	if t.c.p.Judge == nil {
+		return nil
+	}
+	var err error
+	t.w.Suspect, err = t.c.p.Judge(ctx, t.w, t.crashes)
+	return err
+}
+
 // join reads an attempt that runs already.
 func (t *try) join(ctx context.Context) (Answer, error) {
 	r := &race{t: t, ctx: ctx, events: make(chan event)}
@@ -206,6 +223,9 @@
 func (t *try) failed(a *attempt, err error) {
 	t.last = a.grant.server.Node
 	f, ok := fault.As(err)
+	if ok && f.Kind() == fault.Crashed {
+		t.crashes++
+	}
 	t.moved = a.moved || (ok && f.Outcome() == fault.NotRun)
 	if !t.moved {
 		t.fails++
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lease"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/place"
@@ -41,6 +42,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/node/leases"
 	"github.com/jujuberamp/jujuberamp/internal/node/peers"
 	"github.com/jujuberamp/jujuberamp/internal/node/plans"
+	"github.com/jujuberamp/jujuberamp/internal/node/quar"
 	"github.com/jujuberamp/jujuberamp/internal/node/rounds"
 	"github.com/jujuberamp/jujuberamp/internal/node/swaps"
 	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
@@ -96,6 +98,7 @@
 	swaps  *swaps.Swaps
 	rounds *rounds.Rounds
 	claims *claims.Claims
+	quar   *quar.Quarantine
 	lease  *leases.Lease // of the placement
 	plans  *plans.Plans
 
@@ -195,7 +198,18 @@
 		Clock:  p.Clock,
 		Log:    part("peers"),
 	})
-	e.calls = calls.New(calls.Params{Node: p.Node, Boot: e.boot, Policy: p.Policy, Pool: e.pool, Clock: p.Clock, Log: part("calls"), Trace: p.Trace})
+	e.quar = quar.New(quar.Params{Policy: crash.Standard(), Clock: p.Clock, Tell: func() { e.gossipOnce(e.ctx) }, Log: part("quarantine")})
+	e.calls = calls.New(calls.Params{
+		Node:   p.Node,
+		Boot:   e.boot,
+		Policy: p.Policy,
+		Pool:   e.pool,
+		Clock:  p.Clock,
+		Log:    part("calls"),
+		Trace:  p.Trace,
+		Judge:  e.quar.Judge,
+		Served: e.quar.Served,
+	})
 	e.swaps = swaps.New(swaps.Params{
 		Node:    p.Node,
 		Boot:    e.boot,
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -29,6 +29,7 @@
 		return nil
 	}
 	e.remember(*args)
+	e.quar.Learn(args.Crashes, nil)
 	e.recordReport(args)
 	e.calls.Report(match.Server{
 		Node:    ident.Node(args.Hello.Node),
@@ -115,6 +116,8 @@
 	reply.Fresh = e.freshAge()
 	reply.Dead = e.dead()
 	reply.Versions = e.swaps.Wire()
+	e.quar.Learn(args.Crashes, args.Lifted)
+	reply.Crashes, reply.Lifted = e.quar.Wire()
 	return nil
 }
 
@@ -224,6 +227,7 @@
 		Dead:     e.dead(),
 		Ahead:    ahead,
 	}
+	args.Crashes, args.Lifted = e.quar.Wire()
 	asked := e.p.Clock.Now()
 	var reply wire.PeerReply
 	err := e.pool.Call(ctx, m.Addr, "Entry.Peer", &args, &reply)
@@ -246,6 +250,7 @@
 	e.peers.Heard(roster.Contact{Member: m, Boot: ident.Incarnation(reply.Boot)})
 	e.peers.Told(suspects(reply.Dead))
 	e.swaps.Learn(reply.Versions)
+	e.quar.Learn(reply.Crashes, reply.Lifted)
 	e.config.Learn(reply.Config)
 	fresh := clock.Millis(0)
 	if reply.Fresh >= 0 {
--- /dev/null
+++ b/internal/proof/demo/quar_test.go
@@ -0,0 +1,110 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	errkind "github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
+	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
+	"github.com/jujuberamp/jujuberamp/internal/edge/opcli"
+	"github.com/jujuberamp/jujuberamp/internal/proof/invar"
+	"github.com/jujuberamp/jujuberamp/internal/stand/engine"
+	"github.com/jujuberamp/jujuberamp/internal/stand/oracle"
+)
+
+// small returns a small deployment that serves the first classes.
+func small(t *testing.T, o Options) *run {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), runFor)
+	t.Cleanup(cancel)
+	w, err := newWorld(ctx, o, zerolog.Nop(), nil)
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(w.close)
+	r := &run{o: o, w: w, out: io.Discard, counts: invar.NewCounts(), meas: newMeasures(), began: time.Now()}
+	c.Assert(r.apply(ctx, firstClasses()), qt.IsNil)
+	c.Assert(r.waitServing(ctx), qt.IsNil)
+	return r
+}
+
+// revive restarts crashed engines, and counts them.
+func (w *world) revive(crashes *atomic.Int64) {
+	for w.ctx.Err() == nil {
+		for _, a := range w.agents {
+			if a.engine != nil && a.engine.IsDown() {
+				crashes.Add(1)
+				a.engine.Restart()
+			}
+		}
+		sleepFor(w.ctx, 30*time.Millisecond)
+	}
+}
+
+// TestCrashingRequest sends a request that crashes engines five times through
+// different entries and under different keys, beside 30 innocent ones.
+func TestCrashingRequest(t *testing.T) {
+	c := qt.New(t)
+	r := small(t, Options{Entries: 3, Engines: 4, Apps: 1, Seed: 1})
+	ctx := r.w.ctx
+	urls := r.w.urls()
+	var crashes atomic.Int64
+	go r.w.revive(&crashes)
+
+	var wg sync.WaitGroup
+	errs := make(chan error, 30)
+	for i := range 30 {
+		body := fmt.Sprintf("innocent %d", i)
+		wg.Go(func() {
+			ans, err := send(ctx, urls[i%len(urls)], codec.Request{Class: "live-draft", Body: body, Seed: 1, MaxTokens: draftTokens})
+			if err == nil && !slices.Equal(ans.tokens, oracle.Answer([]byte(body), 1, draftTokens)) {
+				err = fmt.Errorf("%s got another answer", body)
+			}
+			errs <- err
+		})
+	}
+	bad := func(i int) error {
+		_, err := send(ctx, urls[i%len(urls)], codec.Request{Class: "live-draft", Key: newKey(), Body: string(engine.Poison), MaxTokens: draftTokens})
+		return err
+	}
+	var last error
+	for i := range 5 {
+		last = bad(i)
+		c.Assert(last, qt.IsNotNil)
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(errkind.Is(last, errkind.Quarantined), qt.IsTrue, qt.Commentf("%v", last))
+	c.Assert(int(crashes.Load()) <= crash.Standard().Limit+1, qt.IsTrue, qt.Commentf("%d crashes", crashes.Load()))
+
+	for i := range urls { // Every entry refuses and lists it.
+		c.Assert(errkind.Is(bad(i), errkind.Quarantined), qt.IsTrue)
+		list, err := opcli.New(operatorToken, urls[i]).Quarantine(ctx)
+		c.Assert(err, qt.IsNil)
+		c.Assert(list, qt.HasLen, 1)
+	}
+	id := crash.ID("live-draft", engine.Poison)
+	c.Assert(opcli.New(operatorToken, urls[0]).Lift(ctx, id), qt.IsNil)
+	for _, u := range urls {
+		for {
+			list, err := opcli.New(operatorToken, u).Quarantine(ctx)
+			c.Assert(err, qt.IsNil)
+			if len(list) == 0 {
+				break
+			}
+			sleepFor(ctx, time.Millisecond)
+		}
+	}
+	c.Assert(errkind.Is(opcli.New(operatorToken, urls[0]).Lift(ctx, "no-request"), errkind.NotFound), qt.IsTrue)
+}
