--- a/internal/proof/size/bench_test.go
+++ b/internal/proof/size/bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/ledger"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/place"
+	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
 	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
@@ -26,6 +27,10 @@
 
 func node(i int) ident.Node { return ident.Node(fmt.Sprintf("agent-%04d", i)) }
 
+func server(i int) match.Server {
+	return match.Server{Node: node(i), Addr: "10.10.200.201:7401", Zone: zone(i), Region: "main", Service: "notice-model", Version: 17, Slots: 16}
+}
+
 func zone(i int) ident.Zone { return ident.Zone(fmt.Sprintf("zone-%02d", i%13)) }
 
 // BenchmarkReport is one report over net/rpc, both sides, without a socket.
@@ -55,6 +60,79 @@
 	}
 }
 
+// BenchmarkDecision is one request from its arrival to its end in the matcher,
+// at a number of candidates that are half full.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m := match.New(match.Standard())
+			now := clock.Minute
+			for i := range n {
+				m.Report(now, server(i))
+			}
+			id := uint64(0)
+			arrive := func() {
+				id++
+				_ = m.Arrive(now, match.Item{ID: id, Class: "live-draft", Service: "notice-model", StartBy: now + clock.Second, FinishBy: now + clock.Minute, Tokens: 200})
+			}
+			var running []match.Grant
+			for range 8 * n {
+				arrive()
+				gs, _ := m.Next(now)
+				running = append(running, gs...)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				arrive()
+				gs, _ := m.Next(now)
+				running = append(running, gs...)
+				m.Finish(now, running[0].Item, running[0].Node, match.Result{End: match.Served})
+				running = running[1:]
+			}
+		})
+	}
+}
+
+// BenchmarkServerMemory reports what the matcher holds for one server.
+func BenchmarkServerMemory(b *testing.B) {
+	for b.Loop() {
+		m := match.New(match.Standard())
+		b.ReportMetric(held(func() any {
+			for i := range 1000 {
+				m.Report(clock.Minute, server(i))
+			}
+			return m
+		})/1000, "B/server")
+	}
+}
+
+// BenchmarkMemberMemory reports what a node holds for one line of the VM list.
+func BenchmarkMemberMemory(b *testing.B) {
+	for b.Loop() {
+		r := roster.New(roster.Standard(), roster.Member{Node: "entry-1", Entry: true})
+		b.ReportMetric(held(func() any {
+			var ms []roster.Member
+			for i := range 4300 {
+				ms = append(ms, roster.Member{Node: node(i), Addr: "10.10.200.201:7401", Zone: zone(i), Region: "main"})
+			}
+			r.List(clock.Minute, ms)
+			return r
+		})/4300, "B/member")
+	}
+}
+
+// held returns how many bytes stay in use after fill.
+func held(fill func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := fill()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
 // BenchmarkSwapNext is one decision about the swaps of a model.
 func BenchmarkSwapNext(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 3900} {
@@ -141,17 +219,10 @@
 
 // BenchmarkRoundMemory reports what one finished sample and one round hold.
 func BenchmarkRoundMemory(b *testing.B) {
-	var before, after runtime.MemStats
 	for b.Loop() {
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		st := full()
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		held := float64(after.HeapAlloc) - float64(before.HeapAlloc)
-		b.ReportMetric(held/float64(st.Spec().Total()), "B/sample")
-		b.ReportMetric(held/1e6, "MB/round")
-		runtime.KeepAlive(st)
+		bytes := held(func() any { return full() })
+		b.ReportMetric(bytes/(groups*perGroup), "B/sample")
+		b.ReportMetric(bytes/1e6, "MB/round")
 	}
 }
 
@@ -176,8 +247,17 @@
 	b.ReportMetric(float64(len(seal.Encode(cur))), "B/cursor")
 }
 
-func change(i int) record.Record {
-	c, _ := class.New(class.Params{Name: ident.Class(fmt.Sprint("live-draft-", i)), Kind: class.Draft, Service: "notice-model", Lateness: clock.Second, Waiting: clock.Milli, MaxTokens: 1024})
+// fataler ends a test or a benchmark.
+type fataler interface{ Fatal(args ...any) }
+
+func change(b fataler, i int) record.Record {
+	c, err := class.New(class.Params{
+		Name: ident.Class(fmt.Sprint("live-draft-", i)), Kind: class.Draft, Service: "notice-model",
+		Lateness: 20 * clock.Second, Waiting: 500, MaxTokens: 1024,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
 	return record.Record{
 		Writer: record.Writer{Node: "entry-123", Boot: 1 << 62, Seq: uint64(i) + 1},
 		Change: &record.Change{Author: "operator-1", Comment: "more time for drafts", Edits: []record.Edit{{Name: c.Name(), Class: c}}},
@@ -190,9 +270,9 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			st := ledger.New()
 			for i := range n {
-				st.Apply(ident.Offset(i+1), change(i))
+				st.Apply(ident.Offset(i+1), change(b, i))
 			}
-			data, _ := record.Encode(change(n))
+			data, _ := record.Encode(change(b, n))
 			b.ReportAllocs()
 			for b.Loop() {
 				next := st.Clone()
--- a/internal/proof/size/size.go
+++ b/internal/proof/size/size.go
@@ -7,10 +7,15 @@
 //
 // # Usage
 //
-//	for _, l := range size.Lines(size.Letter(), size.Built(), slopes) { fmt.Println(l) }
+//	fmt.Print(size.Table(size.Letter(), slopes, size.Built(), size.Planned()))
 package size
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+
+	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
+)
 
 // Target is a size of the deployment, with the bounds of control per node.
 type Target struct {
@@ -51,19 +56,37 @@
 	Name      string
 	Reports   int     // entries to which an agent reports
 	ReportFor float64 // s between reports to one entry
-	Peers     int     // entries to which an entry talks
+	Peers     int     // entries that an entry calls
 	PeerFor   float64 // s between messages to one peer
-	ListFor   float64 // s between looks at the VM list
+	ListFor   float64 // s between looks at the whole VM list
+	Deltas    bool    // nodes tell only versions and changes that the other lacks
+}
+
+// Mesh is everyone talking to everyone at the standard settings, as a plain
+// baseline.
+func Mesh(t Target) Fan {
+	return Fan{Name: "mesh", Reports: t.Entries, ReportFor: 0.5, Peers: t.Entries - 1, PeerFor: 1, ListFor: 1}
+}
+
+// Built is what the program does at its standard settings.
+func Built() Fan {
+	return Fan{Name: "built", Reports: 8, ReportFor: 0.5, Peers: roster.Standard().Fanout, PeerFor: 1, ListFor: 1}
+}
+
+// Planned is what meets the bounds; docs/CAPACITY.md tells what is missing.
+func Planned() Fan {
+	return Fan{Name: "planned", Reports: 3, ReportFor: 3, Peers: 8, PeerFor: 4, ListFor: 600, Deltas: true}
 }
 
-// Slopes are measured costs. Bytes are those of both directions on the wire,
-// with the headers of packets.
+// Slopes are measured costs in bytes on the wire, of both directions and with
+// the headers of packets.
 type Slopes struct {
-	Report   float64 // bytes of one report and its answer
-	Peer     float64 // bytes of one message between entries and its answer
-	Announce float64 // bytes that one announced version adds to a message
-	VM       float64 // bytes of one line of the VM list
-	Change   float64 // bytes of one change on the log
+	Report  float64 // one report and its answer
+	Peer    float64 // one message between entries and its answer
+	Version float64 // one version, told in both directions
+	VM      float64 // one line of the VM list
+	Change  float64 // one change on the log
+	Classes float64 // the whole configuration, of 100 classes
 }
 
 // Line is one row of the table.
@@ -80,18 +103,24 @@
 // Lines works out the traffic of control of one node of each role.
 func Lines(t Target, f Fan, s Slopes) []Line {
 	reports := float64(f.Reports) / f.ReportFor
-	heard := reports * float64(t.Agents) / float64(t.Entries)
-	peers := float64(f.Peers) / f.PeerFor
-	versions := float64(t.Models) * s.Announce
+	each := float64(t.Agents) / float64(t.Entries) // agents that learn a change from one entry
+	heard := reports * each
+	peers := 2 * float64(f.Peers) / f.PeerFor
+	versions, told := float64(t.Models)*s.Version, s.Classes
+	if f.Deltas {
+		versions, told = 0, s.Change
+	}
 	changes := t.Changes / daySeconds
 	list := s.VM * float64(t.Entries+t.Agents)
 	return []Line{
-		{"agent", "reports", reports, reports * (s.Report + versions)},
+		{"agent", "reports", reports, reports * s.Report},
 		{"agent", "VM list", 1 / f.ListFor, list / f.ListFor},
-		{"entry", "reports heard", heard, heard * (s.Report + versions)},
-		{"entry", "peers, both directions", 2 * peers, 2 * peers * (s.Peer + 2*versions)},
+		{"agent", "configuration, 100 classes", changes, changes * told},
+		{"entry", "reports heard", heard, heard * s.Report},
+		{"entry", "peers, called and calling", peers, peers * (s.Peer + versions)},
 		{"entry", "VM list", 1 / f.ListFor, list / f.ListFor},
-		{"entry", "configuration", changes, changes * s.Change},
+		{"entry", "configuration from the log", changes, changes * s.Change},
+		{"entry", "configuration to agents", changes * each, changes * each * told},
 	}
 }
 
@@ -106,14 +135,32 @@
 	return sum
 }
 
-// Table returns the lines as a table in Markdown.
-func Table(ls []Line) string {
-	out := "| role | what | messages/s | bytes/s |\n| --- | --- | ---: | ---: |\n"
-	for _, l := range ls {
-		out += fmt.Sprintf("| %s | %s | %.4g | %.0f |\n", l.Role, l.What, l.Count, l.Bytes)
+// roles lists the roles in the order of the table.
+var roles = []string{"agent", "entry"}
+
+// Table returns the bytes a second of several fans beside each other, in
+// Markdown.
+func Table(t Target, s Slopes, fans ...Fan) string {
+	var b strings.Builder
+	b.WriteString("| role | what |")
+	for _, f := range fans {
+		fmt.Fprintf(&b, " %s: messages/s | bytes/s |", f.Name)
 	}
-	for _, r := range []string{"agent", "entry"} {
-		out += fmt.Sprintf("| %s | **sum** | | **%.0f** |\n", r, Sum(ls, r))
+	b.WriteString("\n| --- | --- |" + strings.Repeat(" ---: | ---: |", len(fans)) + "\n")
+	for i, l := range Lines(t, fans[0], s) {
+		fmt.Fprintf(&b, "| %s | %s |", l.Role, l.What)
+		for _, f := range fans {
+			o := Lines(t, f, s)[i]
+			fmt.Fprintf(&b, " %.3g | %.0f |", o.Count, o.Bytes)
+		}
+		b.WriteString("\n")
+	}
+	for _, r := range roles {
+		fmt.Fprintf(&b, "| %s | sum, at most %.0f |", r, t.MaxBytes)
+		for _, f := range fans {
+			fmt.Fprintf(&b, " | %.0f |", Sum(Lines(t, f, s), r))
+		}
+		b.WriteString("\n")
 	}
-	return out
+	return b.String()
 }
--- a/internal/proof/size/wire_test.go
+++ b/internal/proof/size/wire_test.go
@@ -1,13 +1,22 @@
 package size
 
 import (
+	"encoding/json"
+	"flag"
+	"math"
 	"net"
 	"net/rpc"
+	"os"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/ledger"
+	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
 
@@ -108,9 +117,86 @@
 	return cl.Call("Entry.Peer", peer(vs), &wire.PeerReply{})
 }
 
-func TestWireCosts(t *testing.T) {
+// page holds the table; the test writes it anew with -update.
+const page = "../../../docs/CAPACITY.md"
+
+// The table stands between these lines of the page.
+const (
+	from = "<!-- table of internal/proof/size -->\n"
+	to   = "<!-- end of the table -->\n"
+)
+
+var update = flag.Bool("update", false, "write the table of docs/CAPACITY.md anew")
+
+// slopes measures what a message costs, rounded to bytes.
+func slopes(c *qt.C) Slopes {
+	const many = 20
+	vm, err := json.Marshal(vms(4300))
+	c.Assert(err, qt.IsNil)
+	rec, err := record.Encode(change(c, 1))
+	c.Assert(err, qt.IsNil)
+	st := ledger.New()
+	for i := range 100 {
+		st.Apply(ident.Offset(i+1), change(c, i))
+	}
+	sn := st.Snapshot()
+	classes, err := record.Encode(record.Record{Snapshot: &sn})
+	c.Assert(err, qt.IsNil)
+	p0, p20 := cost(c, 0, callPeer), cost(c, many, callPeer)
+	return Slopes{
+		Report:  math.Round(cost(c, 1, callReport)),
+		Peer:    math.Round(p0),
+		Version: (p20 - p0) / many,
+		VM:      float64(len(vm)) / 4300,
+		Classes: float64(len(classes)),
+		Change:  float64(len(rec)) + perCall*packet,
+	}
+}
+
+func TestTableIsOnThePage(t *testing.T) {
 	c := qt.New(t)
-	r0, r20 := cost(c, 0, callReport), cost(c, 20, callReport)
-	p0, p20 := cost(c, 0, callPeer), cost(c, 20, callPeer)
-	t.Logf("report %.0f bytes, each version %.1f; peer %.0f, each version both ways %.1f", r0, (r20-r0)/20, p0, (p20-p0)/20)
+	s := slopes(c)
+	t.Logf("%+v", s)
+	l := Letter()
+	want := Table(l, s, Mesh(l), Built(), Planned())
+	b, err := os.ReadFile(page)
+	c.Assert(err, qt.IsNil)
+	head, rest, ok := strings.Cut(string(b), from)
+	c.Assert(ok, qt.IsTrue)
+	got, tail, ok := strings.Cut(rest, to)
+	c.Assert(ok, qt.IsTrue)
+	if *update {
+		c.Assert(os.WriteFile(page, []byte(head+from+want+to+tail), 0o644), qt.IsNil)
+		return
+	}
+	c.Assert(isNear(got, want), qt.IsTrue, qt.Commentf("run: go test ./internal/proof/size -run Table -update\n%s", want))
+}
+
+// isNear compares two tables; their numbers may differ by a tenth, so that a
+// small field more in a message needs no change of the page.
+func isNear(a, b string) bool {
+	as, bs := strings.Fields(a), strings.Fields(b)
+	if len(as) != len(bs) {
+		return false
+	}
+	for i := range as {
+		x, err := strconv.ParseFloat(as[i], 64)
+		if err != nil {
+			x = math.NaN()
+		}
+		y, err := strconv.ParseFloat(bs[i], 64)
+		if err != nil && as[i] != bs[i] || math.Abs(x-y) > 0.1*y {
+			return false
+		}
+	}
+	return true
+}
+
+func TestPlannedMeetsTheBound(t *testing.T) {
+	c := qt.New(t)
+	l := Letter()
+	ls := Lines(l, Planned(), slopes(c))
+	for _, r := range roles {
+		c.Check(Sum(ls, r) <= l.MaxBytes, qt.IsTrue, qt.Commentf("%s: %.0f bytes/s", r, Sum(ls, r)))
+	}
 }
