--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -8,8 +8,8 @@
 //     lately, and more by its measured demand. Several entries that each see
 //     old reports can fill all other slots, but not these.
 //  2. Two suspects of a crash never run beside each other.
-//  3. A refusal tells to come back when a slot is likely to be free, by the
-//     pace at which work has ended lately.
+//  3. A refusal tells to come back when a slot is likely to be free: for short
+//     work by the pace at which work has ended lately.
 //
 // # Usage
 //
@@ -92,7 +92,7 @@
 	}
 	switch {
 	case l.open >= usable:
-		return fault.New(fault.Overloaded, "agent "+string(n)+" has no free slot").After(l.hint(hint))
+		return fault.New(fault.Overloaded, "agent "+string(n)+" has no free slot").After(l.hint(a, hint))
 	case a.Suspect && l.suspects > 0: // rule 2
 		return fault.New(fault.Overloaded, "agent "+string(n)+" runs another suspect of a crash").After(hint)
 	}
@@ -106,9 +106,9 @@
 	return nil
 }
 
-// hint applies rule 3.
-func (l *Limit) hint(most clock.Millis) clock.Millis {
-	if l.between == 0 {
+// hint applies rule 3. Other work than short must wait for more than one end.
+func (l *Limit) hint(a Ask, most clock.Millis) clock.Millis {
+	if !a.Short || l.between == 0 {
 		return most
 	}
 	return min(most, max(leastHint, clock.Millis(l.between)))
--- a/internal/decide/limit/limit_test.go
+++ b/internal/decide/limit/limit_test.go
@@ -67,3 +67,45 @@
 		})
 	}
 }
+
+// TestHint ends work every 50 ms and looks when refused work shall come back.
+func TestHint(t *testing.T) {
+	c := qt.New(t)
+	l := New(4)
+	now := clock.Hour
+	for range 4 {
+		c.Assert(l.Admit(now, "agent-1", Ask{Short: true}, 500), qt.IsNil)
+	}
+	for range 40 {
+		now += 50
+		l.Done(now, Ask{Short: true})
+		c.Assert(l.Admit(now, "agent-1", Ask{Short: true}, 500), qt.IsNil)
+	}
+	for _, tc := range []struct {
+		ask  Ask
+		want clock.Millis
+	}{{Ask{Short: true}, 50}, {Ask{}, 500}} {
+		f, _ := fault.As(l.Admit(now, "agent-1", tc.ask, 500))
+		c.Assert(f.Wait() <= tc.want && f.Wait() >= tc.want-1, qt.IsTrue, qt.Commentf("%v", f.Wait()))
+	}
+}
+
+// TestKeptByDemand fills an agent with long work after short work has held
+// half of its slots for a while.
+func TestKeptByDemand(t *testing.T) {
+	c := qt.New(t)
+	l := New(16)
+	now := clock.Hour
+	for range 8 {
+		c.Assert(l.Admit(now, "agent-1", Ask{Short: true}, 500), qt.IsNil)
+	}
+	now += 10 * clock.Second
+	for range 8 {
+		l.Done(now, Ask{Short: true})
+	}
+	admitted := 0
+	for l.Admit(now, "agent-1", Ask{}, 500) == nil {
+		admitted++
+	}
+	c.Assert(admitted, qt.Equals, 8)
+}
--- a/internal/decide/match/match.go
+++ b/internal/decide/match/match.go
@@ -105,6 +105,7 @@
 	}
 	s.Server = sv
 	s.heard = now
+	s.pool.newest = max(s.pool.newest, sv.Version)
 	s.place(now, m.p)
 }
 
--- a/internal/decide/match/next.go
+++ b/internal/decide/match/next.go
@@ -36,7 +36,9 @@
 		if m.p.Pace {
 			m.judge(now, p)
 		}
+		p.newest = 0
 		for _, s := range slices.Clone(p.all) {
+			p.newest = max(p.newest, s.Version)
 			if s.own == 0 && now-s.heard > forgetAfter {
 				m.Gone(s.Node)
 				continue
@@ -157,7 +159,7 @@
 // bind grants waiting items of a pool in the order of rules 2 to 4.
 func (m *Matcher) bind(now clock.Millis, p *pool, grants []Grant) []Grant {
 	for p.free > 0 {
-		l, b := m.nextLane(p)
+		l, b := m.nextLane(now, p)
 		if l == nil {
 			break
 		}
@@ -165,6 +167,9 @@
 		s := m.pick(now, p, &it, b)
 		if s == nil {
 			l.aside = append(l.aside, it)
+			if len(p.all) > manyServers {
+				l.again = now + againAfter
+			}
 			// The other items of the queue differ only in what they avoid.
 			l.blocked = len(l.aside) >= lookahead || (len(it.Avoid) == 0 && !it.Suspect)
 			continue
@@ -180,7 +185,7 @@
 	if !m.p.Reserve || len(p.all) == 0 {
 		return grants
 	}
-	l := p.heads()[short]
+	l := p.heads(now)[short]
 	if l == nil {
 		return grants
 	}
@@ -225,11 +230,11 @@
 }
 
 // nextLane returns the queue whose head goes next, and its band.
-func (m *Matcher) nextLane(p *pool) (*lane, band) {
+func (m *Matcher) nextLane(now clock.Millis, p *pool) (*lane, band) {
 	if !m.p.Reserve {
 		return p.oldest(), short
 	}
-	heads := p.heads()
+	heads := p.heads(now)
 	if l, b := p.starving(heads); l != nil { // rule 4
 		return l, b
 	}
@@ -247,9 +252,9 @@
 }
 
 // heads returns the queue of each band whose head has the least slack.
-func (p *pool) heads() (heads [bands]*lane) {
+func (p *pool) heads(now clock.Millis) (heads [bands]*lane) {
 	for _, l := range p.lanes {
-		if l.blocked || l.q.Len() == 0 {
+		if l.blocked || l.q.Len() == 0 || l.key.floor > p.newest || now < l.again {
 			continue
 		}
 		b := p.band(l)
--- a/internal/decide/match/policy.go
+++ b/internal/decide/match/policy.go
@@ -69,8 +69,10 @@
 	lookahead    = 32           // items of a queue passed over in one decision
 	fewShort     = 0.1          // slots of demand below which none are kept for short work
 	triedServers = 4            // random servers that rule 13 looks at
-	retrySaved   = 10           // attempts that the budgets save up
-	tokenBytes   = 8            // of an answer on a link, each token
+	manyServers  = 64           // servers above which a queue that found none is passed over for a while
+	againAfter   = 10 * clock.Milli
+	retrySaved   = 10 // attempts that the budgets save up
+	tokenBytes   = 8  // of an answer on a link, each token
 )
 
 // Item is one piece of work that waits for a server.
--- a/internal/decide/match/pool.go
+++ b/internal/decide/match/pool.go
@@ -35,6 +35,7 @@
 	ring     route.Ring[*server]
 	free     int // credits of open servers
 	slots    int // of servers that are alive and not slow
+	newest   ident.Version
 	inflight [bands]int
 	demand   float64 // slots that short work needs, smoothed
 	lanes    []*lane
@@ -81,6 +82,7 @@
 	q       *queue.Queue[Item]
 	aside   []Item // passed over in this decision
 	blocked bool
+	again   clock.Millis // passed over until then, after all servers were looked at
 }
 
 func (p *pool) lane(k laneKey) *lane {
--- /dev/null
+++ b/internal/decide/route/route_test.go
@@ -0,0 +1,103 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
+)
+
+type member struct {
+	slot Slot
+	load float64
+}
+
+func (m *member) Slot() *Slot { return &m.slot }
+
+// TestListHoldsWhatWasAdded adds and deletes at random.
+func TestListHoldsWhatWasAdded(t *testing.T) {
+	prop.Check(t, func(t *rapid.T) {
+		all := make([]member, 40)
+		in := make(map[*member]bool)
+		var l List[*member]
+		for _, i := range rapid.SliceOf(rapid.IntRange(0, 79)).Draw(t, "ops") {
+			m := &all[i%40]
+			if i < 40 {
+				l.Add(m)
+				in[m] = true
+			} else {
+				l.Del(m)
+				delete(in, m)
+			}
+		}
+		seen := make(map[*member]bool)
+		l.scan(func(m *member) (float64, bool) {
+			seen[m] = true
+			return 0, false
+		})
+		if l.Len() != len(in) || len(seen) != len(in) {
+			t.Fatalf("%d in the list, %d seen, want %d", l.Len(), len(seen), len(in))
+		}
+	})
+}
+
+func TestLeast(t *testing.T) {
+	for _, n := range []int{1, scanned, 1000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := qt.New(t)
+			var l List[*member]
+			for i := range n {
+				l.Add(&member{load: float64(i + 1)})
+			}
+			rng := rand.New(rand.NewPCG(1, 1))
+			sum := 0.0
+			const draws = 200
+			for range draws {
+				best, ok := l.Least(rng, func(m *member) (float64, bool) { return m.load, true })
+				c.Assert(ok, qt.IsTrue)
+				sum += best.load
+			}
+			if n <= scanned {
+				c.Assert(sum, qt.Equals, float64(draws)) // always the least one
+			}
+			c.Assert(sum/draws < float64(n)/2+1, qt.IsTrue) // better than at random
+			only := l.all[n-1]
+			best, ok := l.Least(rng, func(m *member) (float64, bool) { return 0, m == only })
+			c.Assert(ok, qt.IsTrue, qt.Commentf("one candidate that fits is found among all"))
+			c.Assert(best, qt.Equals, only)
+		})
+	}
+}
+
+// TestRingMovesFewKeys takes one of ten candidates out.
+func TestRingMovesFewKeys(t *testing.T) {
+	c := qt.New(t)
+	var r Ring[string]
+	for i := range 10 {
+		r.Add(fmt.Sprintf("agent-%d", i), fmt.Sprintf("agent-%d", i))
+	}
+	first := func(key string) (got string) {
+		r.Walk(key, 1, func(s string) bool {
+			got = s
+			return true
+		})
+		return got
+	}
+	before := make(map[string]string)
+	for i := range 1000 {
+		k := fmt.Sprintf("prefix-%d", i)
+		before[k] = first(k)
+	}
+	r.Del("agent-3")
+	for k, was := range before {
+		if was != "agent-3" {
+			c.Assert(first(k), qt.Equals, was)
+		} else {
+			c.Assert(first(k), qt.Not(qt.Equals), was)
+		}
+	}
+}
