Test what is refused: tokens, bodies, keys, deadlines, attempts, claims

Cause: the refusals of the outer and the inner interface had no test; a body with a second message was accepted; a call that could not be sent to a plain service counted as one that may have run. A dial that fails is a proof that the call was not run.

--- a/internal/edge/client/client.go
+++ b/internal/edge/client/client.go
@@ -25,6 +25,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
@@ -167,6 +168,10 @@
 	r.Header.Set(HeaderAttempt, string(c.Attempt))
 	r.Header.Set(HeaderOnce, strconv.FormatBool(c.Once))
 	resp, err := p.http.Do(r)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" { // Nothing was sent.
+		return nil, fault.Wrap(fault.NoBackend, err, "the service can't be reached")
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "call")
 	}
--- a/internal/edge/httpd/httpd.go
+++ b/internal/edge/httpd/httpd.go
@@ -149,6 +149,9 @@
 		}
 		return nil, fault.Wrap(fault.BadRequest, err, "body is not a valid message")
 	}
+	if dec.More() {
+		return nil, fault.New(fault.BadRequest, "body holds more than one message")
+	}
 	return m, nil
 }
 
--- /dev/null
+++ b/internal/node/agent/refuse_test.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/stand/plain"
+	"github.com/jujuberamp/jujuberamp/internal/stand/vmlist"
+)
+
+// TestSubmitRefuses sends jobs that must not run; the ledger of the service
+// shows that none did, but for the one that was sent first.
+func TestSubmitRefuses(t *testing.T) {
+	c := qt.New(t)
+	clk := clock.NewSystem()
+	ledger := plain.NewLedger()
+	a, err := New(Params{
+		Node: "agent-1", Listen: "127.0.0.1:0", Key: []byte("0123456789abcdef"), Slots: 4, Service: "pages",
+		Report: clock.Second, Keep: clock.Minute, Clock: clk, Log: zerolog.Nop(), Meter: noop.Meter{},
+		Plain: plain.New(ledger, 0), VMs: vmlist.New(clk, 0),
+	})
+	c.Assert(err, qt.IsNil)
+	defer a.Close()
+	s := &service{a}
+	claim := func(at int64, key string) wire.Claim {
+		return wire.Claim{Stream: "claims-1", Offset: at, Key: key, Boot: uint64(a.Boot())}
+	}
+	stale := claim(9, "k9")
+	stale.Boot++
+	var settled wire.SettleReply
+	hello := wire.NewHello("entry-1", 1)
+	c.Assert(s.Settle(&wire.SettleArgs{Hello: hello, Claim: claim(8, "k8")}, &settled), qt.IsNil)
+	c.Assert(settled.State, qt.Equals, "refused")
+
+	job := func(attempt string, cl wire.Claim) wire.Job {
+		return wire.Job{Attempt: attempt, Service: "pages", Call: true, Once: true, Body: []byte(attempt), Claim: cl}
+	}
+	var first wire.SubmitReply
+	c.Assert(s.Submit(&wire.SubmitArgs{Hello: hello, Job: job("first", claim(1, "k1"))}, &first), qt.IsNil)
+	c.Assert(first.Fault.Err(), qt.IsNil)
+
+	model := job("model", claim(3, "k3"))
+	model.Call = false
+	other := job("other", claim(4, "k4"))
+	other.Service = "maps"
+	tests := map[string]struct {
+		hello wire.Hello
+		job   wire.Job
+		want  fault.Kind
+	}{
+		"another protocol":         {wire.Hello{Protocol: 99, Node: "entry-1"}, job("a", claim(2, "k2")), fault.BadPeer},
+		"no claim":                 {hello, job("b", wire.Claim{}), fault.BadRequest},
+		"attempt used before":      {hello, job("first", claim(5, "k5")), fault.StaleAttempt},
+		"claim used before":        {hello, job("c", claim(1, "k1")), fault.Lost},
+		"key used under claim 1":   {hello, job("d", claim(6, "k1")), fault.Lost},
+		"claim of a restarted one": {hello, job("e", stale), fault.Refused},
+		"claim settled before":     {hello, job("f", claim(8, "k8")), fault.Refused},
+		"a model's work":           {hello, model, fault.NoBackend},
+		"another service's work":   {hello, other, fault.NoBackend},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var r wire.SubmitReply
+			qt.Assert(t, s.Submit(&wire.SubmitArgs{Hello: tc.hello, Job: tc.job}, &r), qt.IsNil)
+			qt.Assert(t, r.Fault.Kind, qt.Equals, string(tc.want))
+			if tc.job.Attempt != "first" {
+				qt.Assert(t, ledger.Runs(tc.job.Attempt), qt.Equals, 0)
+			}
+		})
+	}
+	// What was refused for another reason stays refused under its claim.
+	var late wire.SubmitReply
+	c.Assert(s.Submit(&wire.SubmitArgs{Hello: hello, Job: job("late", claim(4, "k4"))}, &late), qt.IsNil)
+	c.Assert(late.Fault.Kind, qt.Equals, string(fault.Refused))
+}
--- a/internal/proof/demo/world.go
+++ b/internal/proof/demo/world.go
@@ -35,14 +35,15 @@
 
 // Names and tokens of the demonstration.
 const (
-	model         = "notice-model"
-	pages         = "notice-pages"
-	scorer        = "tone-check"
-	callerToken   = "demo-caller"
-	trainerToken  = "demo-trainer"
-	operatorToken = "demo-operator"
-	innerKey      = "demo-inner-key-0123456789"
-	loopback      = "127.0.0.1:0"
+	model             = "notice-model"
+	pages             = "notice-pages"
+	scorer            = "tone-check"
+	callerToken       = "demo-caller"
+	trainerToken      = "demo-trainer"
+	otherTrainerToken = "demo-trainer-2"
+	operatorToken     = "demo-operator"
+	innerKey          = "demo-inner-key-0123456789"
+	loopback          = "127.0.0.1:0"
 )
 
 // Sizes of the demonstration.
@@ -165,6 +166,7 @@
 	return []httpd.Token{
 		mk(callerToken, "branch-app", httpd.RoleCaller),
 		mk(trainerToken, "trainer-1", httpd.RoleTrainer),
+		mk(otherTrainerToken, "trainer-2", httpd.RoleTrainer),
 		mk(operatorToken, "operator-1", httpd.RoleOperator),
 	}
 }
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -66,7 +66,7 @@
 	{
 		TrueRefusal, "a request refused as not run was not run",
 		[]string{"internal/base/fault", "internal/decide/claim", "internal/decide/limit"},
-		[]string{"internal/decide/claim TestAnyOrder", "internal/node/claims TestAtMostOnce"},
+		[]string{"internal/decide/claim TestAnyOrder", "internal/node/agent TestSubmitRefuses", "internal/node/claims TestAtMostOnce", "internal/proof/demo TestRefusals"},
 	},
 	{
 		AtMostOnce, "a request that is not idempotent runs at most once",
@@ -81,7 +81,7 @@
 	{
 		CleanDrain, "a graceful shutdown cuts no request",
 		[]string{"internal/node/agent", "internal/node/entry"},
-		[]string{"internal/proof/procs TestProcesses"},
+		[]string{"internal/node/claims TestShutdownMoves", "internal/node/claims TestShutdownWaits", "internal/proof/procs TestProcesses"},
 	},
 	{
 		ConfigStands, "an accepted configuration is in force within seconds and stays",
