Give waiting, ticking and gauges one place each

Cause: duplicates named the same ticker loop in eight files, the same sleep in five and the same gauge table in two.

--- a/internal/edge/meter/meter.go
+++ b/internal/edge/meter/meter.go
@@ -69,3 +69,29 @@
 	}
 	return string(fault.Internal)
 }
+
+// Gauge is a value that is read when the metrics are asked for, so that it
+// costs a request nothing.
+type Gauge struct {
+	name string
+	doc  string
+	read func() int64
+}
+
+// NewGauge returns a gauge under a name, with a text for its reader.
+func NewGauge(name, doc string, read func() int64) Gauge { return Gauge{name, doc, read} }
+
+// Watch registers gauges.
+func Watch(m metric.Meter, gs []Gauge) error {
+	for _, g := range gs {
+		_, err := m.Int64ObservableGauge(g.name, metric.WithDescription(g.doc),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(g.read())
+				return nil
+			}))
+		if err != nil {
+			return errors.Wrapf(err, "create gauge %s", g.name)
+		}
+	}
+	return nil
+}
--- a/internal/node/agent/gauge.go
+++ b/internal/node/agent/gauge.go
@@ -1,12 +1,10 @@
 package agent
 
 import (
-	"context"
-
-	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/edge/meter"
 )
 
 // Ready reports whether the agent takes work.
@@ -25,26 +23,13 @@
 
 // gauges shows the state of the agent in its metrics.
 func (a *Agent) gauges(m metric.Meter) error {
-	for _, g := range []struct {
-		name, doc string
-		read      func() int64
-	}{
-		{"jujuberamp.agent.running", "work in progress", func() int64 { return int64(a.state().Running) }},
-		{"jujuberamp.agent.kept", "answers kept, running ones included", a.kept},
-		{"jujuberamp.agent.version", "version of the weights loaded", func() int64 { return int64(a.status.Load().Version) }},
-		{"jujuberamp.agent.crashes", "crashes of the backend server remembered", func() int64 { return int64(a.crashes.seen.Load()) }},
-		{"jujuberamp.agent.config.offset", "log offset of the configuration known", func() int64 { return a.config.Load().Offset }},
-	} {
-		_, err := m.Int64ObservableGauge(g.name, metric.WithDescription(g.doc),
-			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-				o.Observe(g.read())
-				return nil
-			}))
-		if err != nil {
-			return errors.Wrapf(err, "create gauge %s", g.name)
-		}
-	}
-	return nil
+	return meter.Watch(m, []meter.Gauge{
+		meter.NewGauge("jujuberamp.agent.running", "work in progress", func() int64 { return int64(a.state().Running) }),
+		meter.NewGauge("jujuberamp.agent.kept", "answers kept, running ones included", a.kept),
+		meter.NewGauge("jujuberamp.agent.version", "version of the weights loaded", func() int64 { return int64(a.status.Load().Version) }),
+		meter.NewGauge("jujuberamp.agent.crashes", "crashes of the backend server remembered", func() int64 { return int64(a.crashes.seen.Load()) }),
+		meter.NewGauge("jujuberamp.agent.config.offset", "log offset of the configuration known", func() int64 { return a.config.Load().Offset }),
+	})
 }
 
 func (a *Agent) kept() int64 {
--- a/internal/node/agent/report.go
+++ b/internal/node/agent/report.go
@@ -137,16 +137,16 @@
 // smoothing is the weight of a new measurement.
 const smoothing = 0.2
 
-type meter struct {
+type rateMeter struct {
 	s       *speed
 	began   clock.Millis
 	firstAt clock.Millis
 	lastAt  clock.Millis
 }
 
-func (s *speed) begin(now clock.Millis) *meter { return &meter{s: s, began: now} }
+func (s *speed) begin(now clock.Millis) *rateMeter { return &rateMeter{s: s, began: now} }
 
-func (m *meter) add(now clock.Millis, tokens int) {
+func (m *rateMeter) add(now clock.Millis, tokens int) {
 	s := m.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/entry/gauge.go
+++ b/internal/node/entry/gauge.go
@@ -1,38 +1,23 @@
 package entry
 
 import (
-	"context"
-
-	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
+	"github.com/jujuberamp/jujuberamp/internal/edge/meter"
 )
 
 // gauges shows the state of the entry in its metrics. The values are read
 // when the metrics are asked for, so that nothing is added to a request.
 func (e *Entry) gauges(m metric.Meter) error {
-	for _, g := range []struct {
-		name, doc string
-		read      func() int64
-	}{
-		{"jujuberamp.entry.waiting", "work that waits for a server", e.waiting},
-		{"jujuberamp.entry.agents", "agents heard of", e.agents},
-		{"jujuberamp.entry.config.offset", "log offset of the configuration in force", func() int64 { return int64(e.config.State().Offset()) }},
-		{"jujuberamp.entry.config.age", "ms since the log was read to its end", func() int64 { return int64(e.p.Clock.Now() - e.config.Fresh()) }},
-		{"jujuberamp.entry.moves", "placement moves that this entry ordered", e.plans.Moves},
-		{"jujuberamp.entry.peers", "entries that take work", func() int64 { return int64(len(e.peers.View().Entries())) }},
-	} {
-		_, err := m.Int64ObservableGauge(g.name, metric.WithDescription(g.doc),
-			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-				o.Observe(g.read())
-				return nil
-			}))
-		if err != nil {
-			return errors.Wrapf(err, "create gauge %s", g.name)
-		}
-	}
-	return nil
+	return meter.Watch(m, []meter.Gauge{
+		meter.NewGauge("jujuberamp.entry.waiting", "work that waits for a server", e.waiting),
+		meter.NewGauge("jujuberamp.entry.agents", "agents heard of", e.agents),
+		meter.NewGauge("jujuberamp.entry.config.offset", "log offset of the configuration in force", func() int64 { return int64(e.config.State().Offset()) }),
+		meter.NewGauge("jujuberamp.entry.config.age", "ms since the log was read to its end", func() int64 { return int64(e.p.Clock.Now() - e.config.Fresh()) }),
+		meter.NewGauge("jujuberamp.entry.moves", "placement moves that this entry ordered", e.plans.Moves),
+		meter.NewGauge("jujuberamp.entry.peers", "entries that take work", func() int64 { return int64(len(e.peers.View().Entries())) }),
+	})
 }
 
 func (e *Entry) waiting() (n int64) {
--- a/internal/node/entry/place.go
+++ b/internal/node/entry/place.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"sync"
-	"time"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/class"
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
@@ -72,16 +71,7 @@
 // tellDemand tells the holder of the placement lease what work waits and runs
 // here, until the context ends.
 func (e *Entry) tellDemand(ctx context.Context) {
-	t := time.NewTicker(demandEvery.Duration())
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			e.tellDemandOnce(ctx)
-		}
-	}
+	clock.Every(ctx, demandEvery, func() { e.tellDemandOnce(ctx) })
 }
 
 func (e *Entry) tellDemandOnce(ctx context.Context) {
--- a/internal/node/plans/plans.go
+++ b/internal/node/plans/plans.go
@@ -18,7 +18,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -66,7 +65,7 @@
 }
 
 const (
-	tick     = time.Second
+	tick     = clock.Second
 	orderFor = 3 * clock.Minute
 )
 
@@ -78,16 +77,7 @@
 
 // Run decides once a second until the context ends.
 func (s *Plans) Run(ctx context.Context) {
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.step(ctx)
-		}
-	}
+	clock.Every(ctx, tick, func() { s.step(ctx) })
 }
 
 // step makes one decision if this node holds the lease.
