--- a/internal/node/calls/trace.go
+++ b/internal/node/calls/trace.go
@@ -6,6 +6,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
@@ -23,6 +24,9 @@
 // recordArrival writes the arrival of a piece of work and returns its name in
 // the trace.
 func (c *Calls) recordArrival(now clock.Millis, w Work) uint64 {
+	if c.p.Trace == nil {
+		return 0
+	}
 	e := trace.Event{
 		At:      now,
 		Kind:    trace.Arrive,
@@ -30,6 +34,7 @@
 		Node:    c.p.Node,
 		Class:   w.Class.Name(),
 		Service: w.Class.Service(),
+		Request: ident.Request(crash.ID(w.Class.Name(), w.Body)), // as suspects of a crash are named
 		Prefix:  trace.Hash(w.Prefix),
 		Round:   ident.Round(w.Sample.Round),
 		Ordinal: w.Sample.Ordinal,
--- a/internal/proof/replay/decide.go
+++ b/internal/proof/replay/decide.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/ledger"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
@@ -36,6 +37,15 @@
 	Offset() ident.Offset
 }
 
+// Crashes is the decision about requests that crash servers, as package crash
+// makes it.
+type Crashes interface {
+	Crash(now clock.Millis, c crash.Crash) bool
+	Clear(request string)
+	IsSuspect(request string) bool
+	IsQuarantined(request string) bool
+}
+
 // Decisions are what a trace is played against. Tests wrap one of them to see
 // that a broken decision shows.
 type Decisions struct {
@@ -43,6 +53,7 @@
 	Round  func(now clock.Millis, s round.Spec, held round.Cursor) Round
 	Swap   func(now clock.Millis, target ident.Version, servers []swap.Server) []ident.Node
 	Ledger func() Ledger
+	Crash  func() Crashes
 }
 
 // Product returns the decisions of the product with their standard policies.
@@ -52,6 +63,7 @@
 		Round:  func(now clock.Millis, s round.Spec, held round.Cursor) Round { return round.New(now, s, held) },
 		Ledger: func() Ledger { return ledger.New() },
 		Swap:   nextSwaps,
+		Crash:  func() Crashes { return crash.New(crash.Standard()) },
 	}
 }
 
--- a/internal/proof/replay/expect.go
+++ b/internal/proof/replay/expect.go
@@ -24,6 +24,7 @@
 	Span     clock.Millis
 	Share    float64
 	Versions ident.Version
+	Crashes  int
 }
 
 // String returns the outcome as it is shown in a report.
@@ -42,6 +43,8 @@
 		s += fmt.Sprintf(" at most %g", o.Share)
 	case keyVersions:
 		s += fmt.Sprintf(" at most %d", o.Versions)
+	case keyCrashes:
+		s += fmt.Sprintf(" at most %d", o.Crashes)
 	}
 	return s
 }
@@ -54,6 +57,7 @@
 	keySpan     = "at-most"
 	keyShare    = "at-most-share"
 	keyVersions = "at-most-versions"
+	keyCrashes  = "at-most-crashes"
 )
 
 type limitSpan struct{ clock.Millis }
@@ -75,6 +79,7 @@
 	Span     *limitSpan `toml:"at-most"`
 	Share    *float64   `toml:"at-most-share"`
 	Versions *uint64    `toml:"at-most-versions"`
+	Crashes  *int       `toml:"at-most-crashes"`
 }
 
 // ReadOutcomes reads a file of outcomes. Errors are of the kind
@@ -153,7 +158,7 @@
 		return o, fmt.Sprintf("outcome %q is not known; write one of %s", m.Name, strings.Join(Names(), ", "))
 	}
 	o = Outcome{Name: m.Name, Class: ident.Class(m.Class)}
-	given := map[string]bool{keyClass: m.Class != "", keyQuantile: m.Quantile != nil, keySpan: m.Span != nil, keyShare: m.Share != nil, keyVersions: m.Versions != nil}
+	given := map[string]bool{keyClass: m.Class != "", keyQuantile: m.Quantile != nil, keySpan: m.Span != nil, keyShare: m.Share != nil, keyVersions: m.Versions != nil, keyCrashes: m.Crashes != nil}
 	wanted := map[string]bool{keyClass: r.class, keyQuantile: r.quantile, r.limit: true}
 	for _, k := range slices.Sorted(maps.Keys(given)) {
 		switch {
@@ -178,6 +183,9 @@
 	if m.Versions != nil {
 		o.Versions = ident.Version(*m.Versions)
 	}
+	if m.Crashes != nil {
+		o.Crashes = *m.Crashes
+	}
 	return o, ""
 }
 
--- a/internal/proof/replay/prepare.go
+++ b/internal/proof/replay/prepare.go
@@ -19,7 +19,8 @@
 	swapFor  clock.Millis
 	failing  map[ident.Node]span // when loads failed
 	gaps     map[ident.Round]clock.Millis
-	announce map[announced]bool // versions that a round brings
+	poison   map[ident.Request]bool // requests that crash servers
+	announce map[announced]bool     // versions that a round brings
 }
 
 type announced struct {
@@ -61,9 +62,11 @@
 		callFor:  make(map[ident.Class]clock.Millis),
 		failing:  make(map[ident.Node]span),
 		gaps:     make(map[ident.Round]clock.Millis),
+		poison:   make(map[ident.Request]bool),
 		announce: make(map[announced]bool),
 	}
 	f.work(t)
+	f.crashes(t)
 	f.servers(t)
 	f.trainers(t)
 	return f
--- a/internal/proof/replay/replay.go
+++ b/internal/proof/replay/replay.go
@@ -9,7 +9,9 @@
 // last one as it did in the trace.
 //
 // What is not modelled: the network, scoring services, claims, and the moment
-// at which a crash takes place within a report's interval.
+// at which a crash takes place within a report's interval. A request that was a
+// suspect of crashes of several servers and never ended with an answer counts as
+// their cause: it crashes the servers on which it runs now.
 //
 // # Usage
 //
@@ -46,6 +48,7 @@
 	grants []granted
 	swaps  []swapped
 	config []standing
+	poison map[ident.Request]bool
 	dark   []event // moments at which a zone had no server left
 }
 
--- a/internal/proof/replay/rounds.go
+++ b/internal/proof/replay/rounds.go
@@ -138,6 +138,7 @@
 	}
 	for _, b := range p.state.Start(w.Now(), window) {
 		wk := &work{
+			request: ident.Request(fmt.Sprintf("%s/%d", p.spec.ID, b.Ordinal)),
 			class:   p.spec.Class,
 			service: p.spec.Model,
 			prefix:  trace.Hash(fmt.Sprintf("%s/%d", p.spec.ID, p.spec.Group(b.Ordinal))),
--- a/internal/proof/trace/trace.go
+++ b/internal/proof/trace/trace.go
@@ -45,7 +45,7 @@
 const (
 	Start     Kind = "start"      // a node began: Node
 	Stop      Kind = "stop"       // a node ended: Node
-	Arrive    Kind = "arrive"     // work came: Work, Class, Service, Prefix, Left, Round, Ordinal, Floor
+	Arrive    Kind = "arrive"     // work came: Work, Request, Class, Service, Prefix, Left, Round, Ordinal, Floor
 	Grant     Kind = "grant"      // work was bound to a server: Item, Class, Node
 	Refuse    Kind = "refuse"     // work was refused: Work or Item, Class, Fault
 	Finish    Kind = "finish"     // work ended: Work, Class, Node, Tokens, Took, Fault
