--- a/internal/inner/wire/codec.go
+++ b/internal/inner/wire/codec.go
@@ -42,6 +42,26 @@
 	return l.r.ReadByte()
 }
 
+// counted counts the bytes of a connection in both directions.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements [net.Conn].
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements [net.Conn].
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
 // stream carries messages over a connection.
 type stream struct {
 	conn net.Conn
@@ -51,7 +71,8 @@
 	enc  *gob.Encoder
 }
 
-func newStream(conn net.Conn) *stream {
+func newStream(conn net.Conn, bytes *atomic.Int64) *stream {
+	conn = &counted{conn, bytes}
 	s := &stream{conn: conn, in: &limited{r: bufio.NewReader(conn)}, out: bufio.NewWriter(conn)}
 	s.dec = gob.NewDecoder(s.in)
 	s.enc = gob.NewEncoder(s.out)
@@ -96,8 +117,8 @@
 	done  chan struct{}
 }
 
-func newServerCodec(conn net.Conn) *serverCodec {
-	return &serverCodec{stream: newStream(conn), slots: make(chan struct{}, maxInFlight), done: make(chan struct{})}
+func newServerCodec(conn net.Conn, bytes *atomic.Int64) *serverCodec {
+	return &serverCodec{stream: newStream(conn, bytes), slots: make(chan struct{}, maxInFlight), done: make(chan struct{})}
 }
 
 // ReadRequestHeader implements [rpc.ServerCodec]. It waits while too many
--- a/internal/inner/wire/hostile_test.go
+++ b/internal/inner/wire/hostile_test.go
@@ -145,7 +145,7 @@
 		here, there := net.Pipe()
 		defer func() { _ = there.Close() }()
 		began := time.Now()
-		err := newStream(here).write(&OrderArgs{}, &OrderArgs{})
+		err := newStream(here, &atomic.Int64{}).write(&OrderArgs{}, &OrderArgs{})
 		qt.Assert(t, err, qt.Not(qt.IsNil))
 		qt.Assert(t, time.Since(began), qt.Equals, writeFor)
 	})
@@ -167,6 +167,6 @@
 			_ = here.Close()
 		}()
 		go func() { _, _ = io.Copy(io.Discard, here) }()
-		srv.ServeCodec(newServerCodec(there))
+		srv.ServeCodec(newServerCodec(there, &n))
 	})
 }
--- a/internal/inner/wire/pool.go
+++ b/internal/inner/wire/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,8 +27,12 @@
 	mu    sync.Mutex
 	peers map[string]*peer
 	done  bool
+	bytes atomic.Int64
 }
 
+// Bytes returns the bytes of all messages sent and received.
+func (p *Pool) Bytes() int64 { return p.bytes.Load() }
+
 // peer is one address. The lock is held while it is dialled, so that many
 // calls at once dial it once.
 type peer struct {
@@ -142,7 +147,7 @@
 		_ = conn.Close()
 		return nil, fault.Wrap(fault.BadPeer, errors.WithMessage(err, "handshake"), "peer "+addr)
 	}
-	c := &clientCodec{stream: newStream(conn)}
+	c := &clientCodec{stream: newStream(conn, &p.bytes)}
 	c.answered.Store(int64(time.Since(processStart)))
 	return &link{rpc.NewClientWithCodec(c), c}, nil
 }
--- a/internal/inner/wire/wire.go
+++ b/internal/inner/wire/wire.go
@@ -34,6 +34,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -91,8 +92,12 @@
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 	done  bool
+	bytes atomic.Int64
 }
 
+// Bytes returns the bytes of all messages sent and received.
+func (s *Server) Bytes() int64 { return s.bytes.Load() }
+
 // NewServer returns a server that admits holders of the key.
 func NewServer(key []byte) *Server {
 	return &Server{
@@ -146,7 +151,7 @@
 		_ = conn.Close()
 		return
 	}
-	s.rpc.ServeCodec(newServerCodec(conn))
+	s.rpc.ServeCodec(newServerCodec(conn, &s.bytes))
 }
 
 func (s *Server) track(c net.Conn) bool {
--- a/internal/node/agent/gauge.go
+++ b/internal/node/agent/gauge.go
@@ -4,6 +4,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/meter"
 )
 
@@ -28,6 +29,7 @@
 		meter.NewGauge("jujuberamp.agent.kept", "answers kept, running ones included", a.kept),
 		meter.NewGauge("jujuberamp.agent.version", "version of the weights loaded", func() int64 { return int64(a.status.Load().Version) }),
 		meter.NewGauge("jujuberamp.agent.crashes", "crashes of the backend server remembered", func() int64 { return int64(a.crashes.seen.Load()) }),
+		meter.NewGauge("jujuberamp.agent.inner.bytes", "bytes exchanged with other nodes, both directions", a.InnerBytes),
 		meter.NewGauge("jujuberamp.agent.config.offset", "log offset of the configuration known", func() int64 { return a.config.Load().Offset }),
 	})
 }
@@ -37,3 +39,10 @@
 	defer a.mu.Unlock()
 	return int64(len(a.jobs))
 }
+
+// InnerBytes returns the bytes exchanged with other nodes in both directions.
+func (a *Agent) InnerBytes() int64 { return a.server.Bytes() + a.pool.Bytes() }
+
+// ConfigOffset returns the log offset of the configuration that this agent
+// holds.
+func (a *Agent) ConfigOffset() ident.Offset { return ident.Offset(a.config.Load().Offset) }
--- a/internal/node/entry/gauge.go
+++ b/internal/node/entry/gauge.go
@@ -13,6 +13,7 @@
 	return meter.Watch(m, []meter.Gauge{
 		meter.NewGauge("jujuberamp.entry.waiting", "work that waits for a server", e.waiting),
 		meter.NewGauge("jujuberamp.entry.agents", "agents heard of", e.agents),
+		meter.NewGauge("jujuberamp.entry.inner.bytes", "bytes exchanged with other nodes, both directions", e.InnerBytes),
 		meter.NewGauge("jujuberamp.entry.config.offset", "log offset of the configuration in force", func() int64 { return int64(e.config.State().Offset()) }),
 		meter.NewGauge("jujuberamp.entry.config.age", "ms since the log was read to its end", func() int64 { return int64(e.p.Clock.Now() - e.config.Fresh()) }),
 		meter.NewGauge("jujuberamp.entry.moves", "placement moves that this entry ordered", e.plans.Moves),
@@ -30,3 +31,6 @@
 	defer e.mu.Unlock()
 	return int64(len(e.nodes))
 }
+
+// InnerBytes returns the bytes exchanged with other nodes in both directions.
+func (e *Entry) InnerBytes() int64 { return e.server.Bytes() + e.pool.Bytes() }
--- a/internal/node/entry/spread_test.go
+++ b/internal/node/entry/spread_test.go
@@ -82,9 +82,13 @@
 	s.t.Fatalf("never came: %s", what)
 }
 
-func (s *site) declare(e *Entry, base ident.Offset, lateness clock.Millis) ident.Offset {
+func declared(base ident.Offset, lateness clock.Millis) record.Change {
 	c := class.Stored(class.Params{Name: "a", Kind: class.Lookup, Service: "s", Lateness: lateness, Waiting: 1})
-	rev, err := e.config.Change(s.t.Context(), record.Change{Edits: []record.Edit{{Name: "a", Base: base, Class: c}}})
+	return record.Change{Edits: []record.Edit{{Name: "a", Base: base, Class: c}}}
+}
+
+func (s *site) declare(e *Entry, base ident.Offset, lateness clock.Millis) ident.Offset {
+	rev, err := e.config.Change(s.t.Context(), declared(base, lateness))
 	s.Assert(err, qt.IsNil)
 	return rev
 }
