--- a/internal/decide/match/match.go
+++ b/internal/decide/match/match.go
@@ -68,6 +68,7 @@
 	grown   *queue.Queue[uint64] // flights by the instant at which they count as long
 	cross   *spend.Meter
 	swept   clock.Millis
+	counts  Counts
 }
 
 // New returns an empty matcher.
@@ -160,11 +161,16 @@
 		return fault.New(fault.PastDeadline, "the deadline passed before the work arrived")
 	}
 	if err := m.shed(now, c, &it); err != nil {
+		m.counts.Shed++
 		return err
 	}
 	if err := p.pay(&it); err != nil {
+		m.counts.Shed++
 		return err
 	}
+	if it.Retry && !it.Moved {
+		m.counts.Retried++
+	}
 	l := p.lane(laneKey{it.Class, it.Floor, it.Round})
 	l.class = c
 	it.arrived = now
@@ -297,6 +303,18 @@
 	return out
 }
 
+// Counts are events since the start.
+type Counts struct {
+	Granted int // first attempts and further ones
+	Hedged  int
+	Retried int
+	Shed    int // refused on arrival
+	Expired int // refused after waiting
+}
+
+// Counts returns the events since the start.
+func (m *Matcher) Counts() Counts { return m.counts }
+
 // Health is how the matcher judges a server.
 type Health struct {
 	Node ident.Node
--- a/internal/decide/match/next.go
+++ b/internal/decide/match/next.go
@@ -111,6 +111,7 @@
 		l := m.waiting[id]
 		it, _ := l.q.Remove(id)
 		m.Remove(id)
+		m.counts.Expired++
 		out = append(out, Refusal{id, m.lateErr(now, &it)})
 	}
 }
--- a/internal/decide/match/pick.go
+++ b/internal/decide/match/pick.go
@@ -23,6 +23,7 @@
 	c.waiting--
 	c.started(now)
 	p.grants++
+	m.counts.Granted++
 	m.limits.Remove(it.ID)
 	delete(m.waiting, it.ID)
 	f := &flight{item: it, pool: p, class: c}
@@ -229,6 +230,7 @@
 			m.hedges.Push(id, now+sweepEvery, id)
 			continue
 		}
+		m.counts.Hedged++
 		m.launch(now, f, s, short)
 		grants = append(grants, Grant{Item: id, Node: s.Node, Hedge: true, Short: true, Priority: short.priority()})
 	}
--- a/internal/node/entry/gauge.go
+++ b/internal/node/entry/gauge.go
@@ -12,6 +12,12 @@
 func (e *Entry) gauges(m metric.Meter) error {
 	return meter.Watch(m, []meter.Gauge{
 		meter.NewGauge("jujuberamp.entry.waiting", "work that waits for a server", e.waiting),
+		meter.NewGauge("jujuberamp.entry.granted", "attempts sent to agents, without hedges", e.counted(func(c match.Counts) int { return c.Granted })),
+		meter.NewGauge("jujuberamp.entry.hedged", "second attempts beside a slow first one", e.counted(func(c match.Counts) int { return c.Hedged })),
+		meter.NewGauge("jujuberamp.entry.retried", "further attempts after a failure", e.counted(func(c match.Counts) int { return c.Retried })),
+		meter.NewGauge("jujuberamp.entry.shed", "requests refused on arrival", e.counted(func(c match.Counts) int { return c.Shed })),
+		meter.NewGauge("jujuberamp.entry.expired", "requests refused after waiting", e.counted(func(c match.Counts) int { return c.Expired })),
+		meter.NewGauge("jujuberamp.entry.slow", "backend servers that get probes only", e.slow),
 		meter.NewGauge("jujuberamp.entry.agents", "agents heard of", e.agents),
 		meter.NewGauge("jujuberamp.entry.inner.bytes", "bytes exchanged with other nodes, both directions", e.InnerBytes),
 		meter.NewGauge("jujuberamp.entry.config.offset", "log offset of the configuration in force", func() int64 { return int64(e.config.State().Offset()) }),
@@ -34,3 +40,22 @@
 
 // InnerBytes returns the bytes exchanged with other nodes in both directions.
 func (e *Entry) InnerBytes() int64 { return e.server.Bytes() + e.pool.Bytes() }
+
+// counted returns a reading of one of the matcher's counts.
+func (e *Entry) counted(pick func(match.Counts) int) func() int64 {
+	return func() (n int64) {
+		e.calls.Servers(func(m *match.Matcher) { n = int64(pick(m.Counts())) })
+		return n
+	}
+}
+
+func (e *Entry) slow() (n int64) {
+	e.calls.Servers(func(m *match.Matcher) {
+		for _, h := range m.Health() {
+			if h.Slow {
+				n++
+			}
+		}
+	})
+	return n
+}
