--- a/internal/base/fault/kinds.go
+++ b/internal/base/fault/kinds.go
@@ -37,6 +37,8 @@
 	Lost         Kind = "outcome-unknown"
 	BadPeer      Kind = "bad-peer"
 	BadTrace     Kind = "bad-trace"
+	NoFile       Kind = "no-file"
+	NoEntry      Kind = "entry-unreachable"
 	BadOutcome   Kind = "bad-outcome"
 	Internal     Kind = "internal"
 )
@@ -74,6 +76,8 @@
 	Broken:       {http.StatusBadGateway, Unknown, "send again; use an idempotency key for work that must run once"},
 	Crashed:      {http.StatusBadGateway, Unknown, "send again; operators check the backend server's log"},
 	Lost:         {http.StatusGatewayTimeout, Unknown, "ask again with the same key; check the effect before using a new key"},
+	NoFile:       {http.StatusNotFound, NotRun, "check the path"},
+	NoEntry:      {http.StatusBadGateway, Unknown, "check --entry and that the entry runs, then repeat the command"},
 	BadTrace:     {http.StatusUnprocessableEntity, NotRun, "replay it with the program that wrote it, or record it again with this one"},
 	BadOutcome:   {http.StatusUnprocessableEntity, NotRun, "correct the named key in the outcomes file"},
 	BadPeer:      {http.StatusBadGateway, NotRun, "run one program version and one inner key on all nodes"},
--- a/internal/edge/decl/decl.go
+++ b/internal/edge/decl/decl.go
@@ -84,7 +84,7 @@
 		if _, ok := fault.As(err); ok {
 			return nil, err
 		}
-		return nil, fault.Wrap(fault.BadDeclare, err, "declarations can't be read")
+		return nil, fault.Wrap(fault.NoFile, err, "declarations can't be read")
 	}
 	slices.SortFunc(out, func(a, b class.Class) int { return strings.Compare(string(a.Name()), string(b.Name())) })
 	if n, what := class.Clash(out); n != "" {
--- a/internal/edge/opcli/opcli.go
+++ b/internal/edge/opcli/opcli.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/edge/client"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 )
@@ -120,7 +121,7 @@
 	r.Header.Set("Authorization", "Bearer "+c.token)
 	resp, err := c.http.Do(r)
 	if err != nil {
-		return out, false, errors.Wrap(err, "call entry")
+		return out, false, fault.Wrap(fault.NoEntry, err, "call entry")
 	}
 	defer func() { _ = resp.Body.Close() }()
 	dec := json.NewDecoder(resp.Body)
--- a/internal/prod/cmds/cmds.go
+++ b/internal/prod/cmds/cmds.go
@@ -13,7 +13,10 @@
 	"fmt"
 	"io"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 )
 
 // Run executes one command line and returns the exit status.
@@ -30,6 +33,9 @@
 	root.SetErr(errOut)
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(errOut, "jujuberamp:", err)
+		if _, ok := fault.As(err); !ok && !errors.Is(err, errOutcome) {
+			fmt.Fprintln(errOut, "See \"jujuberamp --help\".")
+		}
 		return 1
 	}
 	return 0
--- a/internal/prod/cmds/replay.go
+++ b/internal/prod/cmds/replay.go
@@ -108,7 +108,7 @@
 func readTrace(file string) (trace.Trace, error) {
 	f, err := os.Open(file)
 	if err != nil {
-		return trace.Trace{}, fault.Wrap(fault.BadTrace, err, "trace can't be read")
+		return trace.Trace{}, fault.Wrap(fault.NoFile, err, "trace can't be read")
 	}
 	defer func() { _ = f.Close() }()
 	r := bufio.NewReader(f)
--- a/internal/prod/setup/setup.go
+++ b/internal/prod/setup/setup.go
@@ -364,7 +364,7 @@
 func Load(file string, role Role) (*Settings, error) {
 	b, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fault.Wrap(fault.BadSetting, err, "settings file can't be read")
+		return nil, fault.Wrap(fault.NoFile, err, "settings file can't be read")
 	}
 	return Parse(file, string(b), role)
 }
--- a/internal/proof/replay/expect.go
+++ b/internal/proof/replay/expect.go
@@ -87,7 +87,7 @@
 func ReadOutcomes(file string) ([]Outcome, error) {
 	b, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fault.Wrap(fault.BadOutcome, err, "outcomes can't be read")
+		return nil, fault.Wrap(fault.NoFile, err, "outcomes can't be read")
 	}
 	return ParseOutcomes(file, string(b))
 }
