Read a long VM list seldom, and tell others who leaves

Change: the time between reads grows with the list so that it costs 2 KB/s a node. A node that a list shows as leaving is told to entries and agents, with the age of the sighting, which keeps the news from going round for ever; the leaving agent learns of it in the answer to its report.

--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -11,7 +11,9 @@
 //     the list says, until it is heard again.
 //  4. A node that a peer found dead counts as dead for a lease from then on,
 //     unless this node heard it since. Not everyone calls everyone.
-//  5. A node leaves if the list or the node itself says so.
+//  5. A node leaves if the list or the node itself says so, or if a node that
+//     read the list told so a short time ago: in a large deployment each node
+//     reads the list seldom, and all together often.
 //  6. A new incarnation of a node replaces the old one, and the old one is not
 //     heard any more: its late messages say nothing.
 //  7. An address belongs to the node that was heard there last; another node
@@ -73,6 +75,7 @@
 	said    Contact
 	heard   clock.Millis // instant of the last contact, 0 for none
 	missed  clock.Millis // instant of the first failed call since, 0 for none
+	going   clock.Millis // instant at which a list showed it as leaving, 0 for none
 	told    clock.Millis // instant at which a peer found it dead, 0 for none
 	usurped bool         // another node was heard at its address
 	past    []ident.Incarnation
@@ -117,6 +120,10 @@
 			s.usurped, s.missed = false, 0
 		}
 		s.list = m
+		s.going = 0
+		if m.Leaving {
+			s.going = now
+		}
 	}
 	for n, s := range r.nodes {
 		if n != r.self.Node && !s.listed && !r.isHeard(now, s) {
@@ -159,13 +166,38 @@
 	}
 }
 
-// Suspect is a node that counts as dead, with the time since some node found
-// it so by itself.
+// Suspect is a node that counts as dead or leaving, with the time since some
+// node found it so by itself.
 type Suspect struct {
 	Node ident.Node
 	Age  clock.Millis
 }
 
+// goingFor is how long the word of another node's list is believed.
+const goingFor = 30 * clock.Second
+
+// Going returns the nodes that a list showed as leaving a short time ago, by
+// name, for other nodes.
+func (r *Roster) Going(now clock.Millis) []Suspect {
+	var out []Suspect
+	for n, s := range r.nodes {
+		if s.isGoing(now) {
+			out = append(out, Suspect{Node: n, Age: now - s.going})
+		}
+	}
+	slices.SortFunc(out, func(a, b Suspect) int { return cmp.Compare(a.Node, b.Node) })
+	return out
+}
+
+func (s *node) isGoing(now clock.Millis) bool { return s.going != 0 && now-s.going < goingFor }
+
+// ToldGoing takes in that another node's list showed a node as leaving.
+func (r *Roster) ToldGoing(now clock.Millis, g Suspect) {
+	if s, ok := r.nodes[g.Node]; ok {
+		s.going = max(s.going, now-g.Age) // rule 5
+	}
+}
+
 // Told takes in that a peer counts a node as dead.
 func (r *Roster) Told(now clock.Millis, d Suspect) {
 	s, ok := r.nodes[d.Node]
@@ -216,24 +248,31 @@
 	return m
 }
 
+// view returns a node as it counts at an instant.
+func (s *node) view(now clock.Millis) Member {
+	m := s.member()
+	m.Leaving = m.Leaving || s.isGoing(now) // rule 5
+	return m
+}
+
 // Members returns all nodes that are alive, by name, with this one.
 func (r *Roster) Members(now clock.Millis) []Member {
-	out := []Member{r.me()}
+	out := []Member{r.me(now)}
 	for n, s := range r.nodes {
 		if n == r.self.Node || r.isDead(now, s) || !s.listed && !r.isHeard(now, s) {
 			continue
 		}
-		out = append(out, s.member())
+		out = append(out, s.view(now))
 	}
 	sortByName(out)
 	return out
 }
 
 // me returns this node; the list can tell it to leave.
-func (r *Roster) me() Member {
+func (r *Roster) me(now clock.Millis) Member {
 	m := r.self
 	s := r.nodes[r.self.Node]
-	m.Leaving = s.listed && s.list.Leaving
+	m.Leaving = s.listed && s.list.Leaving || s.isGoing(now)
 	return m
 }
 
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -58,6 +58,10 @@
 		"told dead, of oneself":       {[]string{"0 list a me", "1 told me"}, 2, "a me"},
 		"list says it leaves":         {[]string{"0 list a! b", "1 heard a 1"}, 2, "a! b me"},
 		"list tells oneself to leave": {[]string{"0 list a me!"}, 2, "a me!"},
+		"told that it leaves":         {[]string{"0 list a b", "1 heard a 1", "2 going a 5"}, 3, "a! b me"},
+		"told that it left, long ago": {[]string{"0 list a b", "2 going a 5"}, 28, "a b me"},
+		"told that oneself leaves":    {[]string{"0 list a me", "2 going me"}, 3, "a me!"},
+		"own list is newer":           {[]string{"0 list a b", "2 going a 5", "3 list a b"}, 4, "a b me"},
 		"restart and late message":    {[]string{"0 list a", "1 heard a 1", "2 heard a 2", "3 fail a", "4 heard a 1"}, 6, "me"},
 		"mass replacement":            {[]string{"0 list a b c", "1 heard a 1", "2 heard b 1", "6 list x y z"}, 7, "me x y z"},
 		"address taken over":          {[]string{"0 list a", "1 list a b@a", "2 heard b@a 1"}, 3, "b me"},
@@ -98,6 +102,8 @@
 		r.Heard(now, Contact{Member: m, Boot: ident.Incarnation(boot)})
 	case "fail":
 		r.Failed(now, m.Node)
+	case "going":
+		r.ToldGoing(now, Suspect{Node: m.Node, Age: clock.Millis(boot) * clock.Second})
 	case "told":
 		r.Told(now, Suspect{Node: m.Node, Age: clock.Millis(boot) * clock.Second})
 	}
--- a/internal/inner/wire/msgs.go
+++ b/internal/inner/wire/msgs.go
@@ -190,6 +190,7 @@
 	Config  int64    // configuration offset in force
 	Ahead   Snapshot // set if the entry asked for it
 	Crashes []Crash  // crashes of the backend server since the last report
+	Going   []Dead   // shown as leaving by the agent's VM list
 }
 
 // Crash tells which requests ran when a backend server crashed.
@@ -206,7 +207,8 @@
 	Behind   bool     // the entry's configuration is older: the next report should carry the agent's
 	Fresh    int64    // ms since the entry's configuration was known to be the newest, -1 for never
 	Versions []Announced
-	Fence    int64 // fencing number of the placement's lease, 0 if not known
+	Fence    int64  // fencing number of the placement's lease, 0 if not known
+	Going    []Dead // holds the agent if some VM list shows it as leaving
 }
 
 // Snapshot is a configuration with the log offset that it covers.
@@ -233,10 +235,11 @@
 	Crashes  []Crash
 	Lifted   []string // requests whose quarantine an operator lifted
 	Dead     []Dead
+	Going    []Dead   // shown as leaving
 	Ahead    Snapshot // set in a second message if the first answer shows that the peer is behind
 }
 
-// Dead is an entry that does not answer.
+// Dead is a node that does not answer, or that a VM list shows as leaving.
 type Dead struct {
 	Node string
 	Age  int64 // ms since some node found it so by itself
@@ -249,6 +252,7 @@
 	Boot     uint64
 	Leaving  bool
 	Dead     []Dead
+	Going    []Dead   // shown as leaving
 	Offset   int64    // in force on the answering node
 	Config   Snapshot // set if newer than the asking node's
 	Fresh    int64    // ms since the configuration was known to be the newest, -1 for never
--- a/internal/node/agent/report.go
+++ b/internal/node/agent/report.go
@@ -9,6 +9,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/node/peers"
 )
 
 // watch asks the backend server for its state.
@@ -60,6 +61,7 @@
 		}
 		a.fences.learn(ident.Offset(reply.Fence))
 		a.learn(reply.Config)
+		a.peers.ToldGoing(peers.FromWire(reply.Going))
 		a.announced.learn(reply.Versions)
 		if !reply.Behind {
 			return
@@ -124,6 +126,7 @@
 		Leaving: leaving,
 		Config:  a.config.Load().Offset,
 		Crashes: a.crashes.list(a.p.Clock.Now()),
+		Going:   peers.ToWire(a.peers.Going()),
 	}
 }
 
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+	"github.com/jujuberamp/jujuberamp/internal/node/peers"
 )
 
 // service is the entry as its peers and agents see it over net/rpc.
@@ -46,6 +48,8 @@
 		Seq:     args.Seq,
 		Yours:   args.Yours,
 	})
+	e.peers.ToldGoing(peers.FromWire(args.Going))
+	reply.Going = slices.DeleteFunc(peers.ToWire(e.peers.Going()), func(d wire.Dead) bool { return d.Node != args.Hello.Node })
 	reply.Config, reply.Behind = e.exchange(args.Config, args.Ahead)
 	reply.Versions = e.swaps.WireOf(ident.Service(args.Hosted.Service))
 	_, fence := e.lease.Holder()
@@ -106,7 +110,8 @@
 		},
 		Boot: ident.Incarnation(args.Hello.Boot),
 	})
-	e.peers.Told(suspects(args.Dead))
+	e.peers.Told(peers.FromWire(args.Dead))
+	e.peers.ToldGoing(peers.FromWire(args.Going))
 	e.swaps.Learn(args.Versions)
 	reply.Config, _ = e.exchange(args.Config, args.Ahead)
 	reply.Node = string(e.p.Node)
@@ -114,7 +119,8 @@
 	reply.Leaving = e.leaving.Load()
 	reply.Offset = int64(e.config.State().Offset())
 	reply.Fresh = e.freshAge()
-	reply.Dead = e.dead()
+	reply.Dead = peers.ToWire(e.peers.Suspects())
+	reply.Going = peers.ToWire(e.peers.Going())
 	reply.Versions = e.swaps.Wire()
 	e.quar.Learn(args.Crashes, args.Lifted)
 	reply.Crashes, reply.Lifted = e.quar.Wire()
@@ -130,22 +136,6 @@
 	return -1
 }
 
-func suspects(ds []wire.Dead) []roster.Suspect {
-	var out []roster.Suspect
-	for _, d := range ds {
-		out = append(out, roster.Suspect{Node: ident.Node(d.Node), Age: clock.Millis(d.Age)})
-	}
-	return out
-}
-
-func (e *Entry) dead() []wire.Dead {
-	var out []wire.Dead
-	for _, d := range e.peers.Suspects() {
-		out = append(out, wire.Dead{Node: string(d.Node), Age: int64(d.Age)})
-	}
-	return out
-}
-
 // Forward implements the inner protocol: a call for something that this entry
 // owns.
 func (s *service) Forward(args *wire.ForwardArgs, reply *wire.ForwardReply) error {
@@ -224,7 +214,8 @@
 		Leaving:  e.leaving.Load(),
 		Config:   int64(e.config.State().Offset()),
 		Versions: e.swaps.Wire(),
-		Dead:     e.dead(),
+		Dead:     peers.ToWire(e.peers.Suspects()),
+		Going:    peers.ToWire(e.peers.Going()),
 		Ahead:    ahead,
 	}
 	args.Crashes, args.Lifted = e.quar.Wire()
@@ -248,7 +239,8 @@
 	m.Node = ident.Node(reply.Node) // another node may have taken over the address
 	m.Leaving = reply.Leaving
 	e.peers.Heard(roster.Contact{Member: m, Boot: ident.Incarnation(reply.Boot)})
-	e.peers.Told(suspects(reply.Dead))
+	e.peers.Told(peers.FromWire(reply.Dead))
+	e.peers.ToldGoing(peers.FromWire(reply.Going))
 	e.swaps.Learn(reply.Versions)
 	e.quar.Learn(reply.Crashes, reply.Lifted)
 	e.config.Learn(reply.Config)
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -93,12 +94,36 @@
 // View returns the membership as it is known now.
 func (s *Peers) View() *View { return s.view.Load() }
 
-// Run follows the VM list until the context ends.
+// What reading the VM list may cost a node.
+const (
+	lineBytes  = 100  // bytes of one line
+	listBudget = 2000 // bytes/s
+)
+
+// Interval returns the time between reads of a list of some lines. Each node
+// reads a long list seldom; what one of them sees as leaving, all learn.
+func Interval(poll clock.Millis, lines int) clock.Millis {
+	return max(poll, clock.Millis(lines)*lineBytes*clock.Second/listBudget)
+}
+
+// Run follows the VM list until the context ends, and shows the members anew
+// in each poll, since leases end without an event.
 func (s *Peers) Run(ctx context.Context) {
 	t := time.NewTicker(s.p.Poll.Duration())
 	defer t.Stop()
+	next := clock.Millis(0)
 	for {
-		s.poll(ctx)
+		if now := s.p.Clock.Now(); now >= next {
+			lines := s.poll(ctx)
+			wait := Interval(s.p.Poll, lines)
+			next = now + wait - s.p.Poll/2
+			if wait > s.p.Poll {
+				next -= rand.N(wait / 4) //nolint:gosec // spreads the reads of many nodes.
+			}
+		}
+		s.mu.Lock()
+		s.publish()
+		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
@@ -107,25 +132,25 @@
 	}
 }
 
-// poll takes in the list. Without an answer the last list stays.
-func (s *Peers) poll(ctx context.Context) {
+// poll takes in the list and returns its length. Without an answer the last
+// list stays.
+func (s *Peers) poll(ctx context.Context) int {
 	ctx, cancel := context.WithTimeout(ctx, s.p.Policy.Lease.Duration())
 	defer cancel()
 	vms, err := s.p.VMs.List(ctx)
 	if err != nil {
 		s.p.Log.Warn().Err(err).Msg("VM list failed, the last one stays.")
+		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.p.Clock.Now()
-	switch {
-	case err != nil:
-	case s.roster.List(now, members(vms)):
-		s.listed = now
-	default:
+	if !s.roster.List(now, members(vms)) {
 		s.p.Log.Warn().Msg("VM list is empty, the last one stays.")
+		return 0
 	}
-	s.publish()
+	s.listed = now
+	return len(vms)
 }
 
 func members(vms []plat.VM) []roster.Member {
@@ -172,6 +197,26 @@
 	}
 }
 
+// ToldGoing takes in the nodes that another node's list showed as leaving.
+func (s *Peers) ToldGoing(gs []roster.Suspect) {
+	if len(gs) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range gs {
+		s.roster.ToldGoing(s.p.Clock.Now(), g)
+	}
+	s.publish()
+}
+
+// Going returns the nodes that a list showed as leaving a short time ago.
+func (s *Peers) Going() []roster.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.Going(s.p.Clock.Now())
+}
+
 // Suspects returns the entries that count as dead, for the peers.
 func (s *Peers) Suspects() []roster.Suspect {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/node/peers/wire.go
@@ -0,0 +1,26 @@
+package peers
+
+import (
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
+)
+
+// FromWire maps the message form of nodes that are dead or leaving.
+func FromWire(ds []wire.Dead) []roster.Suspect {
+	var out []roster.Suspect
+	for _, d := range ds {
+		out = append(out, roster.Suspect{Node: ident.Node(d.Node), Age: clock.Millis(d.Age)})
+	}
+	return out
+}
+
+// ToWire maps nodes that are dead or leaving to their message form.
+func ToWire(ds []roster.Suspect) []wire.Dead {
+	var out []wire.Dead
+	for _, d := range ds {
+		out = append(out, wire.Dead{Node: string(d.Node), Age: int64(d.Age)})
+	}
+	return out
+}
--- a/internal/proof/size/size.go
+++ b/internal/proof/size/size.go
@@ -7,14 +7,16 @@
 //
 // # Usage
 //
-//	fmt.Print(size.Table(size.Letter(), slopes, size.Built(), size.Planned()))
+//	fmt.Print(size.Table(t, slopes, size.Built(t), size.Planned()))
 package size
 
 import (
 	"fmt"
 	"strings"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
+	"github.com/jujuberamp/jujuberamp/internal/node/peers"
 )
 
 // Target is a size of the deployment, with the bounds of control per node.
@@ -69,8 +71,9 @@
 }
 
 // Built is what the program does at its standard settings.
-func Built() Fan {
-	return Fan{Name: "built", Reports: 8, ReportFor: 0.5, Peers: roster.Standard().Fanout, PeerFor: 1, ListFor: 1}
+func Built(t Target) Fan {
+	list := peers.Interval(clock.Second, t.Entries+t.Agents)
+	return Fan{Name: "built", Reports: 8, ReportFor: 0.5, Peers: roster.Standard().Fanout, PeerFor: 1, ListFor: list.Seconds()}
 }
 
 // Planned is what meets the bounds; docs/CAPACITY.md tells what is missing.
--- a/internal/proof/size/wire_test.go
+++ b/internal/proof/size/wire_test.go
@@ -158,7 +158,7 @@
 	s := slopes(c)
 	t.Logf("%+v", s)
 	l := Letter()
-	want := Table(l, s, Mesh(l), Built(), Planned())
+	want := Table(l, s, Mesh(l), Built(l), Planned())
 	b, err := os.ReadFile(page)
 	c.Assert(err, qt.IsNil)
 	head, rest, ok := strings.Cut(string(b), from)
