--- a/internal/node/agent/sample_test.go
+++ b/internal/node/agent/sample_test.go
@@ -96,7 +96,8 @@
 	}
 	asked := l.g.newest()
 	if l.turn%5 == 0 {
-		go func() { _, _ = at.rounds.Read(ctx, l.spec.ID, l.cursor, asked, 5, clock.Second) }()
+		cursor := l.cursor
+		go func() { _, _ = at.rounds.Read(ctx, l.spec.ID, cursor, asked, 5, clock.Second) }()
 	}
 	pg, err := at.rounds.Read(ctx, l.spec.ID, l.cursor, asked, 5, clock.Second)
 	switch {
