Use agents' rates, bounds of answers, and give up what nobody reads

Cause: an entry with no stream of its own to a server could not tell that it was slow; one class with short and long answers had one estimate; an agent finished work whose entry had died. Change: the agent's measure counts where there is none of one's own (its smoothing began at 0 and now begins with the first value); estimates are kept for each class and size of the bound; work that nobody has asked for in 40 s is cancelled, but not samples or work that runs only once.

--- a/internal/decide/match/match.go
+++ b/internal/decide/match/match.go
@@ -106,6 +106,7 @@
 	}
 	s.Server = sv
 	s.heard = now
+	s.pace.Reported(sv.Rate, sv.First)
 	s.pool.newest = max(s.pool.newest, sv.Version)
 	s.place(now, m.p)
 }
@@ -156,7 +157,7 @@
 // Arrive puts an item into its queue, or refuses it as not run.
 func (m *Matcher) Arrive(now clock.Millis, it Item) error {
 	p := m.pool(it.Service)
-	c := p.class(it.Class)
+	c := p.class(it.Class, it.size())
 	if it.Deadline > 0 && now >= it.Deadline {
 		return fault.New(fault.PastDeadline, "the deadline passed before the work arrived")
 	}
@@ -171,7 +172,7 @@
 	if it.Retry && !it.Moved {
 		m.counts.Retried++
 	}
-	l := p.lane(laneKey{it.Class, it.Floor, it.Round})
+	l := p.lane(laneKey{it.Class, it.Floor, it.size(), it.Round})
 	l.class = c
 	it.arrived = now
 	l.q.Push(it.ID, it.due(c), it)
--- a/internal/decide/match/match_test.go
+++ b/internal/decide/match/match_test.go
@@ -321,3 +321,52 @@
 	m.Report(cut+clock.Second, with(idle(1), func(s *Server) { s.Seq = 2 }))
 	c.Assert(at(cut+clock.Second, 3), qt.Equals, node(1))
 }
+
+// TestLong runs work of one or two classes until their lengths are known, and
+// looks which of the next ones may use the slots kept for short work.
+func TestLong(t *testing.T) {
+	type kind struct {
+		class  ident.Class
+		tokens int // bound of the answer
+		took   clock.Millis
+	}
+	tests := map[string]struct {
+		a, b   kind
+		shorts [2]bool
+	}{
+		"two classes":                {kind{"a", 0, 100}, kind{"b", 0, 3000}, [2]bool{true, false}},
+		"two classes, about as long": {kind{"a", 0, 100}, kind{"b", 0, 300}, [2]bool{true, true}},
+		"one class, bounds tell":     {kind{"a", 40, 100}, kind{"a", 1200, 3000}, [2]bool{true, false}},
+		"one class, nothing tells":   {kind{"a", 0, 100}, kind{"a", 0, 3000}, [2]bool{true, true}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			m := New(Standard())
+			now, id := start, uint64(0)
+			run := func(k kind, end bool) (isShort bool) {
+				id++
+				it := plain(id)
+				it.Class, it.Tokens = k.class, k.tokens
+				it.StartBy, it.FinishBy = now+clock.Second, now+10*clock.Second
+				m.Report(now, with(idle(1), func(s *Server) { s.Seq, s.Slots = id, 16 }))
+				c.Assert(m.Arrive(now, it), qt.IsNil)
+				grants, _ := m.Next(now)
+				c.Assert(grants, qt.HasLen, 1)
+				if end {
+					m.Finish(now+k.took, id, node(1), Result{End: Served})
+				}
+				return grants[0].Short
+			}
+			for range 20 {
+				run(tc.a, true)
+				run(tc.b, true)
+				now += 100
+			}
+			c.Assert([2]bool{run(tc.a, false), run(tc.b, false)}, qt.Equals, tc.shorts)
+			c.Assert(m.pools[svc].inflight[short] > 0, qt.IsTrue)
+			m.Next(now + clock.Minute) // rule 5: what still runs is long
+			c.Assert(m.pools[svc].inflight, qt.Equals, [bands]int{0, 2, 0})
+		})
+	}
+}
--- a/internal/decide/match/next.go
+++ b/internal/decide/match/next.go
@@ -123,7 +123,7 @@
 	p := m.pool(it.Service)
 	for _, s := range p.all {
 		if s.lives(now, m.p) {
-			return overloaded(it, "its lateness target passed before a server was free", max(minAfter, p.class(it.Class).wait(now)))
+			return overloaded(it, "its lateness target passed before a server was free", max(minAfter, p.class(it.Class, it.size()).wait(now)))
 		}
 	}
 	return fault.New(fault.NoBackend, "no backend server offers "+string(it.Service)).After(clock.Second)
--- a/internal/decide/match/policy.go
+++ b/internal/decide/match/policy.go
@@ -1,6 +1,8 @@
 package match
 
 import (
+	"math/bits"
+
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/base/sets"
@@ -97,6 +99,10 @@
 	arrived clock.Millis
 }
 
+// size groups the work of a class by the bound of its answer, each group up to
+// twice as long as the one before.
+func (it *Item) size() int { return bits.Len(uint(it.Tokens)) }
+
 // due is the latest start that meets the target.
 func (it *Item) due(c *class) clock.Millis {
 	if it.Deadline == 0 {
@@ -129,8 +135,10 @@
 	Loading bool
 	Leaving bool
 	Slots   int
-	Running int // work in progress, of all entries
-	Yours   int // of this, work of this entry
+	Running int          // work in progress, of all entries
+	Yours   int          // of this, work of this entry
+	Rate    float64      // tokens/s of one stream, measured by the agent; 0 if not known
+	First   clock.Millis // to the first token, measured by the agent; 0 if not known
 }
 
 // Grant sends an item to a node.
--- a/internal/decide/match/pool.go
+++ b/internal/decide/match/pool.go
@@ -73,6 +73,7 @@
 type laneKey struct {
 	class ident.Class
 	floor ident.Version
+	size  int
 	round bool
 }
 
@@ -96,9 +97,10 @@
 	return l
 }
 
-// class is what was measured of a class of work.
+// class is what was measured of a class of work with answers of one size.
 type class struct {
 	name    ident.Class
+	size    int
 	waiting int
 	took    hist.Hist    // running times
 	mid     clock.Millis // median running time; 0 before it is known
@@ -111,13 +113,13 @@
 // startMemory is the time over which starts are counted.
 const startMemory = 4 * clock.Second
 
-func (p *pool) class(n ident.Class) *class {
+func (p *pool) class(n ident.Class, size int) *class {
 	for _, c := range p.classes {
-		if c.name == n {
+		if c.name == n && c.size == size {
 			return c
 		}
 	}
-	c := &class{name: n}
+	c := &class{name: n, size: size}
 	p.classes = append(p.classes, c)
 	return c
 }
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -6,7 +6,8 @@
 // median of the peers, never with a fixed figure, so that a change that slows
 // all servers ejects none.
 //
-//  1. A server with too little measured time is not judged.
+//  1. A server with too little measured time is judged by what its agent has
+//     measured, or not at all.
 //  2. A stream that has shown nothing for longer than the memory counts with
 //     its silent time, so that a stopped server is seen without an answer.
 //  3. A server is slow below a share of the median rate, or above a multiple
@@ -52,6 +53,8 @@
 	streams int     // that have shown their first token
 	shown   float64 // sum of the instants of their latest progress
 	first   float64 // ms to the first token
+	told    float64 // tokens/ms of one stream by the server's agent
+	toldOf  float64 // ms to the first token by the server's agent
 	slow    bool
 }
 
@@ -101,6 +104,12 @@
 	p.add(now, 1, float64(max(1, now-s.last)))
 }
 
+// Reported takes in what the server's agent has measured: tokens/s of one
+// stream and the time to the first token; 0 is not known.
+func (p *Pace) Reported(rate float64, first clock.Millis) {
+	p.told, p.toldOf = rate/float64(clock.Second), float64(first)
+}
+
 // End forgets a stream.
 func (p *Pace) End(s *Stream) {
 	if s.shown {
@@ -133,11 +142,19 @@
 	}
 	busy := p.busy + max(0, silent)
 	if busy < float64(enough) { // rule 1
-		return 0, false
+		return p.told, p.told > 0
 	}
 	return p.tokens / busy, true
 }
 
+// firstToken returns ms to the first token; 0 if it can't be told.
+func (p *Pace) firstToken() float64 {
+	if p.first > 0 {
+		return p.first
+	}
+	return p.toldOf
+}
+
 // Judge decides anew which of some peers are slow.
 func Judge(now clock.Millis, peers []*Pace) {
 	rates := make([]float64, 0, len(peers))
@@ -146,8 +163,8 @@
 		if r, ok := p.rate(now); ok {
 			rates = append(rates, r)
 		}
-		if p.first > 0 {
-			firsts = append(firsts, p.first)
+		if f := p.firstToken(); f > 0 {
+			firsts = append(firsts, f)
 		}
 	}
 	midRate, midFirst := median(rates), median(firsts)
@@ -171,7 +188,8 @@
 	if p.slow {
 		share, times = goodRate, goodFirst // rule 4
 	}
-	late := midFirst > 0 && p.first > float64(firstFloor) && p.first > times*midFirst
+	first := p.firstToken()
+	late := midFirst > 0 && first > float64(firstFloor) && first > times*midFirst
 	r, ok := p.rate(now)
 	if !ok || midRate == 0 {
 		return p.slow || late
--- a/internal/decide/pace/pace_test.go
+++ b/internal/decide/pace/pace_test.go
@@ -90,3 +90,39 @@
 		})
 	}
 }
+
+// TestReported judges by what agents tell, as long as there is nothing of
+// one's own.
+func TestReported(t *testing.T) {
+	tests := map[string]struct {
+		rates []float64
+		own   int // tokens in 50 ms on the first server; 0 for no stream
+		want  bool
+	}{
+		"slow by its agent":         {[]float64{80, 400, 400}, 0, true},
+		"all slow by their agents":  {[]float64{80, 80, 80}, 0, false},
+		"own measure counts more":   {[]float64{80, 400, 400}, 20, false},
+		"own measure shows it slow": {[]float64{400, 400, 400}, 4, true},
+		"agents tell nothing":       {[]float64{0, 0, 0}, 0, false},
+		"one tells nothing":         {[]float64{0, 400, 400}, 0, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var peers []*Pace
+			for _, r := range tc.rates {
+				p := &Pace{}
+				p.Reported(r, 0)
+				peers = append(peers, p)
+			}
+			now, s := clock.Hour, &Stream{}
+			peers[0].Begin(now, s)
+			for range 20 {
+				now += 50
+				peers[0].Progress(now, s, tc.own)
+			}
+			Judge(now, peers)
+			c.Assert(peers[0].Slow(), qt.Equals, tc.want)
+		})
+	}
+}
--- a/internal/node/agent/held.go
+++ b/internal/node/agent/held.go
@@ -70,8 +70,8 @@
 	return j.answer(0)
 }
 
-// forget drops finished jobs that nobody fetched in time, and the oldest
-// samples beyond the bound in tokens. A sample that was fetched stays: the
+// forget gives up work that nobody reads, and drops finished jobs that nobody
+// fetched in time and the oldest samples beyond the bound in tokens. A sample that was fetched stays: the
 // entry that has it may die before its trainer reads it.
 func (a *Agent) forget(now clock.Millis) {
 	a.mu.Lock()
@@ -79,6 +79,8 @@
 	var samples []*job
 	for id, j := range a.jobs {
 		switch {
+		case j.isOrphan(now):
+			j.cancel()
 		case j.expired(now, a.p.Keep) || (j.isFetched() && !j.isSample()):
 			delete(a.jobs, id)
 		case j.isSample() && j.isDone():
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -37,6 +37,7 @@
 	fetched bool
 	moved   bool // ended so that it goes on elsewhere
 	endedAt clock.Millis
+	readAt  clock.Millis // when somebody last asked for the answer
 }
 
 func newJob(parent context.Context, entry ident.Node, m wire.Job) *job {
@@ -56,6 +57,26 @@
 	return j
 }
 
+// touch notes that somebody asks for the answer.
+func (j *job) touch(now clock.Millis) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.readAt = now
+}
+
+// orphanAfter is how long nobody asks for an answer before its work is given
+// up. It is longer than an entry's pause that a request survives.
+const orphanAfter = 40 * clock.Second
+
+// isOrphan reports whether the work can be given up: its entry died, and what
+// it makes is worth nothing without a reader. Samples and work that may run
+// only once are worth it.
+func (j *job) isOrphan(now clock.Millis) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return !j.done && !j.isSample() && !j.msg.Once && now-j.readAt > orphanAfter
+}
+
 // covered returns how many tokens the spans prove without a gap.
 func covered(ss []plat.Span) int {
 	to := 0
@@ -173,6 +194,7 @@
 		return err
 	}
 	j := newJob(a.ctx, entry, m)
+	j.touch(a.p.Clock.Now())
 	a.jobs[ident.Attempt(m.Attempt)] = j
 	go a.work(j)
 	return nil
--- a/internal/node/agent/report.go
+++ b/internal/node/agent/report.go
@@ -140,6 +140,14 @@
 // smoothing is the weight of a new measurement.
 const smoothing = 0.2
 
+// smooth takes in a new value; the first one counts whole.
+func smooth(old, v float64) float64 {
+	if old == 0 {
+		return v
+	}
+	return old + smoothing*(v-old)
+}
+
 type rateMeter struct {
 	s       *speed
 	began   clock.Millis
@@ -155,12 +163,12 @@
 	defer s.mu.Unlock()
 	if m.firstAt == 0 {
 		m.firstAt, m.lastAt = now, now
-		s.first += clock.Millis(smoothing * float64(now-m.began-s.first))
+		s.first = clock.Millis(smooth(float64(s.first), float64(now-m.began)))
 		return
 	}
 	if now > m.lastAt && tokens > 0 {
 		r := float64(tokens) / (now - m.lastAt).Seconds()
-		s.rate += smoothing * (r - s.rate)
+		s.rate = smooth(s.rate, r)
 		m.lastAt = now
 	}
 }
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -49,6 +49,7 @@
 	t := time.NewTimer(min(clock.Millis(args.Wait), maxWait).Duration())
 	defer t.Stop()
 	for {
+		j.touch(s.a.p.Clock.Now())
 		r, grown := j.read(args.From)
 		// A sample is read in few large parts, since only its end is awaited.
 		if r.Done || r.Moves || (len(r.Tokens) > 0 && !j.isSample()) {
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -47,6 +47,8 @@
 		Running: args.Running,
 		Seq:     args.Seq,
 		Yours:   args.Yours,
+		Rate:    args.Rate,
+		First:   clock.Millis(args.First),
 	})
 	e.peers.ToldGoing(peers.FromWire(args.Going))
 	reply.Going = slices.DeleteFunc(peers.ToWire(e.peers.Going()), func(d wire.Dead) bool { return d.Node != args.Hello.Node })
