Pass a request to an entry that hears an agent of its service

Cause: with more entries than an agent reports to, an entry may hear no agent of a service and its requests would wait for ever. Change: entries tell their peers which services they hear; such an entry passes an idempotent request on, one hop at most, and runs it itself if the other one can't be reached. Actions and rounds are not passed on yet. Check: three entries, an agent that reports to one of them, a request through each.

--- a/internal/inner/wire/msgs.go
+++ b/internal/inner/wire/msgs.go
@@ -237,6 +237,7 @@
 	Dead     []Dead
 	Going    []Dead   // shown as leaving
 	Ahead    Snapshot // set in a second message if the first answer shows that the peer is behind
+	Hosts    []string // services of the agents that the sender hears
 }
 
 // Dead is a node that does not answer, or that a VM list shows as leaving.
@@ -259,6 +260,7 @@
 	Versions []Announced
 	Crashes  []Crash
 	Lifted   []string
+	Hosts    []string // services of the agents that the answering node hears
 }
 
 // DemandArgs tells the holder of the placement lease what work an entry has.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -104,6 +104,7 @@
 
 	demands demands
 	contact contact
+	helpers helpers
 
 	mu      sync.Mutex
 	written written
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -116,6 +116,8 @@
 	e.peers.ToldGoing(peers.FromWire(args.Going))
 	e.swaps.Learn(args.Versions)
 	reply.Config, _ = e.exchange(args.Config, args.Ahead)
+	e.helpers.note(ident.Node(args.Hello.Node), helper{args.Addr, args.Hosts, e.p.Clock.Now()})
+	reply.Hosts = e.services()
 	reply.Node = string(e.p.Node)
 	reply.Boot = uint64(e.boot)
 	reply.Leaving = e.leaving.Load()
@@ -219,6 +221,7 @@
 		Dead:     peers.ToWire(e.peers.Suspects()),
 		Going:    peers.ToWire(e.peers.Going()),
 		Ahead:    ahead,
+		Hosts:    e.services(),
 	}
 	args.Crashes, args.Lifted = e.quar.Wire()
 	asked := e.p.Clock.Now()
@@ -240,6 +243,7 @@
 	e.contact.note(asked)
 	m.Node = ident.Node(reply.Node) // another node may have taken over the address
 	m.Leaving = reply.Leaving
+	e.helpers.note(m.Node, helper{m.Addr, reply.Hosts, e.p.Clock.Now()})
 	e.peers.Heard(roster.Contact{Member: m, Boot: ident.Incarnation(reply.Boot)})
 	e.peers.Told(peers.FromWire(reply.Dead))
 	e.peers.ToldGoing(peers.FromWire(reply.Going))
--- a/internal/node/entry/round.go
+++ b/internal/node/entry/round.go
@@ -40,6 +40,8 @@
 // serveForward runs a call that another entry passed on.
 func (e *Entry) serveForward(ctx context.Context, path string, body []byte) ([]byte, error) {
 	switch path {
+	case pathRequest:
+		return serveOne(ctx, body, e.requestHere)
 	case pathNodes:
 		return serveOne(ctx, body, e.nodesHere)
 	case pathOpen:
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -47,6 +47,14 @@
 	if err != nil {
 		return err
 	}
+	if addr, ok := e.helperFor(c.Service(), w.Request); ok {
+		return e.pass(ctx, addr, who, m, w, sink)
+	}
+	return e.runHere(ctx, w, sink)
+}
+
+// runHere runs work on the agents that this entry hears.
+func (e *Entry) runHere(ctx context.Context, w calls.Work, sink httpd.Sink) error {
 	ans, err := e.calls.Do(ctx, w, func(ts []uint32) error { return sink(codec.Chunk{Tokens: ts}) })
 	if err != nil {
 		return err
@@ -107,12 +115,17 @@
 		return local(ctx, m)
 	}
 	out, err := forward[In, Out](ctx, e, vm.Addr, path, wait, m)
-	if fault.Is(err, fault.NoBackend) || fault.Is(err, fault.BadPeer) || fault.Is(err, fault.Lost) {
+	if isUnreached(err) {
 		return local(ctx, m)
 	}
 	return out, err
 }
 
+// isUnreached reports whether another entry gave no answer.
+func isUnreached(err error) bool {
+	return fault.Is(err, fault.NoBackend) || fault.Is(err, fault.BadPeer) || fault.Is(err, fault.Lost)
+}
+
 func forward[In, Out any](ctx context.Context, e *Entry, addr, path string, wait clock.Millis, m In) (Out, error) {
 	var out Out
 	body, err := json.Marshal(m)
--- a/internal/node/entry/spread_test.go
+++ b/internal/node/entry/spread_test.go
@@ -15,6 +15,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
+	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 	"github.com/jujuberamp/jujuberamp/internal/node/agent"
@@ -59,9 +60,13 @@
 	return e, end
 }
 
-func (s *site) agent(n ident.Node) *agent.Agent {
+func (s *site) agent(n ident.Node) *agent.Agent { return s.agentOf(n, 0) }
+
+// agentOf starts an agent that reports to a number of entries, 0 for the
+// standard.
+func (s *site) agentOf(n ident.Node, entries int) *agent.Agent {
 	a, err := agent.New(agent.Params{
-		Node: n, Listen: anyPort, Key: []byte(siteKey), Slots: 4, Service: "s", Report: sitePoll, Poll: sitePoll, Keep: clock.Minute,
+		Node: n, Listen: anyPort, Key: []byte(siteKey), Slots: 4, Service: "s", Entries: entries, Report: sitePoll, Poll: sitePoll, Keep: clock.Minute,
 		Clock: s.clock, Log: zerolog.Nop(), Meter: noop.Meter{}, VMs: s.vms, Plain: plain.New(plain.NewLedger(), 0),
 	})
 	s.Assert(err, qt.IsNil)
@@ -151,3 +156,31 @@
 	s.until("the entry sees that it leaves", func() bool { hs := one.serversOf("s"); return len(hs) == 1 && hs[0].Leaving })
 	s.until("the agent refuses by itself", func() bool { return a.Ready() != nil })
 }
+
+// TestPass sends requests through entries of which only one hears the agent.
+func TestPass(t *testing.T) {
+	s := newSite(t)
+	one, _ := s.entry("one", 0)
+	two, _ := s.entry("two", 0)
+	three, _ := s.entry("three", 0)
+	s.declare(one, 0, 5*clock.Second)
+	s.agentOf("x", 1)
+	all := []*Entry{one, two, three}
+	s.until("one entry hears the agent and the others know", func() bool {
+		hear, know := 0, 0
+		for _, e := range all {
+			hear += len(e.services())
+			if _, ok := e.helperFor("s", "r"); ok && e.Ready() == nil {
+				know++
+			}
+		}
+		return hear == 1 && know == 2
+	})
+	for _, e := range all {
+		var got codec.Chunk
+		err := e.Request(t.Context(), "ann", codec.Request{Class: "a", Body: "hello"}, func(c codec.Chunk) error { got = c; return nil })
+		s.Assert(err, qt.IsNil)
+		s.Assert(got.Done, qt.IsTrue)
+		s.Assert(len(got.Body) > 0, qt.IsTrue)
+	}
+}
