--- a/internal/node/rounds/rounds.go
+++ b/internal/node/rounds/rounds.go
@@ -105,7 +105,7 @@
 // nothing if it is already open. The same name with another specification is
 // refused.
 func (r *Rounds) Open(ctx context.Context, s round.Spec, c class.Class, text string) error {
-	if err := r.checkAsked(s.Model, s.Version); err != nil {
+	if err := r.checkAsked(s, s.Version); err != nil {
 		return err
 	}
 	sealer := round.NewSealer(r.p.Key, s)
@@ -125,11 +125,12 @@
 	return nil
 }
 
-// checkAsked refuses a version that nobody announced: no engine could make
-// its samples, and the round would stand still without a word.
-func (r *Rounds) checkAsked(m ident.Service, v ident.Version) error {
-	if n := r.p.Newest(m); n > 0 && v > n {
-		return fault.New(fault.NotReady, "version of model "+string(m)+" is newer than any that was announced").After(clock.Second)
+// checkAsked refuses a version so new that no announced one is within its
+// bound: no engine could make the samples, and the round would stand still
+// without a word. A trainer may ask for its next version while it trains.
+func (r *Rounds) checkAsked(s round.Spec, v ident.Version) error {
+	if n := r.p.Newest(s.Model); n > 0 && s.Floor(v) > n {
+		return fault.New(fault.NotReady, "no version of model "+string(s.Model)+" that was announced is within the staleness bound").After(clock.Second)
 	}
 	return nil
 }
@@ -205,7 +206,7 @@
 	if err != nil {
 		return Page{}, err
 	}
-	if err := r.checkAsked(o.spec.Model, asked); err != nil {
+	if err := r.checkAsked(o.spec, asked); err != nil {
 		return Page{}, err
 	}
 	cur, err := o.sealer.Decode(text)
--- a/trainer/trainer.go
+++ b/trainer/trainer.go
@@ -13,6 +13,10 @@
 //		samples, err := r.Read(ctx, 7)
 //		...
 //	}
+//
+// A class with a staleness bound of 1 or more lets a trainer open the round of
+// step 8, for version 8, when it begins to train that version: the engines
+// make its samples meanwhile, with version 7. It then waits far less.
 package trainer
 
 import (
