--- a/internal/edge/logcl/logcl_test.go
+++ b/internal/edge/logcl/logcl_test.go
@@ -77,6 +77,8 @@
 				time.Sleep(time.Minute)
 				synctest.Wait()
 				c.Check(float64(healthy) > 0.9*9*tc.limit, qt.IsTrue, qt.Commentf("%d appends in 10 s", healthy))
+				log.mu.Lock()
+				defer log.mu.Unlock()
 				for s, n := range log.appends {
 					c.Check(float64(n) <= tc.limit*(1+burstFor), qt.IsTrue, qt.Commentf("%d appends in second %d", n, s))
 				}
