--- a/internal/proof/replay/expect.go
+++ b/internal/proof/replay/expect.go
@@ -6,7 +6,6 @@
 	"os"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/pkg/errors"
@@ -60,26 +59,14 @@
 	keyCrashes  = "at-most-crashes"
 )
 
-type limitSpan struct{ clock.Millis }
-
-// UnmarshalText reads a span such as "2s".
-func (s *limitSpan) UnmarshalText(b []byte) error {
-	d, err := time.ParseDuration(string(b))
-	if err != nil {
-		return errors.Errorf("%q has no unit; write a time such as \"2s\"", b)
-	}
-	s.Millis = clock.Of(d)
-	return nil
-}
-
 type outcomeMsg struct {
-	Name     string     `toml:"name"`
-	Class    string     `toml:"class"`
-	Quantile *float64   `toml:"quantile"`
-	Span     *limitSpan `toml:"at-most"`
-	Share    *float64   `toml:"at-most-share"`
-	Versions *uint64    `toml:"at-most-versions"`
-	Crashes  *int       `toml:"at-most-crashes"`
+	Name     string        `toml:"name"`
+	Class    string        `toml:"class"`
+	Quantile *float64      `toml:"quantile"`
+	Span     *clock.Millis `toml:"at-most"`
+	Share    *float64      `toml:"at-most-share"`
+	Versions *uint64       `toml:"at-most-versions"`
+	Crashes  *int          `toml:"at-most-crashes"`
 }
 
 // ReadOutcomes reads a file of outcomes. Errors are of the kind
@@ -175,7 +162,7 @@
 		}
 	}
 	if m.Span != nil {
-		o.Span = m.Span.Millis
+		o.Span = *m.Span
 	}
 	if m.Share != nil {
 		o.Share = *m.Share
