Trace and replay the claims of actions, without their answers

Cause: claims had no event in a trace, so the promise of at most once could not be judged after an incident. Change: an entry writes each record of the streams of claims that it reads, with the answer left out; replay plays them against package claim, and the outcome claim-once breaks if two claims of a key may run, or one after it ran. A state that lets every claim run shows in the test.

--- a/internal/node/claims/claims.go
+++ b/internal/node/claims/claims.go
@@ -38,6 +38,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
+	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
 )
 
 const (
@@ -63,6 +64,7 @@
 	Clock    clock.Clock
 	Wall     func() int64 // ms since 1970; compared with the time in a key only
 	Log      zerolog.Logger
+	Trace    *trace.Recorder // nil for none
 }
 
 // Defaults of [Params]. The log must keep records for more than twice the
--- a/internal/node/claims/stream.go
+++ b/internal/node/claims/stream.go
@@ -170,6 +170,7 @@
 		s.c.p.Log.Error().Err(err).Str("stream", s.name).Int64("offset", int64(r.Offset)).Msg("Record skipped.")
 		return
 	}
+	s.c.recordEvent(s.name, r.Offset, ev)
 	if ev.Outcome != nil {
 		s.state.Outcome(*ev.Outcome)
 		return
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -223,7 +223,7 @@
 		Trace:   p.Trace,
 	})
 	e.wirePlace(part("place"))
-	e.claims = claims.New(e.ctx, claims.Params{Node: p.Node, Boot: e.boot, Source: p.Source, Calls: e.calls, Pool: e.pool, Clock: p.Clock, Log: part("claims")})
+	e.claims = claims.New(e.ctx, claims.Params{Node: p.Node, Boot: e.boot, Source: p.Source, Calls: e.calls, Pool: e.pool, Clock: p.Clock, Log: part("claims"), Trace: p.Trace})
 	e.rounds = rounds.New(e.ctx, rounds.Params{
 		Node:    p.Node,
 		Boot:    e.boot,
--- a/internal/proof/replay/break_test.go
+++ b/internal/proof/replay/break_test.go
@@ -12,6 +12,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/claim"
 	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/ledger"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
@@ -31,6 +32,12 @@
 	for i := range 4 {
 		s.report(i, false)
 	}
+	s.claim(1, 0)
+	s.claim(2, 0) // Another entry claims the same key.
+	s.outcome(3, 1, record.Refused)
+	s.claim(4, 1)
+	s.outcome(5, 4, record.Done)
+	s.claim(6, 4)
 	s.round(1, 2)
 	for n := range 300 {
 		s.at += 20
@@ -109,6 +116,21 @@
 	s.add(trace.Event{Kind: trace.Finish, Work: n, Class: "live-draft", Fault: fault.Crashed})
 }
 
+func (s *builder) claim(at, after ident.Offset) {
+	s.event(at, record.Event{Claim: &record.Claim{Key: "key", Body: "body", Agent: "agent-0", After: after}})
+}
+
+func (s *builder) outcome(at, of ident.Offset, st record.State) {
+	s.event(at, record.Event{Outcome: &record.Outcome{Key: "key", At: of, State: st}})
+}
+
+func (s *builder) event(at ident.Offset, ev record.Event) {
+	ev.Writer = record.Writer{Node: "entry-1", Boot: 1, Seq: uint64(at)}
+	data, err := record.EncodeEvent(ev)
+	s.c.Assert(err, qt.IsNil)
+	s.add(trace.Event{Kind: trace.Claim, Service: "claims-1", Offset: at, Data: data})
+}
+
 func (s *builder) round(n int, v ident.Version) {
 	s.add(trace.Event{Kind: trace.Announce, Service: "notice-model", Version: v})
 	s.add(trace.Event{Kind: trace.RoundOpen, Round: ident.Round(fmt.Sprint("trainer-1/step-", n)), Class: "train", Service: "notice-model", Version: v, Groups: 4, Samples: 4})
@@ -169,6 +191,8 @@
 [[outcome]]
 name = "innocent"
 [[outcome]]
+name = "claim-once"
+[[outcome]]
 name = "config-advances"
 `
 
@@ -347,6 +371,11 @@
 	}
 }
 
+// anyClaim lets every claim run.
+type anyClaim struct{ Claims }
+
+func (anyClaim) Claim(ident.Offset, record.Writer, record.Claim) bool { return true }
+
 // both applies several changes.
 func both(fs ...func(*Decisions)) func(*Decisions) {
 	return func(d *Decisions) {
@@ -372,6 +401,7 @@
 	"admitted":        withMatch(broken{roomy: true}),
 	"swap-done":       withSwap(never),
 	"zone-serves":     withSwap(atOnce),
+	"claim-once":      func(d *Decisions) { d.Claim = func() Claims { return anyClaim{claim.New()} } },
 	"quarantine":      withCrash(brokenCrashes{blind: true}),
 	"innocent":        withCrash(brokenCrashes{}),
 	"config-stands":   withLedger(brokenLedger{forget: true}),
--- a/internal/proof/replay/decide.go
+++ b/internal/proof/replay/decide.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/claim"
 	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/ledger"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
@@ -46,6 +47,12 @@
 	IsQuarantined(request string) bool
 }
 
+// Claims is the state of a stream of claims, as package claim keeps it.
+type Claims interface {
+	Claim(at ident.Offset, w record.Writer, c record.Claim) bool
+	Outcome(o record.Outcome)
+}
+
 // Decisions are what a trace is played against. Tests wrap one of them to see
 // that a broken decision shows.
 type Decisions struct {
@@ -54,6 +61,7 @@
 	Swap   func(now clock.Millis, target ident.Version, servers []swap.Server) []ident.Node
 	Ledger func() Ledger
 	Crash  func() Crashes
+	Claim  func() Claims // of one stream
 }
 
 // Product returns the decisions of the product with their standard policies.
@@ -63,6 +71,7 @@
 		Round:  func(now clock.Millis, s round.Spec, held round.Cursor) Round { return round.New(now, s, held) },
 		Ledger: func() Ledger { return ledger.New() },
 		Swap:   nextSwaps,
+		Claim:  func() Claims { return claim.New() },
 		Crash:  func() Crashes { return crash.New(crash.Standard()) },
 	}
 }
--- a/internal/proof/replay/judge.go
+++ b/internal/proof/replay/judge.go
@@ -56,6 +56,7 @@
 	"admitted":        {doc: "share of grants that the agent has to refuse", limit: keyShare, judge: (*Result).admitted},
 	"swap-done":       {doc: "from an announcement to the last server", limit: keySpan, judge: (*Result).swapDone},
 	"zone-serves":     {doc: "a zone with two servers of a model keeps one in service", judge: (*Result).zoneServes},
+	"claim-once":      {doc: "one claim of a key may run, and none after it ran", judge: (*Result).claimOnce},
 	"quarantine":      {doc: "servers that a request crashes until it is refused", limit: keyCrashes, judge: (*Result).quarantined},
 	"innocent":        {doc: "no request is quarantined for what another one did", judge: (*Result).innocent},
 	"config-stands":   {doc: "an accepted change stays in force", judge: (*Result).configStands},
--- a/internal/proof/replay/replay.go
+++ b/internal/proof/replay/replay.go
@@ -8,7 +8,7 @@
 // samples are handed over. A trainer opens its next round as long after the
 // last one as it did in the trace.
 //
-// What is not modelled: the network, scoring services, claims, and the moment
+// What is not modelled: the network, scoring services, and the moment
 // at which a crash takes place within a report's interval. A request that was a
 // suspect of crashes of several servers and never ended with an answer counts as
 // their cause: it crashes the servers on which it runs now.
@@ -48,6 +48,7 @@
 	grants []granted
 	swaps  []swapped
 	config []standing
+	claims []claimed
 	poison map[ident.Request]bool
 	dark   []event // moments at which a zone had no server left
 }
--- a/internal/proof/replay/world.go
+++ b/internal/proof/replay/world.go
@@ -48,6 +48,7 @@
 	classes map[ident.Class]class.Class
 	ledger  Ledger
 	crashes Crashes
+	streams map[ident.Service]*stream // of claims
 	match   Matcher
 	servers map[ident.Node]*server
 	nodes   []*server // in order of appearance
@@ -71,6 +72,7 @@
 		ledger:  o.Decisions.Ledger(),
 		crashes: o.Decisions.Crash(),
 		match:   o.Decisions.Match(),
+		streams: make(map[ident.Service]*stream),
 		servers: make(map[ident.Node]*server),
 		works:   make(map[uint64]*work),
 		rounds:  make(map[ident.Round]*player),
@@ -146,6 +148,8 @@
 		}
 	case trace.Config:
 		w.record(e)
+	case trace.Claim:
+		w.claim(e)
 	case trace.Stop:
 		w.lose(e.Node)
 	}
--- a/internal/proof/trace/trace.go
+++ b/internal/proof/trace/trace.go
@@ -57,7 +57,7 @@
 	Announce  Kind = "announce"   // new weights: Service, Version
 	Swap      Kind = "swap"       // an order to load ended: Node, Service, Version, Fault
 	Config    Kind = "config"     // a record of the configuration: Offset, Data
-	Claim     Kind = "claim"      // a claim was decided: Request, Node, Offset, Fault
+	Claim     Kind = "claim"      // a record of a stream of claims, without answers: Service, Offset, Data
 	Full      Kind = "full"       // the limit was reached; nothing follows
 )
 
