--- a/internal/base/fault/kinds.go
+++ b/internal/base/fault/kinds.go
@@ -58,7 +58,7 @@
 	Leaving:      {http.StatusServiceUnavailable, NotRun, "send to another server"},
 	Quarantined:  {http.StatusUnprocessableEntity, NotRun, "change the request, or ask an operator to lift its quarantine"},
 	KeyReused:    {http.StatusUnprocessableEntity, NotRun, "use a new idempotency key for a different request"},
-	KeyExpired:   {http.StatusUnprocessableEntity, NotRun, "use a new UUIDv7 idempotency key after checking the effect of the old one"},
+	KeyExpired:   {http.StatusUnprocessableEntity, Unknown, "use a new UUIDv7 idempotency key after checking the effect of the old one"},
 	LogDown:      {http.StatusServiceUnavailable, NotRun, "send again with the same key after the time in Retry-After"},
 	Refused:      {http.StatusServiceUnavailable, NotRun, "send again with the same key"},
 	Unsettled:    {http.StatusServiceUnavailable, Unknown, "send again with the same key after the time in Retry-After"},
--- a/internal/node/claims/claims.go
+++ b/internal/node/claims/claims.go
@@ -223,7 +223,8 @@
 	next  clock.Millis
 }
 
-func (l *limiter) do(ctx context.Context, fn func() error) error {
+// wait returns when the next append may be made.
+func (l *limiter) wait(ctx context.Context) {
 	l.mu.Lock()
 	now := l.clock.Now()
 	at := max(now, l.next)
@@ -232,5 +233,4 @@
 	if at > now {
 		pause(ctx, at-now)
 	}
-	return fn()
 }
--- a/internal/node/claims/claims_test.go
+++ b/internal/node/claims/claims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 // wants.
 type gate struct {
 	*logsvc.Log
+	reads atomic.Int64
 	mu    sync.Mutex
 	cut   bool          // nothing comes back, appends take effect
 	hold  chan struct{} // reads with records wait here after they were made
@@ -54,6 +56,7 @@
 }
 
 func (g *gate) Read(ctx context.Context, name string, from ident.Offset, limit int, wait clock.Millis) (plat.Batch, error) {
+	g.reads.Add(1)
 	b, err := g.Log.Read(ctx, name, from, limit, wait)
 	g.mu.Lock()
 	hold, cut := g.hold, g.cut
@@ -103,7 +106,7 @@
 	calls  []*calls.Calls
 }
 
-func newRig(t *testing.T, took clock.Millis) *rig {
+func newRig(t testing.TB, took clock.Millis) *rig {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	clk := clock.NewSystem()
@@ -119,7 +122,7 @@
 // agent starts another agent of the plain service, which entries use from now
 // on.
 func (r *rig) agent() *agent.Agent {
-	a := r.start(agent.Params{Node: "agent-1", Slots: 64, Service: "pages", Plain: r.svc})
+	a := r.start(agent.Params{Node: "agent-1", Slots: 256, Service: "pages", Plain: r.svc})
 	r.host("pages", a)
 	return a
 }
@@ -148,7 +151,7 @@
 		r.mu.Lock()
 		for svc, a := range r.hosts {
 			for _, c := range r.calls {
-				c.Report(match.Server{Node: ident.Node("at-" + a.Addr()), Seq: seq, Boot: a.Boot(), Addr: a.Addr(), Service: svc, Version: 1, Slots: 4})
+				c.Report(match.Server{Node: ident.Node("at-" + a.Addr()), Seq: seq, Boot: a.Boot(), Addr: a.Addr(), Service: svc, Version: 1, Slots: 256})
 			}
 		}
 		r.mu.Unlock()
--- a/internal/node/claims/flight.go
+++ b/internal/node/claims/flight.go
@@ -130,7 +130,7 @@
 	if errors.As(err, &st) {
 		err = st.err
 	}
-	if errors.Is(err, errTaken) {
+	if errors.Is(err, errTaken) || fault.Is(err, fault.KeyExpired) {
 		return calls.Answer{}, err
 	}
 	if fl, ok := fault.As(err); ok && fl.Outcome() == fault.NotRun {
--- a/internal/node/claims/stream.go
+++ b/internal/node/claims/stream.go
@@ -21,6 +21,7 @@
 	maxPending  = 4096
 	batchGap    = 50 * clock.Milli // between appends to one stream
 	outageGap   = 200 * clock.Milli
+	noteWait    = 300 * clock.Milli // outcomes wait so long for a claim to go with
 	retryWait   = 100 * clock.Milli
 	forgetEvery = clock.Minute
 )
@@ -38,6 +39,7 @@
 	name string
 
 	reading chan struct{} // holds a token of the one reader
+	urgent  chan struct{} // holds a token when somebody waits for an append
 
 	mu       sync.Mutex
 	state    *claim.State
@@ -64,6 +66,7 @@
 		c:        c,
 		name:     name,
 		reading:  make(chan struct{}, 1),
+		urgent:   make(chan struct{}, 1),
 		state:    claim.New(),
 		next:     1,
 		verdicts: make(map[uint64]chan verdict),
@@ -294,6 +297,12 @@
 // mu.
 func (s *stream) push(it item) {
 	s.pending = append(s.pending, it)
+	if it.done != nil {
+		select {
+		case s.urgent <- struct{}{}:
+		default:
+		}
+	}
 	if !s.flushing {
 		s.flushing = true
 		go s.flush()
@@ -303,11 +312,13 @@
 // flush appends what waits, in batches, until nothing waits.
 func (s *stream) flush() {
 	for {
-		batch := s.batch()
-		if len(batch) == 0 {
+		s.waitUrgent()
+		if s.isEmpty() {
 			return
 		}
-		err := s.c.rate.do(s.c.ctx, func() error { return s.appendBatch(batch) })
+		s.c.rate.wait(s.c.ctx) // What arrives meanwhile goes along.
+		batch := s.batch()
+		err := s.appendBatch(batch)
 		gap := batchGap
 		if err != nil {
 			gap = outageGap
@@ -317,17 +328,37 @@
 	}
 }
 
-// batch takes the records of the next append.
-func (s *stream) batch() []item {
+// waitUrgent waits until somebody waits for a record, or until outcomes that
+// nobody waits for have waited long enough.
+func (s *stream) waitUrgent() {
+	t := time.NewTimer(noteWait.Duration())
+	defer t.Stop()
+	select {
+	case <-s.urgent:
+	case <-t.C:
+	case <-s.c.ctx.Done():
+	}
+}
+
+// isEmpty reports whether nothing waits, or never will be appended; then the
+// next record starts another flush.
+func (s *stream) isEmpty() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.c.ctx.Err() != nil {
 		s.pending = nil
 	}
+	s.flushing = len(s.pending) > 0
+	return !s.flushing
+}
+
+// batch takes the records of the next append.
+func (s *stream) batch() []item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	n := min(len(s.pending), maxBatch)
 	out := s.pending[:n:n]
 	s.pending = s.pending[n:]
-	s.flushing = n > 0
 	return out
 }
 
