--- a/internal/decide/match/next.go
+++ b/internal/decide/match/next.go
@@ -75,32 +75,6 @@
 	}
 }
 
-// Smoothing of the demand of short work: it rises faster than it falls.
-const (
-	demandRise = clock.Second
-	demandFall = 2 * clock.Second
-)
-
-// measure takes in how many slots short work holds or waits for.
-func (p *pool) measure(passed clock.Millis) {
-	n := float64(p.inflight[short] + p.waitingIn(short))
-	memory := demandFall
-	if n > p.demand {
-		memory = demandRise
-	}
-	p.demand += (1 - fade(passed, memory)) * (n - p.demand)
-}
-
-func (p *pool) waitingIn(b band) int {
-	n := 0
-	for _, l := range p.lanes {
-		if l.q.Len() > 0 && p.band(l) == b {
-			n += l.q.Len()
-		}
-	}
-	return n
-}
-
 // expire applies rule 10 to items that wait.
 func (m *Matcher) expire(now clock.Millis) (out []Refusal) {
 	for {
@@ -147,16 +121,6 @@
 	}
 }
 
-// need returns how many slots must stay free for short work, by rule 3.
-func (p *pool) need(m *Matcher) int {
-	if !m.p.Reserve {
-		return 0
-	}
-	want := p.demand + math.Sqrt(p.demand)
-	want = min(want, float64(p.slots)/2)
-	return max(0, int(math.Ceil(want))-p.inflight[short])
-}
-
 // bind grants waiting items of a pool in the order of rules 2 to 4.
 func (m *Matcher) bind(now clock.Millis, p *pool, grants []Grant) []Grant {
 	for p.free > 0 {
@@ -214,22 +178,6 @@
 	return best
 }
 
-// restore puts the items that were passed over back in their places.
-func (p *pool) restore() {
-	keep := p.lanes[:0]
-	for _, l := range p.lanes {
-		for _, it := range l.aside {
-			l.q.Push(it.ID, it.due(l.class), it)
-		}
-		l.aside, l.blocked = nil, false
-		if l.q.Len() > 0 {
-			keep = append(keep, l)
-		}
-	}
-	clear(p.lanes[len(keep):])
-	p.lanes = keep
-}
-
 // nextLane returns the queue whose head goes next, and its band.
 func (m *Matcher) nextLane(now clock.Millis, p *pool) (*lane, band) {
 	if !m.p.Reserve {
@@ -251,53 +199,3 @@
 	}
 	return nil, short
 }
-
-// heads returns the queue of each band whose head has the least slack.
-func (p *pool) heads(now clock.Millis) (heads [bands]*lane) {
-	for _, l := range p.lanes {
-		if l.blocked || l.q.Len() == 0 || l.key.floor > p.newest || now < l.again {
-			continue
-		}
-		b := p.band(l)
-		if heads[b] == nil || l.dueBefore(heads[b]) {
-			heads[b] = l
-		}
-	}
-	return heads
-}
-
-// starving returns the queue of a band below its floor whose head was due
-// before the short band's. A pool too small for floors gives such a band one
-// of some grants.
-func (p *pool) starving(heads [bands]*lane) (*lane, band) {
-	floor := p.slots / floorShare
-	turn := floor == 0 && p.grants%floorShare == floorShare-1
-	for _, b := range [...]band{long, round} {
-		if heads[b] == nil || (heads[short] != nil && !heads[b].dueBefore(heads[short])) {
-			continue
-		}
-		if p.inflight[b] < floor || turn {
-			return heads[b], b
-		}
-	}
-	return nil, short
-}
-
-// oldest returns the queue whose head arrived first.
-func (p *pool) oldest() *lane {
-	var best *lane
-	var least uint64
-	for _, l := range p.lanes {
-		id, _, ok := l.q.Peek()
-		if ok && !l.blocked && (best == nil || id < least) {
-			best, least = l, id
-		}
-	}
-	return best
-}
-
-func (l *lane) dueBefore(o *lane) bool {
-	_, a, _ := l.q.Peek()
-	_, b, _ := o.q.Peek()
-	return a < b
-}
--- a/internal/decide/match/pool.go
+++ b/internal/decide/match/pool.go
@@ -6,10 +6,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/decide/hist"
-	"github.com/jujuberamp/jujuberamp/internal/decide/limit"
-	"github.com/jujuberamp/jujuberamp/internal/decide/pace"
-	"github.com/jujuberamp/jujuberamp/internal/decide/queue"
 	"github.com/jujuberamp/jujuberamp/internal/decide/route"
 	"github.com/jujuberamp/jujuberamp/internal/decide/spend"
 )
@@ -69,238 +65,38 @@
 	return fault.New(fault.Overloaded, "too many requests of "+string(p.service)+" are retried").After(clock.Second)
 }
 
-// laneKey names one queue of a pool.
-type laneKey struct {
-	class ident.Class
-	floor ident.Version
-	size  int
-	round bool
-}
-
-type lane struct {
-	key     laneKey
-	class   *class
-	q       *queue.Queue[Item]
-	aside   []Item // passed over in this decision
-	blocked bool
-	again   clock.Millis // passed over until then, after all servers were looked at
-}
+// Smoothing of the demand of short work: it rises faster than it falls.
+const (
+	demandRise = clock.Second
+	demandFall = 2 * clock.Second
+)
 
-func (p *pool) lane(k laneKey) *lane {
-	for _, l := range p.lanes {
-		if l.key == k {
-			return l
-		}
+// measure takes in how many slots short work holds or waits for.
+func (p *pool) measure(passed clock.Millis) {
+	n := float64(p.inflight[short] + p.waitingIn(short))
+	memory := demandFall
+	if n > p.demand {
+		memory = demandRise
 	}
-	l := &lane{key: k, q: queue.New[Item]()}
-	p.lanes = append(p.lanes, l)
-	return l
-}
-
-// class is what was measured of a class of work with answers of one size.
-type class struct {
-	name    ident.Class
-	size    int
-	waiting int
-	took    hist.Hist    // running times
-	mid     clock.Millis // median running time; 0 before it is known
-	tokens  float64      // of an answer, smoothed
-	starts  float64      // recent, see startMemory
-	at      clock.Millis
-	since   clock.Millis
+	p.demand += (1 - fade(passed, memory)) * (n - p.demand)
 }
 
-// startMemory is the time over which starts are counted.
-const startMemory = 4 * clock.Second
-
-func (p *pool) class(n ident.Class, size int) *class {
-	for _, c := range p.classes {
-		if c.name == n && c.size == size {
-			return c
+func (p *pool) waitingIn(b band) int {
+	n := 0
+	for _, l := range p.lanes {
+		if l.q.Len() > 0 && p.band(l) == b {
+			n += l.q.Len()
 		}
 	}
-	c := &class{name: n, size: size}
-	p.classes = append(p.classes, c)
-	return c
-}
-
-// estimate returns the usual running time.
-func (c *class) estimate() clock.Millis {
-	if c.mid > 0 {
-		return c.mid
-	}
-	return firstGuess
+	return n
 }
 
-// tokenShare is the weight of a new answer's length.
-const tokenShare = 0.1
-
-// ended takes in a whole answer.
-func (c *class) ended(took clock.Millis, tokens int) {
-	c.took.Add(took)
-	c.mid, _ = c.took.Quantile(0.5)
-	if c.tokens == 0 {
-		c.tokens = float64(tokens)
-	}
-	c.tokens += tokenShare * (float64(tokens) - c.tokens)
-}
-
-func (c *class) started(now clock.Millis) {
-	if c.since == 0 {
-		c.since = now
-	}
-	c.starts = c.starts*fade(now-c.at, startMemory) + 1
-	c.at = now
-}
-
-// wait predicts how long an item that arrives now will wait, by how many wait
-// and how many were started lately. It is 0 while too little is known.
-func (c *class) wait(now clock.Millis) clock.Millis {
-	age := now - c.since
-	if c.since == 0 || age < clock.Second {
+// need returns how many slots must stay free for short work, by rule 3.
+func (p *pool) need(m *Matcher) int {
+	if !m.p.Reserve {
 		return 0
 	}
-	span := startMemory.Seconds() * (1 - fade(age, startMemory))
-	rate := max(c.starts*fade(now-c.at, startMemory)/span, 0.1)
-	return clock.Millis(float64(c.waiting) / rate * float64(clock.Second))
-}
-
-func fade(d, memory clock.Millis) float64 { return math.Exp(-float64(d) / float64(memory)) }
-
-// band applies rule 2: a class is long by comparison with the shortest class
-// of its service.
-func (p *pool) band(l *lane) band {
-	if l.key.round {
-		return round
-	}
-	least := l.class.mid
-	for _, o := range p.classes {
-		if o.mid > 0 {
-			least = min(least, o.mid)
-		}
-	}
-	if l.class.mid > longRatio*least {
-		return long
-	}
-	return short
-}
-
-// flight is one item in progress, on one node or, with a hedge, on two.
-type flight struct {
-	item  Item
-	pool  *pool
-	class *class
-	runs  []*run
-}
-
-type run struct {
-	flight *flight
-	server *server
-	band   band
-	began  clock.Millis
-	stream pace.Stream
-	shown  int // tokens
-}
-
-func (f *flight) on(n ident.Node) *run {
-	for _, r := range f.runs {
-		if r.server.Node == n {
-			return r
-		}
-	}
-	return nil
-}
-
-func (f *flight) drop(r *run) {
-	for i, o := range f.runs {
-		if o == r {
-			f.runs = append(f.runs[:i:i], f.runs[i+1:]...)
-			return
-		}
-	}
-}
-
-// server is one candidate.
-type server struct {
-	Server
-	pool     *pool
-	tier     tier
-	slot     route.Slot
-	pace     pace.Pace
-	heard    clock.Millis
-	own      int
-	suspects int
-	shut     clock.Millis // closed until then, after a refusal or failure
-	shutLong clock.Millis // closed until then to all but short work
-	failures int
-	probed   clock.Millis
-	gone     bool
-	counted  int // credits counted in the pool
-	alive    int // slots counted in the pool
-}
-
-// Slot implements [route.Member].
-func (s *server) Slot() *route.Slot { return &s.slot }
-
-// load applies rule 6.
-func (s *server) load() int { return s.own + max(0, s.Running-s.Yours) }
-
-func (s *server) ratio() float64 { return float64(s.load()) / float64(max(1, s.Slots)) }
-
-// lives reports whether the server may get any work at all.
-func (s *server) lives(now clock.Millis, p Policy) bool {
-	return !s.Leaving && !s.Loading && now-s.heard <= p.Lease && now >= s.shut
-}
-
-// place opens or closes the server for new work by what is known now.
-func (s *server) place(now clock.Millis, p Policy) {
-	slots, credits := 0, 0
-	if !s.gone && s.lives(now, p) && !s.pace.Slow() {
-		slots = s.Slots
-		credits = max(0, s.Slots-s.load())
-	}
-	s.count(slots, credits)
-}
-
-func (s *server) close() { s.count(0, 0) }
-
-func (s *server) count(slots, credits int) {
-	s.pool.slots += slots - s.alive
-	s.pool.free += credits - s.counted
-	s.alive, s.counted = slots, credits
-	if credits > 0 {
-		s.pool.open[s.tier].Add(s)
-	} else {
-		s.pool.open[s.tier].Del(s)
-	}
-}
-
-// room reports whether the server has a slot for a band. The agent keeps some
-// for short work while there is any.
-func (s *server) room(b band) bool {
-	if b == short || s.pool.demand < fewShort {
-		return s.load() < s.Slots
-	}
-	return s.load() < s.Slots-limit.Kept(s.Slots)
-}
-
-// ended takes in the end of a run.
-func (s *server) ended(now clock.Millis, r *run, res Result) {
-	s.own--
-	if r.flight.item.Suspect {
-		s.suspects--
-	}
-	switch res.End {
-	case Served:
-		s.failures = 0
-	case Refused:
-		if r.band != short { // The agent may still have slots kept for short work.
-			s.shutLong = max(s.shutLong, now+max(res.After, leastShut))
-			return
-		}
-		s.shut = max(s.shut, now+max(res.After, leastShut))
-	case Failed:
-		s.shut = max(s.shut, now+min(failedFor<<min(s.failures, 5), failedMost))
-		s.failures++
-	}
+	want := p.demand + math.Sqrt(p.demand)
+	want = min(want, float64(p.slots)/2)
+	return max(0, int(math.Ceil(want))-p.inflight[short])
 }
--- a/internal/proof/vtime/loop.go
+++ b/internal/proof/vtime/loop.go
@@ -1,5 +1,11 @@
 // Package vtime runs the product's decisions in virtual time.
 //
+// [Run] plays a [Scenario]: requests arrive at random, the product's matcher
+// places them, the agents' admission and the stand-in's service model carry
+// them out, load reports come late, and engines slow or crash. It returns an
+// [Outcome] with what the callers saw. It models no VM and no network: a call
+// takes no time.
+//
 // [Loop] is a generic event loop: it holds events in the order of their
 // instants and moves its clock from one to the next. Events of one instant run
 // in the order in which they were added, so that a run with one seed is always
@@ -12,6 +18,9 @@
 //	stop := l.Every(500*clock.Milli, func() { ... })
 //	l.Run(clock.Minute)
 //
+//	out := vtime.Run(vtime.Scenario{Policy: match.Standard(), Seed: 1, ...})
+//	p99 := out.Quantile(0, 0.99)
+//
 // A [Loop] is a [clock.Clock].
 package vtime
 
