--- a/internal/node/agent/held.go
+++ b/internal/node/agent/held.go
@@ -10,8 +10,12 @@
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
 
-// maxHeldTokens bounds the finished samples kept here, in tokens of 4 bytes.
-const maxHeldTokens = 4 << 20
+// Bounds of the finished samples kept here. A trainer may read a round long
+// after its samples were made, since it trains meanwhile.
+const (
+	maxHeldTokens = 4 << 20 // tokens of 4 bytes
+	sampleKeep    = 30 * clock.Minute
+)
 
 // Held implements the inner protocol.
 func (s *service) Held(args *wire.HeldArgs, reply *wire.HeldReply) error {
@@ -70,9 +74,18 @@
 	return j.answer(0)
 }
 
+// keepFor returns how long the answer of a finished job is kept.
+func (a *Agent) keepFor(j *job) clock.Millis {
+	if j.isSample() {
+		return max(a.p.Keep, sampleKeep)
+	}
+	return a.p.Keep
+}
+
 // forget gives up work that nobody reads, and drops finished jobs that nobody
-// fetched in time and the oldest samples beyond the bound in tokens. A sample that was fetched stays: the
-// entry that has it may die before its trainer reads it.
+// fetched in time and the oldest samples beyond the bound in tokens. A sample
+// that was fetched stays: the entry that has it may die before its trainer
+// reads it.
 func (a *Agent) forget(now clock.Millis) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -81,7 +94,7 @@
 		switch {
 		case j.isOrphan(now):
 			j.cancel()
-		case j.expired(now, a.p.Keep) || (j.isFetched() && !j.isSample()):
+		case j.expired(now, a.keepFor(j)) || (j.isFetched() && !j.isSample()):
 			delete(a.jobs, id)
 		case j.isSample() && j.isDone():
 			samples = append(samples, j)
--- a/internal/node/agent/sample_test.go
+++ b/internal/node/agent/sample_test.go
@@ -223,6 +223,44 @@
 	}
 }
 
+// TestOpenAndCancel looks at what a trainer gets that opens a round twice, with
+// another specification or a foreign cursor, or cancels it.
+func TestOpenAndCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		g := newGrid(ctx, t, false)
+		defer g.close(cancel)
+		time.Sleep(time.Second)
+		rs := g.alive()[0].rounds
+		open := func(fn func(*round.Spec), cursor string) error {
+			s := newSpec()
+			fn(&s)
+			return rs.Open(ctx, s, g.class, cursor)
+		}
+		same := func(*round.Spec) {}
+		c.Assert(open(same, ""), qt.IsNil)
+		c.Assert(open(same, ""), qt.IsNil)
+		c.Assert(fault.Is(open(func(s *round.Spec) { s.Seed++ }, ""), fault.RoundReused), qt.IsTrue)
+		c.Assert(open(func(s *round.Spec) { s.ID, s.Version = "trainer/next", 2 }, ""), qt.IsNil)
+		pg, err := rs.Read(ctx, "trainer/next", "", 1, 1, clock.Minute)
+		c.Assert(err, qt.IsNil)
+		c.Assert(fault.Is(open(same, pg.Cursor), fault.BadCursor), qt.IsTrue)
+		_, err = rs.Read(ctx, newSpec().ID, pg.Cursor, 1, 1, clock.Minute)
+		c.Assert(fault.Is(err, fault.BadCursor), qt.IsTrue)
+
+		rs.Cancel(newSpec().ID)
+		g.alive()[1].rounds.Cancel("trainer/next") // does not know the round
+		rs.Forget("trainer/next")
+		time.Sleep(5 * time.Second)
+		for _, a := range g.agents {
+			c.Check(a.kept(), qt.Equals, int64(0))
+		}
+		_, err = rs.Read(ctx, newSpec().ID, "", 1, 1, clock.Second)
+		c.Assert(fault.Is(err, fault.NotFound), qt.IsTrue)
+	})
+}
+
 // TestMovedSample looks that a sample whose engine crashed goes on elsewhere
 // from its proven tokens.
 func TestMovedSample(t *testing.T) {
