Test what mutations of the log's decisions survived; vary the phase in BenchmarkSpread

Cause: of ten mutations on a scratch copy (trial) four survived: dropping repeats, the lease from the moment of sending, the wait after a record that can't be judged, and the word that a contact is of a replaced process. And the benchmark made each change 137 ms after a report, so its spread was too small. Change: a test for each; the benchmark waits 0 to 999 ms before a change.

--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -185,3 +185,51 @@
 	w.gate.Admit(next)
 	c.Assert(w.gate.Admit(fence), qt.IsFalse, qt.Commentf("an order that was sent after the pause"))
 }
+
+// TestLateReading lets a holder read its own bid long after others did: its
+// right runs from the sending.
+func TestLateReading(t *testing.T) {
+	c := qt.New(t)
+	w := &world{now: clock.Hour, first: 1, agree: make(map[ident.Offset]string)}
+	for i := range 2 {
+		w.nodes = append(w.nodes, &node{})
+		w.start(i)
+	}
+	a, b := w.nodes[0], w.nodes[1]
+	bid, ok := a.seat.Next(w.now)
+	c.Assert(ok, qt.IsTrue)
+	w.recs = append(w.recs, bid)
+	w.read(b)
+	w.now += 8 * clock.Second
+	w.read(a)
+	_, ok = a.seat.Held(w.now)
+	c.Assert(ok, qt.IsTrue)
+	w.now += 3 * clock.Second
+	bid, ok = b.seat.Next(w.now)
+	c.Assert(ok, qt.IsTrue)
+	w.recs = append(w.recs, bid)
+	w.read(b)
+	_, ok = b.seat.Held(w.now)
+	c.Assert(ok, qt.IsTrue)
+	_, ok = a.seat.Held(w.now)
+	c.Assert(ok, qt.IsFalse)
+}
+
+// TestUnjudged lets a node that missed records read a renewal that it can't
+// judge: it must wait as if the renewal were valid.
+func TestUnjudged(t *testing.T) {
+	c := qt.New(t)
+	b := NewSeat(Standard(), "b", 1, 0)
+	now := clock.Hour
+	b.Expired(now, 50)
+	_, ok := b.Next(now)
+	c.Assert(ok, qt.IsFalse)
+	now += 9 * clock.Second
+	b.Read(now, 50, record.Lease{Kind: record.Renew, Node: "a", Read: 45, Fence: 40, Term: Standard().Term})
+	now += 2 * clock.Second
+	_, ok = b.Next(now)
+	c.Assert(ok, qt.IsFalse, qt.Commentf("the holder's right may last"))
+	now += 9 * clock.Second
+	_, ok = b.Next(now)
+	c.Assert(ok, qt.IsTrue)
+}
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -199,6 +199,26 @@
 	})
 }
 
+// TestRepeat appends a refused change once more after another change made it
+// acceptable: who was told "conflict" must not win later.
+func TestRepeat(t *testing.T) {
+	c := qt.New(t)
+	edit := func(n ident.Class, base ident.Offset, lateness int) record.Edit {
+		return record.Edit{Name: n, Base: base, Class: lookup(n, lateness)}
+	}
+	change := func(n ident.Node, seq uint64, es ...record.Edit) record.Record {
+		return record.Record{Writer: record.Writer{Node: n, Boot: 1, Seq: seq}, Change: &record.Change{Edits: es}}
+	}
+	s := New()
+	c.Assert(s.Apply(1, change("x", 1, edit("a", 0, 1), edit("b", 0, 1))).Verdict, qt.Equals, Accepted)
+	c.Assert(s.Apply(2, change("x", 2, edit("a", 1, 2))).Verdict, qt.Equals, Accepted)
+	both := change("y", 1, edit("a", 1, 3), edit("b", 1, 3))
+	c.Assert(s.Apply(3, both).Verdict, qt.Equals, Conflict)
+	c.Assert(s.Apply(4, change("x", 3, edit("a", 2, 3))).Verdict, qt.Equals, Accepted)
+	c.Assert(s.Apply(5, both).Verdict, qt.Equals, Repeated)
+	c.Assert(s.Revision("b"), qt.Equals, ident.Offset(1))
+}
+
 // TestForget keeps the tables bounded, the same way in a restored state.
 func TestForget(t *testing.T) {
 	c := qt.New(t)
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -109,6 +109,18 @@
 	}
 }
 
+// TestReplaced shows the caller that a contact is of a replaced process.
+func TestReplaced(t *testing.T) {
+	c := qt.New(t)
+	r := New(Standard(), entry("me"))
+	for _, tc := range []struct {
+		boot ident.Incarnation
+		want bool
+	}{{1, true}, {2, true}, {1, false}, {2, true}} {
+		c.Assert(r.Heard(clock.Hour, Contact{Member: entry("a"), Boot: tc.boot}), qt.Equals, tc.want)
+	}
+}
+
 // TestWatch checks that in a large deployment nobody calls everybody, each
 // entry is called by several others, and news reach all in a few rounds.
 func TestWatch(t *testing.T) {
--- a/internal/node/entry/spread_bench_test.go
+++ b/internal/node/entry/spread_bench_test.go
@@ -182,7 +182,7 @@
 	for b.Loop() {
 		var took []time.Duration
 		for i := range benchTimes {
-			time.Sleep(137 * time.Millisecond) // at another phase of the nodes' polls each time
+			time.Sleep(time.Duration(i*271%1000) * time.Millisecond) // at another phase of the nodes' polls each time
 			took = append(took, f.change(clock.Millis(2+i)))
 		}
 		slices.Sort(took)
