Answer a peer with the versions that it lacks

Cause: entries told each other all versions in both directions, 38 bytes for each model in each message; in the steady state both know the same. Change: the answer holds only versions beyond those that the asking entry told.

--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -125,7 +125,7 @@
 	reply.Fresh = e.freshAge()
 	reply.Dead = peers.ToWire(e.peers.Suspects())
 	reply.Going = peers.ToWire(e.peers.Going())
-	reply.Versions = e.swaps.Wire()
+	reply.Versions = e.swaps.Beyond(args.Versions)
 	e.quar.Learn(args.Crashes, args.Lifted)
 	reply.Crashes, reply.Lifted = e.quar.Wire()
 	return nil
--- a/internal/node/swaps/swaps.go
+++ b/internal/node/swaps/swaps.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,6 +103,15 @@
 	return []wire.Announced{{Model: string(m), Version: uint64(v)}}
 }
 
+// Beyond returns the versions that another node lacks, which told its own.
+func (s *Swaps) Beyond(theirs []wire.Announced) []wire.Announced {
+	known := make(map[string]uint64, len(theirs))
+	for _, a := range theirs {
+		known[a.Model] = a.Version
+	}
+	return slices.DeleteFunc(s.Wire(), func(a wire.Announced) bool { return a.Version <= known[a.Model] })
+}
+
 // Learn takes in versions from another node.
 func (s *Swaps) Learn(vs []wire.Announced) {
 	for _, v := range vs {
--- a/internal/proof/size/size.go
+++ b/internal/proof/size/size.go
@@ -86,7 +86,7 @@
 type Slopes struct {
 	Report  float64 // one report and its answer
 	Peer    float64 // one message between entries and its answer
-	Version float64 // one version, told in both directions
+	Version float64 // one version that a peer tells
 	VM      float64 // one line of the VM list
 	Change  float64 // one change on the log
 	Classes float64 // the whole configuration, of 100 classes
