--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -123,7 +122,7 @@
 const maxGrants = 2
 
 const (
-	tick       = 50 * time.Millisecond
+	tick       = 50 * clock.Milli
 	fetchWait  = 2 * clock.Second
 	fetchSlack = 3 * clock.Second // beyond fetchWait, before an agent counts as lost
 	submitFor  = 3 * clock.Second
@@ -138,16 +137,7 @@
 
 // Run makes decisions that depend on time alone until the context ends.
 func (c *Calls) Run(ctx context.Context) {
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			c.decide(func(*match.Matcher, clock.Millis) {})
-		}
-	}
+	clock.Every(ctx, tick, func() { c.decide(func(*match.Matcher, clock.Millis) {}) })
 }
 
 // Report takes in an agent's report.
--- a/internal/node/rounds/held.go
+++ b/internal/node/rounds/held.go
@@ -4,8 +4,8 @@
 	"context"
 	"fmt"
 	"sync"
-	"time"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
@@ -76,18 +76,11 @@
 
 // Run keeps house until the context ends.
 func (r *Rounds) Run(ctx context.Context) {
-	t := time.NewTicker(houseTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			for _, o := range r.all() {
-				r.keep(o)
-			}
+	clock.Every(ctx, houseTick, func() {
+		for _, o := range r.all() {
+			r.keep(o)
 		}
-	}
+	})
 }
 
 func (r *Rounds) all() []*owned {
--- a/internal/node/rounds/rounds.go
+++ b/internal/node/rounds/rounds.go
@@ -93,7 +93,7 @@
 	activeFor   = 5 * clock.Second  // a trainer that called so lately is being served
 	maxScores   = 64                // asked for at once
 	heldFor     = 2 * clock.Second
-	houseTick   = time.Second
+	houseTick   = clock.Second
 )
 
 // New returns an owner without rounds; its samples end with the context.
--- a/internal/node/swaps/swaps.go
+++ b/internal/node/swaps/swaps.go
@@ -13,7 +13,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -59,7 +58,7 @@
 }
 
 const (
-	tick      = 50 * time.Millisecond
+	tick      = 50 * clock.Milli
 	orderFor  = 3 * clock.Minute
 	reportsIn = 3 * clock.Second // until reports show what an order did
 )
@@ -121,16 +120,7 @@
 
 // Run orders swaps until the context ends.
 func (s *Swaps) Run(ctx context.Context) {
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			s.step(ctx)
-		}
-	}
+	clock.Every(ctx, tick, func() { s.step(ctx) })
 }
 
 func (s *Swaps) step(ctx context.Context) {
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -34,7 +34,7 @@
 // ErrCrashed is returned by every call on a crashed engine.
 var ErrCrashed = errors.New("engine: crashed")
 
-const tick = 5 * time.Millisecond
+const tick = 5 * clock.Milli
 
 // Params describe the engine.
 type Params struct {
@@ -93,16 +93,7 @@
 
 // Run drives the engine until the context ends.
 func (e *Engine) Run(ctx context.Context) {
-	t := time.NewTicker(tick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			e.step()
-		}
-	}
+	clock.Every(ctx, tick, e.step)
 }
 
 func (e *Engine) step() {
