Count what entries tell the holder of the placement lease

Cause: docs/CAPACITY.md left out that each entry tells the holder its demand once a second. Change: the message is measured and stands in the table; the page says what is planned.

--- a/internal/proof/size/size.go
+++ b/internal/proof/size/size.go
@@ -61,24 +61,25 @@
 	Peers     int     // entries that an entry calls
 	PeerFor   float64 // s between messages to one peer
 	ListFor   float64 // s between looks at the whole VM list
+	DemandFor float64 // s between messages of an entry to the holder of the placement lease
 	Deltas    bool    // nodes tell only versions and changes that the other lacks
 }
 
 // Mesh is everyone talking to everyone at the standard settings, as a plain
 // baseline.
 func Mesh(t Target) Fan {
-	return Fan{Name: "mesh", Reports: t.Entries, ReportFor: 0.5, Peers: t.Entries - 1, PeerFor: 1, ListFor: 1}
+	return Fan{Name: "mesh", Reports: t.Entries, ReportFor: 0.5, Peers: t.Entries - 1, PeerFor: 1, ListFor: 1, DemandFor: 1}
 }
 
 // Built is what the program does at its standard settings.
 func Built(t Target) Fan {
 	list := peers.Interval(clock.Second, t.Entries+t.Agents)
-	return Fan{Name: "built", Reports: 8, ReportFor: 0.5, Peers: roster.Standard().Fanout, PeerFor: 1, ListFor: list.Seconds()}
+	return Fan{Name: "built", Reports: 8, ReportFor: 0.5, Peers: roster.Standard().Fanout, PeerFor: 1, ListFor: list.Seconds(), DemandFor: 1}
 }
 
 // Planned is what meets the bounds; docs/CAPACITY.md tells what is missing.
 func Planned() Fan {
-	return Fan{Name: "planned", Reports: 3, ReportFor: 3, Peers: 8, PeerFor: 4, ListFor: 600, Deltas: true}
+	return Fan{Name: "planned", Reports: 3, ReportFor: 3, Peers: 8, PeerFor: 4, ListFor: 600, DemandFor: 300, Deltas: true}
 }
 
 // Slopes are measured costs in bytes on the wire, of both directions and with
@@ -87,6 +88,7 @@
 	Report  float64 // one report and its answer
 	Peer    float64 // one message between entries and its answer
 	Version float64 // one version that a peer tells
+	Demand  float64 // one message of an entry about the work of each model
 	VM      float64 // one line of the VM list
 	Change  float64 // one change on the log
 	Classes float64 // the whole configuration, of 100 classes
@@ -124,14 +126,17 @@
 		{"entry", "VM list", 1 / f.ListFor, list / f.ListFor},
 		{"entry", "configuration from the log", changes, changes * s.Change},
 		{"entry", "configuration to agents", changes * each, changes * each * told},
+		{"entry", "demand told", 1 / f.DemandFor, s.Demand / f.DemandFor},
+		{holder, "demands heard", float64(t.Entries) / f.DemandFor, float64(t.Entries) / f.DemandFor * s.Demand},
 	}
 }
 
-// Sum adds up the bytes a second of a role.
+// Sum adds up the bytes a second of a role. The holder of a lease is an entry
+// too.
 func Sum(ls []Line, role string) float64 {
 	sum := 0.0
 	for _, l := range ls {
-		if l.Role == role {
+		if l.Role == role || role == holder && l.Role == "entry" {
 			sum += l.Bytes
 		}
 	}
@@ -139,7 +144,11 @@
 }
 
 // roles lists the roles in the order of the table.
-var roles = []string{"agent", "entry"}
+var roles = []string{"agent", "entry", holder}
+
+// holder is an entry that holds the placement lease; its lines come on top of
+// those of an entry.
+const holder = "lease holder"
 
 // Table returns the bytes a second of several fans beside each other, in
 // Markdown.
--- a/internal/proof/size/wire_test.go
+++ b/internal/proof/size/wire_test.go
@@ -52,6 +52,8 @@
 	return nil
 }
 
+func (entry) Demand(*wire.DemandArgs, *wire.Ack) error { return nil }
+
 // Peer answers a peer that knows the same versions.
 func (entry) Peer(_ *wire.PeerArgs, r *wire.PeerReply) error {
 	r.Node, r.Boot, r.Offset, r.Fresh = "entry-123", 1<<62, 100_000, 900
@@ -117,6 +119,15 @@
 	return cl.Call("Entry.Peer", peer(vs), &wire.PeerReply{})
 }
 
+// callDemand tells the work of as many models as there are versions.
+func callDemand(cl *rpc.Client, _ int, vs []wire.Announced) error {
+	args := wire.DemandArgs{Hello: hello()}
+	for _, v := range vs {
+		args.Work = append(args.Work, wire.Demand{Service: v.Model, Work: 12})
+	}
+	return cl.Call("Entry.Demand", &args, &wire.Ack{})
+}
+
 // page holds the table; the test writes it anew with -update.
 const page = "../../../docs/CAPACITY.md"
 
@@ -146,6 +157,7 @@
 	return Slopes{
 		Report:  math.Round(cost(c, 1, callReport)),
 		Peer:    math.Round(p0),
+		Demand:  math.Round(cost(c, Letter().Models, callDemand)),
 		Version: (p20 - p0) / many,
 		VM:      float64(len(vm)) / 4300,
 		Classes: float64(len(classes)),
