Judge a server's speed in a replay beside its peers

Change: full speed is the median rate of the trace, and only a server below 0.7 of its peers' median at that moment is slow.

--- a/internal/proof/replay/prepare.go
+++ b/internal/proof/replay/prepare.go
@@ -15,7 +15,7 @@
 	samples  map[ident.Round]map[int]int  // tokens by ordinal
 	usual    map[ident.Class]int          // median tokens of a class
 	callFor  map[ident.Class]clock.Millis // time of a call of a plain service
-	rate     float64                      // tokens/s of one stream at full speed
+	rate     float64                      // tokens/s of one stream, the median of all reports
 	swapFor  clock.Millis
 	failing  map[ident.Node]span // when loads failed
 	gaps     map[ident.Round]clock.Millis
@@ -128,10 +128,13 @@
 func (f *facts) servers(t trace.Trace) {
 	began := make(map[ident.Node]clock.Millis)
 	var loads []clock.Millis
+	var rates []float64
 	for _, e := range t.Events {
 		switch {
 		case e.Kind == trace.Report && !e.Call:
-			f.rate = max(f.rate, e.Rate)
+			if e.Rate > 0 {
+				rates = append(rates, e.Rate)
+			}
 			switch {
 			case e.Loading && began[e.Node] == 0:
 				began[e.Node] = e.At
@@ -148,9 +151,7 @@
 			f.failing[e.Node] = s
 		}
 	}
-	if f.rate == 0 {
-		f.rate = usualRate
-	}
+	f.rate = median(rates, usualRate)
 	f.swapFor = median(loads, usualSwap)
 }
 
--- a/internal/proof/replay/server.go
+++ b/internal/proof/replay/server.go
@@ -14,6 +14,7 @@
 
 // Limits of the model of a server.
 const (
+	slowShare   = 0.7                // of the median rate, from which on a server is not slow
 	silentAfter = 1200 * clock.Milli // a trace tells of a live agent once a second
 	reportEvery = 250 * clock.Milli
 	prefixes    = 64
@@ -29,6 +30,7 @@
 	call    bool
 	slots   int
 	version ident.Version
+	rate    float64 // last reported
 	loading bool
 	down    bool
 	fails   int          // failed loads in a row
@@ -86,13 +88,31 @@
 		s.boot++
 	}
 	if e.Rate > 0 {
+		s.rate = e.Rate
 		w.settle(s)
-		s.core.SetSpeed(e.Rate / w.facts.rate)
+		s.core.SetSpeed(w.speedOf(s))
 		w.plan(s)
 	}
 	w.tell(s)
 }
 
+// speedOf returns the speed of a server beside the median of its peers. A
+// stream is slower too when many share a server, but then it is so everywhere;
+// only what lies well below the peers counts as slow.
+func (w *world) speedOf(s *server) float64 {
+	var rates []float64
+	for _, o := range w.nodes {
+		if o.service == s.service && o.rate > 0 {
+			rates = append(rates, o.rate)
+		}
+	}
+	share := s.rate / median(rates, s.rate)
+	if share >= slowShare {
+		return 1
+	}
+	return share
+}
+
 // tell reports the state of the model's server to the matcher.
 func (w *world) tell(s *server) {
 	s.told = w.Now()
