--- a/internal/node/claims/claims.go
+++ b/internal/node/claims/claims.go
@@ -48,7 +48,7 @@
 	// skew bounds how far the clock that made a key may differ from an entry's.
 	skew = clock.Minute
 	// maxOutcome bounds an answer that is kept on the log.
-	maxOutcome = 4 << 10 // bytes
+	maxOutcome = 1 << 10 // bytes
 	appendGap  = 10 * clock.Milli
 )
 
@@ -231,6 +231,6 @@
 	l.next = at + appendGap
 	l.mu.Unlock()
 	if at > now {
-		pause(ctx, at-now)
+		clock.Sleep(ctx, at-now)
 	}
 }
--- a/internal/node/claims/claims_test.go
+++ b/internal/node/claims/claims_test.go
@@ -155,7 +155,7 @@
 			}
 		}
 		r.mu.Unlock()
-		pause(r.ctx, 20)
+		clock.Sleep(r.ctx, 20)
 	}
 }
 
--- a/internal/node/claims/stream.go
+++ b/internal/node/claims/stream.go
@@ -324,7 +324,7 @@
 			gap = outageGap
 		}
 		s.finish(batch, err)
-		pause(s.c.ctx, gap)
+		clock.Sleep(s.c.ctx, gap)
 	}
 }
 
@@ -387,12 +387,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d clock.Millis) {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/node/entry/drain.go
+++ b/internal/node/entry/drain.go
@@ -2,18 +2,19 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 )
 
 const (
-	drainPoll = 20 * time.Millisecond
+	drainPoll = 20 * clock.Milli
 	// drainLinger lets the last answers to other entries leave.
-	drainLinger = 100 * time.Millisecond
+	drainLinger = 100 * clock.Milli
 	// drainNotes bounds the wait for outcomes that go to the log; their agents
 	// know them too.
-	drainNotes = 2 * time.Second
+	drainNotes = 2 * clock.Second
 )
 
 // Shutdown stops being ready, serves on for the balancer's delay, and returns
@@ -22,29 +23,20 @@
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.leaving.Store(true)
 	go e.gossipOnce(e.ctx)
-	pause(ctx, e.p.Delay.Duration())
+	clock.Sleep(ctx, e.p.Delay)
 	e.lease.Release(ctx)
 	err := e.http.Shutdown(ctx)
 	for e.passed.Load() > 0 && ctx.Err() == nil {
-		pause(ctx, drainPoll)
+		clock.Sleep(ctx, drainPoll)
 	}
 	if err == nil {
 		err = ctx.Err()
 	}
-	until := time.Now().Add(drainNotes)
-	for e.claims.IsBusy() && ctx.Err() == nil && time.Now().Before(until) {
-		pause(ctx, drainPoll)
+	until := e.p.Clock.Now() + drainNotes
+	for e.claims.IsBusy() && ctx.Err() == nil && e.p.Clock.Now() < until {
+		clock.Sleep(ctx, drainPoll)
 	}
-	pause(ctx, drainLinger)
+	clock.Sleep(ctx, drainLinger)
 	e.Close()
 	return errors.Wrap(err, "shutdown with work in progress")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/proof/demo/drain.go
+++ b/internal/proof/demo/drain.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
@@ -15,8 +16,8 @@
 )
 
 const (
-	leavingIn  = 5 * time.Second // stated bound from leaving to no new work
-	leavingFor = time.Second     // that the observer looks on after it
+	leavingIn  = 5 * clock.Second // stated bound from leaving to no new work
+	leavingFor = clock.Second     // that the observer looks on after it
 	drainJobs  = 12
 	drainFor   = 15 * time.Second
 )
@@ -59,9 +60,9 @@
 		wg.Go(func() {
 			r.w.setLeaving(a, true)
 			defer r.w.setLeaving(a, false)
-			sleepFor(ctx, leavingIn)
+			clock.Sleep(ctx, leavingIn)
 			before := a.starts()
-			sleepFor(ctx, leavingFor)
+			clock.Sleep(ctx, leavingFor)
 			after := a.starts()
 			if ctx.Err() == nil {
 				r.counts.Check(invar.LeavingIdle, before > 0 && after == before,
@@ -73,15 +74,6 @@
 	r.say("one engine and one plain service were leaving")
 }
 
-func sleepFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // drain shuts down an engine's agent, a plain service's agent and an entry
 // while requests and streams are in progress.
 func (r *run) drain(ctx context.Context) {
@@ -118,7 +110,7 @@
 		wg.Go(func() { r.drainAction(ctx, u, name, body) })
 	}
 	for ctx.Err() == nil && r.w.startsOfAll() < begun+drainJobs {
-		sleepFor(ctx, time.Millisecond)
+		clock.Sleep(ctx, clock.Milli)
 	}
 	err := shutdown(ctx)
 	r.counts.Check(invar.CleanDrain, err == nil, fmt.Sprintf("shutdown of %s ended with %v", name, err))
--- a/internal/proof/demo/quar_test.go
+++ b/internal/proof/demo/quar_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	errkind "github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
@@ -45,7 +46,7 @@
 				a.engine.Restart()
 			}
 		}
-		sleepFor(w.ctx, 30*time.Millisecond)
+		clock.Sleep(w.ctx, 30*clock.Milli)
 	}
 }
 
@@ -103,7 +104,7 @@
 			if len(list) == 0 {
 				break
 			}
-			sleepFor(ctx, time.Millisecond)
+			clock.Sleep(ctx, clock.Milli)
 		}
 	}
 	c.Assert(errkind.Is(opcli.New(operatorToken, urls[0]).Lift(ctx, "no-request"), errkind.NotFound), qt.IsTrue)
