Read the log again before an action's outcome is called unknown

Cause: an entry that had read a claim while it was open, and not the one that followed, asked only the first claim's agent; if that had gone, it answered outcome-unknown although the log held the answer. Change: it reads on and follows what the log tells. Conclusion: the new case of TestAtMostOnce fails without the change.

--- a/internal/node/claims/claims_test.go
+++ b/internal/node/claims/claims_test.go
@@ -346,6 +346,23 @@
 		}
 		return 1
 	},
+	"an entry that read an older claim only": func(r *rig, a, b *testEntry, key string) int {
+		stuck, _ := a.gate.pauseRead()
+		r.later(a, key, "x")
+		<-stuck
+		late := r.entry("late")
+		r.c.Assert(late.streams[index(Digest("app", key))].sync(r.ctx), qt.IsNil)
+		a.kill()
+		r.isDone(b, key, "x")
+		for b.IsBusy() { // The outcome is on its way to the log.
+			clock.Sleep(r.ctx, clock.Milli)
+		}
+		clock.Sleep(r.ctx, noteWait)
+		r.agents[0].Close()
+		r.agent()
+		r.isDone(late, key, "x")
+		return 1
+	},
 	"records expired unread": func(r *rig, a, b *testEntry, key string) int {
 		name := StreamOf("app", key)
 		other, third := sameStream(r.c, name), sameStream(r.c, name)
--- a/internal/node/claims/flight.go
+++ b/internal/node/claims/flight.go
@@ -240,6 +240,9 @@
 // settle asks the agent that a claim names what became of it.
 func (f *flight) settle(ctx context.Context, h claim.Held) (calls.Answer, error) {
 	r, err := f.c.ask(ctx, f.s.name, h)
+	if (err != nil || claim.Stage(r.State) == claim.Unknown) && f.hasMoved(ctx, h) {
+		return calls.Answer{}, errTaken
+	}
 	if err != nil {
 		return calls.Answer{}, fault.Wrap(fault.Lost, err, "the agent "+string(h.Claim.Agent)+" does not tell").After(clock.Second)
 	}
@@ -263,6 +266,16 @@
 	return calls.Answer{}, fault.New(fault.Lost, r.Detail)
 }
 
+// hasMoved reads the stream and reports whether it tells more of the key than
+// the claim that an agent could not tell of.
+func (f *flight) hasMoved(ctx context.Context, h claim.Held) bool {
+	if f.s.sync(ctx) != nil {
+		return false
+	}
+	now, held, _ := f.s.look(f.key)
+	return held && (now.At != h.At || now.Outcome.State != h.Outcome.State && now.Outcome.State != record.Lost)
+}
+
 // noteDone records an answer for those who send the key again.
 func (f *flight) noteDone(at ident.Offset, body []byte) {
 	o := record.Outcome{Key: f.key, At: at, State: record.Done, Body: body}
