--- a/internal/edge/logcl/logcl.go
+++ b/internal/edge/logcl/logcl.go
@@ -194,6 +194,14 @@
 	close(b.done)
 }
 
+// Worked tells that an append took effect although its answer was lost, as its
+// writer has read back: the log is up, so the next append need not wait.
+func (l *Log) Worked() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.append = backoff{}
+}
+
 // Read implements [plat.Log]. After a failure it waits before it asks again.
 func (l *Log) Read(ctx context.Context, stream string, from ident.Offset, limit int, wait clock.Millis) (plat.Batch, error) {
 	l.mu.Lock()
--- a/internal/node/claims/claims.go
+++ b/internal/node/claims/claims.go
@@ -143,6 +143,13 @@
 // isOwn reports whether this process wrote a record.
 func (c *Claims) isOwn(w record.Writer) bool { return w.Node == c.p.Node && w.Boot == c.p.Boot }
 
+// worked tells a bounded client of the log that a lost append took effect.
+func (c *Claims) worked() {
+	if w, ok := c.p.Source.(interface{ Worked() }); ok {
+		w.Worked()
+	}
+}
+
 // IsBusy reports whether a key is worked on, or a record waits to be appended.
 func (c *Claims) IsBusy() bool {
 	c.mu.Lock()
--- a/internal/node/claims/stream.go
+++ b/internal/node/claims/stream.go
@@ -238,11 +238,15 @@
 	defer cancel()
 	for {
 		err := s.append(ctx, data)
+		lost := err != nil
 		if f, ok := fault.As(err); !ok || f.Outcome() != fault.NotRun {
 			err = s.sync(ctx)
 		}
 		select {
 		case v := <-ch:
+			if lost {
+				s.c.worked()
+			}
 			return v, nil
 		case <-ctx.Done():
 			s.giveUp(seq, c.Time)
