Don't start a queued sample on a version that became too old

Cause: a sample that waited for a server kept the oldest version that it was queued with; when a newer version was asked for it could still start on an old one, and was given up and counted as made anew. Change: such samples are queued again.

--- a/internal/decide/round/round.go
+++ b/internal/decide/round/round.go
@@ -51,7 +51,9 @@
 	part   Part   // proven tokens of an attempt that ended, or spans of a running one
 	sample Sample // scoring and finished
 	tries  int
-	after  clock.Millis // not started before
+	after  clock.Millis  // not started before
+	floor  ident.Version // with which it was started
+	begun  bool          // running at an agent, not on its way there
 }
 
 // Reason tells why a sample is made anew.
@@ -135,7 +137,7 @@
 		if p.part.Oldest() < st.Floor() { // rule 5
 			p.part = Part{}
 		}
-		p.phase = running
+		p.phase, p.begun, p.floor = running, false, st.Floor()
 		out = append(out, Begin{Ordinal: i, Part: p.part, Floor: st.Floor(), Late: late || p.tries > 0})
 	}
 	return out
@@ -146,7 +148,7 @@
 	if !st.isIn(ordinal) || st.places[ordinal].phase != idle {
 		return false
 	}
-	st.places[ordinal].phase = running
+	st.places[ordinal].phase, st.places[ordinal].begun = running, true
 	return true
 }
 
@@ -160,7 +162,7 @@
 	if p.phase != running {
 		return false
 	}
-	p.part = Part{Spans: spans}
+	p.begun, p.part = true, Part{Spans: spans}
 	if len(spans) == 0 {
 		p.part.Spans = []model.Span{{Version: base}}
 	}
@@ -221,7 +223,7 @@
 	if p.phase != running {
 		return 0
 	}
-	began := len(p.part.Spans) > 0
+	began := p.begun
 	p.phase, p.part = idle, part
 	p.tries++
 	if began && len(part.Tokens) == 0 {
@@ -232,16 +234,24 @@
 	return wait
 }
 
-// GiveUp marks the running samples that will be too old as idle and returns
-// them; their attempts are to be ended.
+// GiveUp marks the running samples that will be too old as idle, and those
+// that still wait for a version that is too old by now, and returns them; their
+// attempts are to be ended.
 func (st *State) GiveUp() []int {
 	var out []int
 	for i := range st.places {
 		p := &st.places[i]
-		if p.phase == running && len(p.part.Spans) > 0 && p.part.Oldest() < st.Floor() { // rule 5
+		switch { // rule 5
+		case p.phase != running:
+			continue
+		case !p.begun && p.floor < st.Floor():
+			p.phase = idle
+		case p.begun && len(p.part.Spans) > 0 && p.part.Oldest() < st.Floor():
 			st.again(i, Stale)
-			out = append(out, i)
+		default:
+			continue
 		}
+		out = append(out, i)
 	}
 	return out
 }
--- a/internal/decide/round/round_test.go
+++ b/internal/decide/round/round_test.go
@@ -54,11 +54,12 @@
 			c.Assert(st.Start(clock.Second, all), qt.HasLen, 1)
 		},
 		"one that will be too old is given up": func(c *qt.C, st *State, cur Cursor) {
-			st.Start(clock.Second, all)
+			st.Start(clock.Second, 3)
 			c.Assert(st.Runs(1, nil, 5), qt.IsTrue)
 			c.Assert(st.Runs(2, []model.Span{{Version: 6, To: 3}}, 6), qt.IsTrue)
 			st.Read(cur, 7, all)
-			c.Assert(st.GiveUp(), qt.DeepEquals, []int{1})
+			c.Assert(st.GiveUp(), qt.DeepEquals, []int{0, 1})
+			c.Assert(st.Remade(), qt.DeepEquals, map[Reason]int{Stale: 1}) // the first one only waited
 			c.Assert(st.Runs(2, []model.Span{{Version: 5, To: 3}}, 6), qt.IsFalse)
 		},
 		"proven tokens go on": func(c *qt.C, st *State, _ Cursor) {
--- a/internal/node/agent/drain.go
+++ b/internal/node/agent/drain.go
@@ -46,7 +46,7 @@
 		case <-t.C:
 		}
 	}
-	sleep(ctx, drainLinger)
+	clock.Sleep(ctx, drainLinger)
 	a.Close()
 	return nil
 }
--- a/internal/node/agent/gen.go
+++ b/internal/node/agent/gen.go
@@ -52,8 +52,8 @@
 	run := proof.Begin(before, a.swap.orders())
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	j.begin(run, cancel)
-	defer j.close()
+	j.beginRun(run, cancel)
+	defer j.endRun()
 	whole, err = a.stream(ctx, j, before)
 	if err != nil && !errors.Is(context.Cause(ctx), errSwap) {
 		return false, false, a.broke(j, err)
--- a/internal/node/agent/grid_test.go
+++ b/internal/node/agent/grid_test.go
@@ -154,7 +154,7 @@
 			a.announced.learn(e.swaps.Wire())
 		}
 		a.forget(g.clock.Now())
-		sleep(ctx, a.p.Report)
+		clock.Sleep(ctx, a.p.Report)
 	}
 }
 
@@ -223,7 +223,7 @@
 				o.swaps.Learn(e.swaps.Wire())
 			}
 		}
-		sleep(g.ctx, 500*clock.Milli)
+		clock.Sleep(g.ctx, 500*clock.Milli)
 	}
 }
 
@@ -248,7 +248,7 @@
 
 // Call implements [calls.Peer] in memory, with answers that are lost.
 func (g *grid) Call(ctx context.Context, addr, method string, args, reply any) error {
-	if !sleep(ctx, hop) {
+	if !clock.Sleep(ctx, hop) {
 		return fault.Wrap(fault.Lost, ctx.Err(), "no answer")
 	}
 	a := g.agentAt(addr)
--- a/internal/node/agent/runs.go
+++ b/internal/node/agent/runs.go
@@ -10,8 +10,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 )
 
-// begin notes the run of tokens that starts now and what ends it.
-func (j *job) begin(r proof.Run, lose context.CancelCauseFunc) {
+// beginRun notes the run of tokens that starts now and what ends it.
+func (j *job) beginRun(r proof.Run, lose context.CancelCauseFunc) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.run, j.lose, j.running = r, lose, true
@@ -55,8 +55,8 @@
 	}
 }
 
-// close ends the run in progress.
-func (j *job) close() {
+// endRun ends the run in progress.
+func (j *job) endRun() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.running = false
--- a/internal/node/agent/sample_test.go
+++ b/internal/node/agent/sample_test.go
@@ -105,10 +105,10 @@
 		if err := at.rounds.Open(ctx, l.spec, l.g.class, l.cursor); err != nil && !fault.Is(err, fault.NotReady) {
 			l.err = err
 		}
-		sleep(ctx, 10*clock.Milli)
+		clock.Sleep(ctx, 10*clock.Milli)
 		return false
 	case err != nil:
-		sleep(ctx, 100*clock.Milli)
+		clock.Sleep(ctx, 100*clock.Milli)
 		return false
 	case l.turn%3 == 0:
 		return false
@@ -160,7 +160,7 @@
 		go func() {
 			defer close(over)
 			for _, s := range steps {
-				sleep(ctx, s.after)
+				clock.Sleep(ctx, s.after)
 				happenings[s.do](t, g)
 			}
 		}()
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"time"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
@@ -16,18 +15,6 @@
 // maxWait bounds how long one Fetch waits.
 const maxWait = 10 * clock.Second
 
-// sleep waits for a span; it returns false if the context ended first.
-func sleep(ctx context.Context, d clock.Millis) bool {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Submit implements the inner protocol.
 func (s *service) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
 	err := args.Hello.Check()
--- a/internal/node/agent/swap.go
+++ b/internal/node/agent/swap.go
@@ -224,7 +224,7 @@
 			return
 		}
 		last = st
-		if !sleep(a.ctx, settleIn) {
+		if !clock.Sleep(a.ctx, settleIn) {
 			return
 		}
 	}
