Count a start once when an agent refuses the work; cause a late answer beside another

Cause: work that agents refused and that was granted again counted as started each time, so the predicted wait was too short under refusals and work was taken in that missed its target. Change: only the first grant counts.

--- a/internal/decide/match/pick.go
+++ b/internal/decide/match/pick.go
@@ -21,7 +21,9 @@
 func (m *Matcher) grant(now clock.Millis, p *pool, l *lane, it Item, s *server, b band) Grant {
 	c := l.class
 	c.waiting--
-	c.started(now)
+	if !it.Moved { // It was counted when it was granted before.
+		c.started(now)
+	}
 	p.grants++
 	m.counts.Granted++
 	m.limits.Remove(it.ID)
--- a/internal/node/calls/calls_test.go
+++ b/internal/node/calls/calls_test.go
@@ -19,6 +19,7 @@
 func TestDo(t *testing.T) {
 	good := func() *fakeAgent { return &fakeAgent{} }
 	lost := func() *fakeAgent { return &fakeAgent{hangAt: 55 * time.Millisecond, hangFor: time.Hour} }
+	late := func() *fakeAgent { return &fakeAgent{hangAt: 55 * time.Millisecond, hangFor: 5100 * time.Millisecond} }
 	full := func() *fakeAgent { return &fakeAgent{refuse: fault.Overloaded} }
 	broken := func() *fakeAgent { return &fakeAgent{crashAt: 5} }
 	tests := map[string]struct {
@@ -34,6 +35,7 @@
 		"crash, goes on elsewhere":   {[]*fakeAgent{broken(), good()}, class.Draft, 0, 0, "", []int{0, 5}, 1},
 		"refused, runs elsewhere":    {[]*fakeAgent{full(), good()}, class.Draft, 0, 0, "", []int{0}, 0},
 		"agent hangs for ever":       {[]*fakeAgent{lost(), good()}, class.Draft, 0, 0, "", []int{0, 6}, 0},
+		"late answer beside another": {[]*fakeAgent{late(), good()}, class.Draft, 0, 0, "", []int{0, 6}, 1},
 		"sample: crash":              {[]*fakeAgent{broken(), good()}, class.Round, 0, 0, "", []int{0, 5}, 1},
 		"all refuse":                 {[]*fakeAgent{full(), full()}, class.Draft, 0, 0, fault.Overloaded, nil, -1},
 		"all refuse, with deadline":  {[]*fakeAgent{full()}, class.Draft, 2 * clock.Second, 0, fault.PastDeadline, nil, -1},
