--- a/internal/edge/logcl/logcl.go
+++ b/internal/edge/logcl/logcl.go
@@ -207,14 +207,8 @@
 	l.mu.Lock()
 	left := l.read.left()
 	l.mu.Unlock()
-	if left > 0 {
-		t := time.NewTimer(left)
-		defer t.Stop()
-		select {
-		case <-ctx.Done():
-			return plat.Batch{}, fault.Wrap(fault.LogDown, ctx.Err(), "the platform's log failed shortly before")
-		case <-t.C:
-		}
+	if left > 0 && !clock.Sleep(ctx, clock.Of(left)+1) {
+		return plat.Batch{}, fault.Wrap(fault.LogDown, ctx.Err(), "the platform's log failed shortly before")
 	}
 	b, err := l.Log.Read(ctx, stream, from, limit, wait)
 	l.mu.Lock()
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -15,7 +15,6 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -100,7 +99,7 @@
 		b, err := f.p.Source.Read(ctx, record.Stream, f.position(), readLimit, readWait)
 		if err != nil {
 			f.p.Log.Debug().Err(err).Msg("Read of the log failed.")
-			pause(ctx, retryWait)
+			clock.Sleep(ctx, retryWait)
 			continue
 		}
 		f.take(b)
@@ -108,15 +107,6 @@
 	}
 }
 
-func pause(ctx context.Context, d clock.Millis) {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (f *Follower) position() ident.Offset {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/node/leases/leases.go
+++ b/internal/node/leases/leases.go
@@ -19,7 +19,6 @@
 	"context"
 	"hash/fnv"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -95,20 +94,11 @@
 	for ctx.Err() == nil {
 		if err := l.step(ctx); err != nil {
 			l.p.Log.Debug().Err(err).Msg("Lease stream not reached.")
-			pause(ctx, retryWait)
+			clock.Sleep(ctx, retryWait)
 		}
 	}
 }
 
-func pause(ctx context.Context, d clock.Millis) {
-	t := time.NewTimer(d.Duration())
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // step reads what is new, and writes what is due once the end was reached.
 func (l *Lease) step(ctx context.Context) error {
 	b, err := l.p.Source.Read(ctx, l.stream, l.position(), readLimit, readWait)
