--- a/internal/proof/demo/demo.go
+++ b/internal/proof/demo/demo.go
@@ -118,7 +118,12 @@
 	err := r.train(ctx)
 	if r.isComplete() {
 		events.Wait()
-		r.drain(ctx)
+		r.drainAgents(ctx)
+		if len(r.w.urls()) == 1 { // The load would have nowhere to go.
+			endLoad()
+			wg.Wait()
+		}
+		r.drainEntry(ctx)
 	}
 	endLoad()
 	events.Wait()
--- a/internal/proof/demo/drain.go
+++ b/internal/proof/demo/drain.go
@@ -74,9 +74,9 @@
 	r.say("one engine and one plain service were leaving")
 }
 
-// drain shuts down an engine's agent, a plain service's agent and an entry
-// while requests and streams are in progress.
-func (r *run) drain(ctx context.Context) {
+// drainAgents shuts down an engine's agent and a plain service's agent while
+// requests and streams are in progress, if others remain.
+func (r *run) drainAgents(ctx context.Context) {
 	for _, a := range r.w.pick() {
 		if r.w.others(a) > 0 {
 			r.drained(ctx, "agent "+string(a.name), r.w.urls(), func(ctx context.Context) error {
@@ -87,6 +87,10 @@
 			})
 		}
 	}
+}
+
+// drainEntry shuts down an entry while requests and streams are in progress.
+func (r *run) drainEntry(ctx context.Context) {
 	e := r.w.lastEntry()
 	urls := []string{e.URL()}
 	r.drained(ctx, "entry "+string(e.name), urls, func(ctx context.Context) error {
