Bound what the holder of the placement lease hears

Cause: each entry told its demand once a second, so that at 400 entries the holder heard 400 messages and 294 KB a second, the largest item of its traffic. Change: the interval grows with the number of entries, so that the holder hears two messages a second at any size; a demand counts for three intervals.

--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -235,3 +235,15 @@
 	}
 	return best, found
 }
+
+// Rate at which the holder hears the demand of other entries, at any number of
+// them. Placement is slow by its hysteresis, so an old demand does no harm.
+const (
+	tellRate  = 2 // messages a second
+	tellLeast = clock.Second
+)
+
+// TellEvery returns how often each of a number of entries tells its demand.
+func TellEvery(entries int) clock.Millis {
+	return max(tellLeast, clock.Millis(entries)*clock.Second/tellRate)
+}
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -145,3 +145,20 @@
 		}
 	})
 }
+
+func TestTellEvery(t *testing.T) {
+	tests := map[string]struct {
+		entries int
+		want    clock.Millis
+	}{
+		"none":        {0, clock.Second},
+		"one":         {1, clock.Second},
+		"today":       {3, 1500 * clock.Milli},
+		"400 entries": {400, 200 * clock.Second},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Assert(TellEvery(tc.entries), qt.Equals, tc.want)
+		})
+	}
+}
--- a/internal/node/entry/place.go
+++ b/internal/node/entry/place.go
@@ -18,9 +18,9 @@
 const leaseName = "placement"
 
 const (
-	demandEvery = clock.Second
-	demandFor   = 10 * clock.Second // an entry that has not told its demand for so long has none
-	callFor     = 2 * clock.Second
+	demandTick = clock.Second
+	demandFor  = 3 // intervals after which an entry that told nothing more has no demand
+	callFor    = 2 * clock.Second
 )
 
 // Urgency of a model: the weight of its work beside that of other models.
@@ -52,12 +52,12 @@
 }
 
 // sum adds up the demand of all entries that told theirs lately.
-func (d *demands) sum(now clock.Millis) map[ident.Service]float64 {
+func (d *demands) sum(now, keep clock.Millis) map[ident.Service]float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := make(map[ident.Service]float64)
 	for n, t := range d.by {
-		if now-t.at > demandFor {
+		if now-t.at > keep {
 			delete(d.by, n)
 			continue
 		}
@@ -69,9 +69,21 @@
 }
 
 // tellDemand tells the holder of the placement lease what work waits and runs
-// here, until the context ends.
+// here, until the context ends. With more entries each one tells it less often.
 func (e *Entry) tellDemand(ctx context.Context) {
-	clock.Every(ctx, demandEvery, func() { e.tellDemandOnce(ctx) })
+	var last clock.Millis
+	clock.Every(ctx, demandTick, func() {
+		now := e.p.Clock.Now()
+		if now-last < e.tellEvery()-demandTick/2 { // A tick may come a little early.
+			return
+		}
+		last = now
+		e.tellDemandOnce(ctx)
+	})
+}
+
+func (e *Entry) tellEvery() clock.Millis {
+	return place.TellEvery(len(e.peers.View().Entries()))
 }
 
 func (e *Entry) tellDemandOnce(ctx context.Context) {
@@ -130,7 +142,7 @@
 		})
 	}
 	e.mu.Unlock()
-	work := e.demands.sum(now)
+	work := e.demands.sum(now, demandFor*e.tellEvery())
 	for _, u := range urgencies(e.declared()) {
 		v.Demands = append(v.Demands, place.Demand{Model: u.model, Load: u.weight * (baseDemand + work[u.model])})
 	}
--- a/internal/proof/size/size.go
+++ b/internal/proof/size/size.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/place"
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/node/peers"
 )
@@ -74,12 +75,12 @@
 // Built is what the program does at its standard settings.
 func Built(t Target) Fan {
 	list := peers.Interval(clock.Second, t.Entries+t.Agents)
-	return Fan{Name: "built", Reports: 8, ReportFor: 0.5, Peers: roster.Standard().Fanout, PeerFor: 1, ListFor: list.Seconds(), DemandFor: 1}
+	return Fan{Name: "built", Reports: 8, ReportFor: 0.5, Peers: roster.Standard().Fanout, PeerFor: 1, ListFor: list.Seconds(), DemandFor: place.TellEvery(t.Entries).Seconds()}
 }
 
 // Planned is what meets the bounds; docs/CAPACITY.md tells what is missing.
 func Planned() Fan {
-	return Fan{Name: "planned", Reports: 3, ReportFor: 3, Peers: 8, PeerFor: 4, ListFor: 600, DemandFor: 300, Deltas: true}
+	return Fan{Name: "planned", Reports: 3, ReportFor: 3, Peers: 8, PeerFor: 4, ListFor: 600, DemandFor: place.TellEvery(Letter().Entries).Seconds(), Deltas: true}
 }
 
 // Slopes are measured costs in bytes on the wire, of both directions and with
