Wait only shortly for the next append while the log can be read

The log was up and lost half of its answers; each lost answer doubled the node's wait up to 5 s, longer than the 3 s of a claim. The shutdown itself was ruled out: none of the cut requests ran at the agent that left. Change: while reads succeed the wait before the next append is at most 200 ms; only a log that can't be read either is treated as down. The node's share of the limit bounds appends as before. Conclusion: a lost answer is no outage.

--- a/internal/edge/logcl/logcl.go
+++ b/internal/edge/logcl/logcl.go
@@ -5,6 +5,8 @@
 // Each node takes an equal share of the limit. After a failure a node lets one
 // append through at a time, after a wait that doubles and is spread by jitter,
 // so that the log is not overrun when it comes back; reads are spread likewise.
+// While reads succeed the wait stays short: then the log is up, and only the
+// answers to appends are lost. The share bounds the appends all the same.
 //
 // # Usage
 //
@@ -39,7 +41,8 @@
 	sendFor   = 3 * time.Second // one append
 	firstWait = 100 * time.Millisecond
 	lastWait  = 5 * time.Second
-	burstFor  = 0.25 // s of a share that may be sent at once
+	upWait    = 200 * time.Millisecond // the longest while reads succeed
+	burstFor  = 0.25                   // s of a share that may be sent at once
 )
 
 // batch is the appends to one stream that go out as one.
@@ -63,6 +66,17 @@
 	b.until = time.Now().Add(b.wait/2 + rand.N(b.wait)) //nolint:gosec // spreads the nodes.
 }
 
+// shorten bounds the wait once there is a sign that the log is up.
+func (b *backoff) shorten() {
+	if b.wait <= upWait {
+		return
+	}
+	b.wait = upWait
+	if b.left() > upWait {
+		b.until = time.Now().Add(b.wait/2 + rand.N(b.wait/2)) //nolint:gosec // spreads the nodes.
+	}
+}
+
 func (b *backoff) left() time.Duration { return max(0, time.Until(b.until)) }
 
 // Log implements [plat.Log] within the bounds.
@@ -216,6 +230,7 @@
 	switch {
 	case err == nil:
 		l.read = backoff{}
+		l.append.shorten()
 	case ctx.Err() == nil && l.read.left() == 0:
 		l.read.failed()
 	}
--- a/internal/edge/logcl/worked_test.go
+++ b/internal/edge/logcl/worked_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -31,3 +32,24 @@
 		c.Assert(svc.Appends(), qt.Equals, 2)
 	})
 }
+
+// TestLostAnswers appends through a log that loses every answer while reads
+// succeed: appends go on at the short wait, since the log is up.
+func TestLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		clk := clock.NewSystem()
+		svc := logsvc.New(clk, logsvc.Params{})
+		svc.SetLose(1)
+		l := New(svc, Params{Limit: 300, Nodes: func() int { return 3 }, Clock: clk})
+		const tried = 20 * time.Second
+		for end := time.Now().Add(tried); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			_, err := l.Append(t.Context(), "s", [][]byte{{1}})
+			c.Assert(err, qt.Not(qt.IsNil))
+			_, err = l.Read(t.Context(), "s", 1, 1, 0)
+			c.Assert(err, qt.IsNil)
+		}
+		least := int(tried / (2 * upWait)) // Jitter may double a wait.
+		c.Assert(svc.Appends() >= least, qt.IsTrue, qt.Commentf("%d appends", svc.Appends()))
+	})
+}
