Use one text form of spans and one ticker loop

Change: settings and declarations read clock.Millis; agent, peers, gossip and the demonstration use clock.Repeat and clock.Sleep; the table of promises names the lease and the membership too.

--- a/internal/base/clock/wait.go
+++ b/internal/base/clock/wait.go
@@ -34,6 +34,12 @@
 	}
 }
 
+// Repeat calls fn at once and then as [Every] does.
+func Repeat(ctx context.Context, period Millis, fn func()) {
+	fn()
+	Every(ctx, period, fn)
+}
+
 // UnmarshalText reads a span with its unit, such as "2s", from a settings file
 // or a declaration.
 func (m *Millis) UnmarshalText(b []byte) error {
--- a/internal/edge/decl/decl.go
+++ b/internal/edge/decl/decl.go
@@ -16,7 +16,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/pkg/errors"
@@ -27,30 +26,18 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 )
 
-type span struct{ clock.Millis }
-
-// UnmarshalText reads a span such as "2s".
-func (s *span) UnmarshalText(b []byte) error {
-	d, err := time.ParseDuration(string(b))
-	if err != nil {
-		return errors.Errorf("%q has no unit; write a time such as \"2s\"", b)
-	}
-	s.Millis = clock.Of(d)
-	return nil
-}
-
 type document struct {
 	Class map[string]entry `toml:"class"`
 }
 
 type entry struct {
-	Kind      string `toml:"kind"`
-	Service   string `toml:"service"`
-	Lateness  span   `toml:"lateness"`
-	Waiting   span   `toml:"waiting"`
-	Staleness uint64 `toml:"staleness-versions"`
-	Scorer    string `toml:"scorer"`
-	MaxTokens int    `toml:"max-tokens"`
+	Kind      string       `toml:"kind"`
+	Service   string       `toml:"service"`
+	Lateness  clock.Millis `toml:"lateness"`
+	Waiting   clock.Millis `toml:"waiting"`
+	Staleness uint64       `toml:"staleness-versions"`
+	Scorer    string       `toml:"scorer"`
+	MaxTokens int          `toml:"max-tokens"`
 }
 
 // ReadDir reads all declarations below a directory, sorted by name.
@@ -126,8 +113,8 @@
 		Name:      ident.Class(name),
 		Kind:      class.Kind(e.Kind),
 		Service:   ident.Service(e.Service),
-		Lateness:  e.Lateness.Millis,
-		Waiting:   e.Waiting.Millis,
+		Lateness:  e.Lateness,
+		Waiting:   e.Waiting,
 		Staleness: ident.Version(e.Staleness),
 		Scorer:    ident.Service(e.Scorer),
 		MaxTokens: e.MaxTokens,
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -20,7 +20,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
@@ -154,19 +153,12 @@
 	} else {
 		a.swap.end()
 	}
-	t := time.NewTicker(a.p.Report.Duration())
-	defer t.Stop()
-	for {
+	clock.Repeat(ctx, a.p.Report, func() {
 		a.watch(ctx)
 		a.report(ctx)
 		a.forget(a.p.Clock.Now())
 		a.claims.forget(a.p.Clock.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	})
 }
 
 // Close ends everything at once, as the death of the process does.
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
@@ -160,19 +159,12 @@
 // gossip exchanges versions, configuration and dead entries with some of the
 // other entries until the context ends.
 func (e *Entry) gossip(ctx context.Context) {
-	t := time.NewTicker(e.p.Poll.Duration())
-	defer t.Stop()
-	for {
+	clock.Repeat(ctx, e.p.Poll, func() {
 		e.gossipOnce(ctx)
 		if len(e.peers.View().Members()) > 1 {
 			e.contact.rounds.Add(1)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	})
 }
 
 func (e *Entry) gossipOnce(ctx context.Context) {
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -16,7 +16,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -109,27 +108,26 @@
 // Run follows the VM list until the context ends, and shows the members anew
 // in each poll, since leases end without an event.
 func (s *Peers) Run(ctx context.Context) {
-	t := time.NewTicker(s.p.Poll.Duration())
-	defer t.Stop()
 	next := clock.Millis(0)
-	for {
+	clock.Repeat(ctx, s.p.Poll, func() {
 		if now := s.p.Clock.Now(); now >= next {
-			lines := s.poll(ctx)
-			wait := Interval(s.p.Poll, lines)
-			next = now + wait - s.p.Poll/2
-			if wait > s.p.Poll {
-				next -= rand.N(wait / 4) //nolint:gosec // spreads the reads of many nodes.
-			}
+			next = now + s.readNext(ctx)
 		}
 		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.publish()
-		s.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	})
+}
+
+// readNext reads the VM list and returns the time until the next read.
+func (s *Peers) readNext(ctx context.Context) clock.Millis {
+	lines := s.poll(ctx)
+	wait := Interval(s.p.Poll, lines)
+	next := wait - s.p.Poll/2
+	if wait > s.p.Poll {
+		next -= rand.N(wait / 4) //nolint:gosec // spreads the reads of many nodes.
 	}
+	return next
 }
 
 // poll takes in the list and returns its length. Without an answer the last
--- a/internal/prod/setup/setup.go
+++ b/internal/prod/setup/setup.go
@@ -19,7 +19,6 @@
 	"os"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/pkg/errors"
@@ -39,19 +38,6 @@
 	RoleAgent Role = "agent"
 )
 
-// Span is a span of time, written with its unit, such as "2s".
-type Span struct{ clock.Millis }
-
-// UnmarshalText reads a span.
-func (s *Span) UnmarshalText(b []byte) error {
-	d, err := time.ParseDuration(string(b))
-	if err != nil {
-		return errors.Errorf("%q has no unit; write a time such as \"2s\" or \"500ms\"", b)
-	}
-	s.Millis = clock.Of(d)
-	return nil
-}
-
 // token is one bearer token in the file.
 type token struct {
 	Name   string `toml:"name"`
@@ -78,9 +64,9 @@
 	plainName                   string
 	slots                       int
 	fanout, reportTo, appends   int
-	configBound, snapshots      Span
-	poll, report, keep          Span
-	lease, drainDelay, drainFor Span
+	configBound, snapshots      clock.Millis
+	poll, report, keep          clock.Millis
+	lease, drainDelay, drainFor clock.Millis
 	logLevel                    string
 	traceFile                   string
 	traceLimit                  int
@@ -131,13 +117,13 @@
 func (s *Settings) Slots() int { return s.slots }
 
 // Poll returns the time between looks at the VM list.
-func (s *Settings) Poll() clock.Millis { return s.poll.Millis }
+func (s *Settings) Poll() clock.Millis { return s.poll }
 
 // Report returns the time between an agent's reports.
-func (s *Settings) Report() clock.Millis { return s.report.Millis }
+func (s *Settings) Report() clock.Millis { return s.report }
 
 // Keep returns how long an agent keeps an answer that nobody fetches.
-func (s *Settings) Keep() clock.Millis { return s.keep.Millis }
+func (s *Settings) Keep() clock.Millis { return s.keep }
 
 // ReportEntries returns how many entries get an agent's reports.
 func (s *Settings) ReportEntries() int { return s.reportTo }
@@ -147,22 +133,22 @@
 
 // ConfigBound returns the time after which an entry that can't get the newest
 // configuration says so.
-func (s *Settings) ConfigBound() clock.Millis { return s.configBound.Millis }
+func (s *Settings) ConfigBound() clock.Millis { return s.configBound }
 
 // SnapshotEvery returns the time between snapshots on the log.
-func (s *Settings) SnapshotEvery() clock.Millis { return s.snapshots.Millis }
+func (s *Settings) SnapshotEvery() clock.Millis { return s.snapshots }
 
 // LogAppends returns the appends a second of all entries together.
 func (s *Settings) LogAppends() float64 { return float64(s.appends) }
 
 // Lease returns how long a silent agent stays in use.
-func (s *Settings) Lease() clock.Millis { return s.lease.Millis }
+func (s *Settings) Lease() clock.Millis { return s.lease }
 
 // DrainDelay returns the balancer's delay at a shutdown.
-func (s *Settings) DrainDelay() clock.Millis { return s.drainDelay.Millis }
+func (s *Settings) DrainDelay() clock.Millis { return s.drainDelay }
 
 // DrainFor returns how long a shutdown waits for work in progress.
-func (s *Settings) DrainFor() clock.Millis { return s.drainFor.Millis }
+func (s *Settings) DrainFor() clock.Millis { return s.drainFor }
 
 // LogLevel returns the least level that is logged.
 func (s *Settings) LogLevel() string { return s.logLevel }
@@ -227,17 +213,17 @@
 	{"service-url", agentOnly, "", "the plain service beside this agent", func(s *Settings) any { return &s.plainURL }, checkBackend},
 	{"service-name", agentOnly, "", "name of the plain service", func(s *Settings) any { return &s.plainName }, checkPlain},
 	{"slots", agentOnly, "16", "work that runs at once on the backend server", func(s *Settings) any { return &s.slots }, positive(func(s *Settings) int { return s.slots })},
-	{"poll", both, `"1s"`, "time between looks at the VM list", func(s *Settings) any { return &s.poll }, span(func(s *Settings) Span { return s.poll })},
-	{"report", agentOnly, `"500ms"`, "time between reports to the entries", func(s *Settings) any { return &s.report }, span(func(s *Settings) Span { return s.report })},
-	{"keep", agentOnly, `"2m"`, "time an answer that nobody fetches is kept", func(s *Settings) any { return &s.keep }, span(func(s *Settings) Span { return s.keep })},
+	{"poll", both, `"1s"`, "time between looks at the VM list", func(s *Settings) any { return &s.poll }, span(func(s *Settings) clock.Millis { return s.poll })},
+	{"report", agentOnly, `"500ms"`, "time between reports to the entries", func(s *Settings) any { return &s.report }, span(func(s *Settings) clock.Millis { return s.report })},
+	{"keep", agentOnly, `"2m"`, "time an answer that nobody fetches is kept", func(s *Settings) any { return &s.keep }, span(func(s *Settings) clock.Millis { return s.keep })},
 	{"report-entries", agentOnly, "8", "entries that get the reports, the nearest ones; in a deployment of fewer all of them", func(s *Settings) any { return &s.reportTo }, positive(func(s *Settings) int { return s.reportTo })},
 	{"peer-fanout", entryOnly, "8", "other entries that this one calls; in a deployment of fewer all of them", func(s *Settings) any { return &s.fanout }, positive(func(s *Settings) int { return s.fanout })},
-	{"config-bound", entryOnly, `"10s"`, "time after which an entry that can't get the newest configuration says so", func(s *Settings) any { return &s.configBound }, span(func(s *Settings) Span { return s.configBound })},
-	{"snapshot-every", entryOnly, `"10m"`, "time between snapshots of the configuration on the log; well below the time that the log keeps records", func(s *Settings) any { return &s.snapshots }, span(func(s *Settings) Span { return s.snapshots })},
+	{"config-bound", entryOnly, `"10s"`, "time after which an entry that can't get the newest configuration says so", func(s *Settings) any { return &s.configBound }, span(func(s *Settings) clock.Millis { return s.configBound })},
+	{"snapshot-every", entryOnly, `"10m"`, "time between snapshots of the configuration on the log; well below the time that the log keeps records", func(s *Settings) any { return &s.snapshots }, span(func(s *Settings) clock.Millis { return s.snapshots })},
 	{"log-appends", entryOnly, "300", "appends a second that all entries together may ask of the log", func(s *Settings) any { return &s.appends }, positive(func(s *Settings) int { return s.appends })},
-	{"lease", entryOnly, `"3s"`, "time a silent agent stays in use", func(s *Settings) any { return &s.lease }, span(func(s *Settings) Span { return s.lease })},
-	{"drain-delay", entryOnly, `"5s"`, "time the balancer needs to see that the entry leaves", func(s *Settings) any { return &s.drainDelay }, span(func(s *Settings) Span { return s.drainDelay })},
-	{"drain-for", both, `"10m"`, "time a shutdown waits for work in progress", func(s *Settings) any { return &s.drainFor }, span(func(s *Settings) Span { return s.drainFor })},
+	{"lease", entryOnly, `"3s"`, "time a silent agent stays in use", func(s *Settings) any { return &s.lease }, span(func(s *Settings) clock.Millis { return s.lease })},
+	{"drain-delay", entryOnly, `"5s"`, "time the balancer needs to see that the entry leaves", func(s *Settings) any { return &s.drainDelay }, span(func(s *Settings) clock.Millis { return s.drainDelay })},
+	{"drain-for", both, `"10m"`, "time a shutdown waits for work in progress", func(s *Settings) any { return &s.drainFor }, span(func(s *Settings) clock.Millis { return s.drainFor })},
 	{"log-level", both, `"info"`, "least level that is logged: debug, info, warn or error", func(s *Settings) any { return &s.logLevel }, checkLevel},
 	{"trace-file", both, `""`, "file for the trace that \"jujuberamp replay\" reads, empty for none", func(s *Settings) any { return &s.traceFile }, func(*Settings) string { return "" }},
 	{"trace-limit", both, "64", "size in MB at which the trace ends", func(s *Settings) any { return &s.traceLimit }, positive(func(s *Settings) int { return s.traceLimit })},
@@ -287,9 +273,9 @@
 	}
 }
 
-func span(get func(*Settings) Span) func(*Settings) string {
+func span(get func(*Settings) clock.Millis) func(*Settings) string {
 	return func(s *Settings) string {
-		if get(s).Millis <= 0 {
+		if get(s) <= 0 {
 			return "must be above 0; write a time such as \"2s\""
 		}
 		return ""
@@ -439,7 +425,7 @@
 			fmt.Fprintf(&b, "%s = %q\n", k.name, *v)
 		case *int:
 			fmt.Fprintf(&b, "%s = %d\n", k.name, *v)
-		case *Span:
+		case *clock.Millis:
 			fmt.Fprintf(&b, "%s = %q\n", k.name, v.String())
 		}
 	}
--- a/internal/proof/demo/opers.go
+++ b/internal/proof/demo/opers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 	"github.com/jujuberamp/jujuberamp/internal/edge/opcli"
@@ -17,8 +18,8 @@
 const (
 	configIn   = 10 * time.Second // stated bound from accepted to in force everywhere
 	changeFor  = 8 * time.Second  // one try of an operator
-	raceEvery  = 700 * time.Millisecond
-	watchEvery = 100 * time.Millisecond
+	raceEvery  = 700 * clock.Milli
+	watchEvery = 100 * clock.Milli
 	raced      = "live-draft" // the class that operators change
 )
 
@@ -111,18 +112,11 @@
 			conflicts += lost
 			r.counts.Check(invar.ConfigStands, won <= 1, fmt.Sprintf("race %d: two changes of one revision were accepted", n))
 		}
-		pause(ctx, raceEvery)
+		clock.Sleep(ctx, raceEvery)
 	}
 	r.say("operators raced %d times, %d changes were refused as conflicts", races, conflicts)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // race makes two changes at once and returns how many were accepted and how
 // many were refused. It is not ok if the revision can't be read.
 func (r *run) race(ctx context.Context, n int64) (won, lost int, ok bool) {
@@ -197,7 +191,7 @@
 			seen[u] = cfg.Offset
 		}
 		r.watchAgents(ctx, seen)
-		pause(ctx, watchEvery)
+		clock.Sleep(ctx, watchEvery)
 	}
 }
 
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -139,7 +139,7 @@
 	{
 		ID:    ConfigStands,
 		Text:  "an accepted configuration is in force within seconds and stays",
-		Keeps: []string{"internal/decide/ledger", "internal/node/follow"},
+		Keeps: []string{"internal/decide/ledger", "internal/decide/lease", "internal/decide/roster", "internal/node/follow"},
 		Tests: []string{
 			"internal/decide/ledger TestReaders",
 			"internal/node/entry TestColdStart",
