--- a/internal/prod/cmds/apply_test.go
+++ b/internal/prod/cmds/apply_test.go
@@ -163,3 +163,17 @@
 	s.Check(code, qt.Equals, 0)
 	s.want(text, "No change", "In force on all 2 live nodes")
 }
+
+// TestQuarantine lists nothing, and refuses to lift without a name or a name
+// that the entry does not know.
+func TestQuarantine(t *testing.T) {
+	s := newSite(t)
+	text, status := s.run(0, "quarantine")
+	s.Assert(status, qt.Equals, 0)
+	s.want(text, "No request is quarantined.")
+	_, status = s.run(0, "quarantine", "lift")
+	s.Assert(status, qt.Equals, 1)
+	text, status = s.run(1, "quarantine", "lift", "abc")
+	s.Assert(status, qt.Equals, 1)
+	s.want(text, "not-found", "abc")
+}
--- a/internal/prod/cmds/oper.go
+++ b/internal/prod/cmds/oper.go
@@ -68,37 +68,35 @@
 	}
 }
 
-func showCmd() *cobra.Command {
+// queryCmd returns a command that asks an entry and prints the answer.
+func queryCmd[Out any](use, short string, ask func(*opcli.Client, context.Context) (Out, error), show func(io.Writer, Out)) *cobra.Command {
 	t := &target{}
 	return t.add(&cobra.Command{
-		Use:   "show",
-		Short: "Show the classes in force",
+		Use:   use,
+		Short: short,
 		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return query(cmd, t, (*opcli.Client).Config, func(w io.Writer, cfg codec.Config) {
-				for _, c := range cfg.Classes {
-					fmt.Fprintf(w, "%-20s %-7s %-16s lateness %dms waiting %dms (revision %d by %s)\n",
-						c.Class.Name, c.Class.Kind, c.Class.Service, c.Class.LatenessMS, c.Class.WaitingMS, c.Revision, c.Author)
-				}
-			})
-		},
+		RunE:  func(cmd *cobra.Command, _ []string) error { return query(cmd, t, ask, show) },
 	})
 }
 
+func showCmd() *cobra.Command {
+	return queryCmd("show", "Show the classes in force", (*opcli.Client).Config, printConfig)
+}
+
+func printConfig(w io.Writer, cfg codec.Config) {
+	for _, c := range cfg.Classes {
+		fmt.Fprintf(w, "%-20s %-7s %-16s lateness %dms waiting %dms (revision %d by %s)\n",
+			c.Class.Name, c.Class.Kind, c.Class.Service, c.Class.LatenessMS, c.Class.WaitingMS, c.Revision, c.Author)
+	}
+}
+
 func auditCmd() *cobra.Command {
-	t := &target{}
-	return t.add(&cobra.Command{
-		Use:   "audit",
-		Short: "List who changed what, when, from which revision",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return query(cmd, t, (*opcli.Client).Audit, func(w io.Writer, lines []codec.Audit) {
-				for _, l := range lines {
-					printAudit(w, l)
-				}
-			})
-		},
-	})
+	return queryCmd("audit", "List who changed what, when, from which revision", (*opcli.Client).Audit,
+		func(w io.Writer, lines []codec.Audit) {
+			for _, l := range lines {
+				printAudit(w, l)
+			}
+		})
 }
 
 func printAudit(w io.Writer, l codec.Audit) {
@@ -113,15 +111,7 @@
 }
 
 func statusCmd() *cobra.Command {
-	t := &target{}
-	return t.add(&cobra.Command{
-		Use:   "status",
-		Short: "Show the nodes, their revisions and whether the log is read",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return query(cmd, t, (*opcli.Client).State, printStatus)
-		},
-	})
+	return queryCmd("status", "Show the nodes, their revisions and whether the log is read", (*opcli.Client).State, printStatus)
 }
 
 func printStatus(w io.Writer, s opcli.State) {
--- a/internal/proof/procs/procs_test.go
+++ b/internal/proof/procs/procs_test.go
@@ -232,6 +232,10 @@
 		c.Assert(n, qt.Equals, 1, qt.Commentf("ordinal %d", o))
 	}
 
+	// Operators see that nothing is quarantined and that both nodes stand.
+	c.Assert(r.command("quarantine", "--entry", url2), qt.Contains, "No request is quarantined")
+	c.Assert(r.command("status", "--entry", url2), qt.Contains, "agent-app-1")
+
 	// A terminated agent ends by itself and cuts no answer.
 	type result struct {
 		body   string
