Share the link between regions, draw servers apart, forget replaced peers

Change: cross-rate is a setting of all entries together and divided among those that are alive; the seed is drawn at the start; an address not called for 10 min is forgotten; the process test sends an action through two entries before and after one is killed. The action ran once and its answer was learned after its entry had died.

--- a/internal/decide/match/match.go
+++ b/internal/decide/match/match.go
@@ -87,6 +87,12 @@
 	}
 }
 
+// SetCrossRate changes how many bytes a second may go to other regions, as the
+// number of entries that share the link changes.
+func (m *Matcher) SetCrossRate(rate float64) {
+	m.cross.SetRate(rate, rate*crossBurst.Seconds())
+}
+
 // Report takes in what a server's agent says of it. A report older than the
 // last one is dropped.
 func (m *Matcher) Report(now clock.Millis, sv Server) {
--- a/internal/decide/spend/spend.go
+++ b/internal/decide/spend/spend.go
@@ -50,6 +50,13 @@
 // NewMeter returns a meter that begins full.
 func NewMeter(rate, limit float64) *Meter { return &Meter{rate: rate, limit: limit, left: limit} }
 
+// SetRate changes the rate from now on; what was saved up beyond the new limit
+// is lost.
+func (m *Meter) SetRate(rate, limit float64) {
+	m.rate, m.limit = rate, limit
+	m.left = min(m.left, limit)
+}
+
 // Take pays for some bytes; false if they exceed what is left.
 func (m *Meter) Take(now clock.Millis, bytes int) bool {
 	if now > m.at {
--- a/internal/decide/spend/spend_test.go
+++ b/internal/decide/spend/spend_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
@@ -49,3 +50,14 @@
 		}
 	})
 }
+
+// TestSetRate halves the rate while some is saved up, as a second entry comes.
+func TestSetRate(t *testing.T) {
+	c := qt.New(t)
+	m := NewMeter(1000, 2000)
+	m.SetRate(500, 1000)
+	c.Assert(m.Take(0, 1001), qt.IsFalse)
+	c.Assert(m.Take(0, 1000), qt.IsTrue)
+	c.Assert(m.Take(clock.Second, 501), qt.IsFalse)
+	c.Assert(m.Take(clock.Second, 500), qt.IsTrue)
+}
--- a/internal/inner/wire/pool.go
+++ b/internal/inner/wire/pool.go
@@ -19,6 +19,7 @@
 	firstWait   = 50 * time.Millisecond // after a dial that failed
 	lastWait    = time.Second
 	silentFor   = 10 * time.Second // a connection with calls unanswered so long is dropped
+	unusedFor   = 10 * time.Minute // an address that was not called for so long is forgotten
 )
 
 // Pool keeps one connection to each peer and dials again after a failure.
@@ -41,6 +42,7 @@
 	conn  *link // nil for none
 	wait  time.Duration
 	until time.Time // not dialled before
+	used  time.Time // begin of the last call, guarded by the pool's mutex
 	err   error     // of the last dial
 }
 
@@ -98,14 +100,36 @@
 	if p.done {
 		return nil, fault.New(fault.NoBackend, "this node is stopping")
 	}
+	now := time.Now()
 	q, ok := p.peers[addr]
 	if !ok {
+		p.prune(now)
 		q = &peer{addr: addr, lock: make(chan struct{}, 1)}
 		p.peers[addr] = q
 	}
+	q.used = now
 	return q, nil
 }
 
+// prune forgets addresses that are called no more, since VMs are replaced all
+// the time. No call lasts as long as unusedFor. The caller holds mu.
+func (p *Pool) prune(now time.Time) {
+	for a, q := range p.peers {
+		if now.Sub(q.used) < unusedFor {
+			continue
+		}
+		select {
+		case q.lock <- struct{}{}:
+			if q.conn != nil {
+				_ = q.conn.rpc.Close()
+			}
+			delete(p.peers, a)
+			<-q.lock
+		default: // It is dialled right now.
+		}
+	}
+}
+
 // link returns the connection to an address, and dials if there is none.
 func (p *Pool) link(ctx context.Context, addr string) (*link, error) {
 	q, err := p.peer(addr)
--- a/internal/inner/wire/wire_test.go
+++ b/internal/inner/wire/wire_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -58,3 +61,25 @@
 		})
 	}
 }
+
+// TestPrune calls many addresses once, as VMs come and go: those that are
+// called no more are forgotten.
+func TestPrune(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		pool := NewPool([]byte("k"))
+		for i := range 100 {
+			_, err := pool.peer(fmt.Sprint("old-", i))
+			c.Assert(err, qt.IsNil)
+		}
+		time.Sleep(unusedFor / 2)
+		_, err := pool.peer("old-7")
+		c.Assert(err, qt.IsNil)
+		time.Sleep(unusedFor / 2)
+		_, err = pool.peer("new")
+		c.Assert(err, qt.IsNil)
+		c.Assert(pool.peers, qt.HasLen, 2)
+		_, ok := pool.peers["old-7"]
+		c.Assert(ok, qt.IsTrue)
+	})
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -62,6 +62,7 @@
 	Bound   clock.Millis  // see [Entry.Ready]; 0 for the standard
 	Keep    clock.Millis  // between snapshots of the configuration; 0 for the standard
 	Appends float64       // a second, all entries together; 0 for the standard
+	Cross   float64       // bytes/s that all entries together may send to other regions; 0 for the policy's
 	Roster  roster.Policy // zero for the standard
 	Policy  match.Policy
 	Swap    swap.Policy
--- a/internal/node/entry/peer.go
+++ b/internal/node/entry/peer.go
@@ -161,12 +161,22 @@
 func (e *Entry) gossip(ctx context.Context) {
 	clock.Repeat(ctx, e.p.Poll, func() {
 		e.gossipOnce(ctx)
+		e.shareLink()
 		if len(e.peers.View().Members()) > 1 {
 			e.contact.rounds.Add(1)
 		}
 	})
 }
 
+// shareLink takes this entry's share of the link to other regions.
+func (e *Entry) shareLink() {
+	if e.p.Cross <= 0 {
+		return
+	}
+	share := e.p.Cross / float64(max(1, len(e.peers.View().Entries())))
+	e.calls.Servers(func(m *match.Matcher) { m.SetCrossRate(share) })
+}
+
 func (e *Entry) gossipOnce(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, m := range e.peers.Watch() {
--- a/internal/prod/cmds/nodes.go
+++ b/internal/prod/cmds/nodes.go
@@ -96,6 +96,7 @@
 	}
 	policy := match.Standard()
 	policy.Lease = s.Lease()
+	policy.Seed = uint64(ident.NewIncarnation()) // Entries must not all draw the same servers.
 	e, err := entry.New(entry.Params{
 		Node:    s.Node(),
 		Zone:    s.Zone(),
@@ -109,6 +110,7 @@
 		Bound:   s.ConfigBound(),
 		Keep:    s.SnapshotEvery(),
 		Appends: s.LogAppends(),
+		Cross:   s.CrossRate(),
 		Roster:  roster.Policy{Lease: s.Lease(), Fanout: s.PeerFanout()},
 		Policy:  policy,
 		Swap:    swap.Standard(),
--- a/internal/prod/setup/setup.go
+++ b/internal/prod/setup/setup.go
@@ -64,6 +64,7 @@
 	plainName                   string
 	slots                       int
 	fanout, reportTo, appends   int
+	crossRate                   int
 	configBound, snapshots      clock.Millis
 	poll, report, keep          clock.Millis
 	lease, drainDelay, drainFor clock.Millis
@@ -138,6 +139,10 @@
 // SnapshotEvery returns the time between snapshots on the log.
 func (s *Settings) SnapshotEvery() clock.Millis { return s.snapshots }
 
+// CrossRate returns the bytes a second that requests of all entries together
+// may send to other regions.
+func (s *Settings) CrossRate() float64 { return float64(s.crossRate) }
+
 // LogAppends returns the appends a second of all entries together.
 func (s *Settings) LogAppends() float64 { return float64(s.appends) }
 
@@ -220,6 +225,7 @@
 	{"peer-fanout", entryOnly, "8", "other entries that this one calls; in a deployment of fewer all of them", func(s *Settings) any { return &s.fanout }, positive(func(s *Settings) int { return s.fanout })},
 	{"config-bound", entryOnly, `"10s"`, "time after which an entry that can't get the newest configuration says so", func(s *Settings) any { return &s.configBound }, span(func(s *Settings) clock.Millis { return s.configBound })},
 	{"snapshot-every", entryOnly, `"10m"`, "time between snapshots of the configuration on the log; well below the time that the log keeps records", func(s *Settings) any { return &s.snapshots }, span(func(s *Settings) clock.Millis { return s.snapshots })},
+	{"cross-rate", entryOnly, "15000000", "bytes a second that requests of all entries together may send to other regions", func(s *Settings) any { return &s.crossRate }, positive(func(s *Settings) int { return s.crossRate })},
 	{"log-appends", entryOnly, "300", "appends a second that all entries together may ask of the log", func(s *Settings) any { return &s.appends }, positive(func(s *Settings) int { return s.appends })},
 	{"lease", entryOnly, `"3s"`, "time a silent agent stays in use", func(s *Settings) any { return &s.lease }, span(func(s *Settings) clock.Millis { return s.lease })},
 	{"drain-delay", entryOnly, `"5s"`, "time the balancer needs to see that the entry leaves", func(s *Settings) any { return &s.drainDelay }, span(func(s *Settings) clock.Millis { return s.drainDelay })},
--- a/internal/proof/procs/procs_test.go
+++ b/internal/proof/procs/procs_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
@@ -49,13 +50,14 @@
 `
 
 type rig struct {
-	c     *qt.C
-	ctx   context.Context
-	dir   string
-	bin   string
-	plat  string
-	vms   *vmlist.List
-	procs []*exec.Cmd
+	c      *qt.C
+	ctx    context.Context
+	dir    string
+	bin    string
+	plat   string
+	vms    *vmlist.List
+	ledger *plain.Ledger // what the plain service has done
+	procs  []*exec.Cmd
 }
 
 // free returns an address that nobody listens on.
@@ -144,12 +146,31 @@
 	}
 }
 
+// act sends an action with a key and returns the answer, nil if there is none.
+func (r *rig) act(url, key, body string) []byte {
+	b, err := json.Marshal(codec.Request{Class: "branch-notice", Key: key, Body: body})
+	r.c.Assert(err, qt.IsNil)
+	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, url+"/v1/requests", bytes.NewReader(b))
+	r.c.Assert(err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer caller")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var line codec.Chunk
+	if err := json.NewDecoder(resp.Body).Decode(&line); err != nil || !line.Done {
+		return nil
+	}
+	return line.Body
+}
+
 func newRig(t *testing.T) *rig {
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), hang)
 	c.Cleanup(cancel)
 	clk := clock.NewSystem()
-	r := &rig{c: c, ctx: ctx, dir: t.TempDir(), vms: vmlist.New(clk, 100*clock.Milli)}
+	r := &rig{c: c, ctx: ctx, dir: t.TempDir(), vms: vmlist.New(clk, 100*clock.Milli), ledger: plain.NewLedger()}
 	r.bin = filepath.Join(r.dir, "jujuberamp")
 	out, err := exec.CommandContext(ctx, "go", "build", "-o", r.bin, "../../../cmd/jujuberamp").CombinedOutput()
 	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
@@ -176,7 +197,7 @@
 		more := fmt.Sprintf("probe-listen = %q\nweights-url = %q\nengine-url = %q\nreport = \"100ms\"\n", r.free(), r.plat, r.serve(serve.Engine(e)))
 		out = append(out, r.start(plat.RoleAgent, fmt.Sprintf("agent-%d", i+1), more))
 	}
-	svc := r.serve(serve.Plain(plain.New(plain.NewLedger(), clock.Milli)))
+	svc := r.serve(serve.Plain(plain.New(r.ledger, clock.Milli)))
 	more := fmt.Sprintf("probe-listen = %q\nservice-url = %q\nservice-name = \"notice-pages\"\n", r.free(), svc)
 	return append(out, r.start(plat.RoleAgent, "agent-app-1", more))
 }
@@ -211,6 +232,12 @@
 		return slices.Equal(r.send(url2, codec.Request{Class: "parent-summary", Body: "snow at dawn", Seed: 5}), want)
 	})
 
+	// An action is sent again and again through both entries, and runs once.
+	key := uuid.Must(uuid.NewV7()).String()
+	reply := oracle.Reply([]byte("branch 7 is shut"))
+	r.until("the action is answered", func() bool { return bytes.Equal(r.act(url1, key, "branch 7 is shut"), reply) })
+	c.Assert(r.act(url2, key, "branch 7 is shut"), qt.DeepEquals, reply)
+
 	// A trainer's round survives the death of an entry, each sample once.
 	tr := trainer.New([]string{url1, url2}, "trainer")
 	spec := trainer.Spec{Name: "step-1", Class: "train-notices", Version: 1, Samples: 8, Seed: 9, Prompts: []string{"a", "b", "c", "d"}}
@@ -232,6 +259,10 @@
 		c.Assert(n, qt.Equals, 1, qt.Commentf("ordinal %d", o))
 	}
 
+	// The action's outcome is known after the entry that ran it has died.
+	c.Assert(r.act(url2, key, "branch 7 is shut"), qt.DeepEquals, reply)
+	c.Assert(r.ledger.Runs("branch 7 is shut"), qt.Equals, 1)
+
 	// Operators see that nothing is quarantined and that both nodes stand.
 	c.Assert(r.command("quarantine", "--entry", url2), qt.Contains, "No request is quarantined")
 	c.Assert(r.command("status", "--entry", url2), qt.Contains, "agent-app-1")
