Let the end of the body come late in TestReuse

Change: the test's server ends the body only after the last line was read, as an engine that still has to clean up does. Conclusion: the test now fails without the change.

--- a/internal/edge/client/reuse_test.go
+++ b/internal/edge/client/reuse_test.go
@@ -22,6 +22,7 @@
 	var conns atomic.Int32
 	var endless atomic.Bool
 	cut := make(chan struct{})
+	whole := make(chan struct{})
 	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = w.Write([]byte(`{"tokens":[1]}` + "\n"))
 		_ = http.NewResponseController(w).Flush()
@@ -31,6 +32,8 @@
 			return
 		}
 		_, _ = w.Write([]byte(`{"tokens":[2],"done":true}` + "\n"))
+		_ = http.NewResponseController(w).Flush()
+		<-whole // The end of the body comes after the last line was read.
 	}))
 	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
 		if s == http.StateNew {
@@ -42,7 +45,13 @@
 
 	e := NewEngine(srv.URL)
 	for range 20 {
-		c.Assert(e.Generate(context.Background(), plat.Work{}, func(plat.Chunk) error { return nil }), qt.IsNil)
+		err := e.Generate(context.Background(), plat.Work{}, func(p plat.Chunk) error {
+			if p.Done {
+				whole <- struct{}{}
+			}
+			return nil
+		})
+		c.Assert(err, qt.IsNil)
 	}
 	c.Assert(conns.Load(), qt.Equals, int32(1))
 
