--- a/internal/node/agent/bound_test.go
+++ b/internal/node/agent/bound_test.go
@@ -137,3 +137,24 @@
 		c.Assert(s.begin(), qt.IsTrue)
 	})
 }
+
+// TestEndedBesideOrder ends an attempt that waits for an order that hangs: the
+// attempt does not wait on.
+func TestEndedBesideOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var s swapper
+		s.init()
+		s.end()
+		c.Assert(s.begin(), qt.IsTrue)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			_, _, err := s.enter(ctx)
+			ended <- err
+		}()
+		synctest.Wait()
+		cancel()
+		c.Assert(<-ended, qt.ErrorIs, context.Canceled)
+	})
+}
--- a/internal/node/agent/swap.go
+++ b/internal/node/agent/swap.go
@@ -35,7 +35,7 @@
 
 // enter waits until no order runs and returns the context of one run.
 func (s *swapper) enter(parent context.Context) (context.Context, func(), error) {
-	stop := context.AfterFunc(parent, s.free.Broadcast)
+	stop := context.AfterFunc(parent, s.wake)
 	defer stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -54,6 +54,14 @@
 	return ctx, func() { s.leave(k) }, nil
 }
 
+// wake lets those who wait look again. The lock keeps it from falling between
+// their look and their wait.
+func (s *swapper) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.free.Broadcast()
+}
+
 func (s *swapper) leave(k *context.CancelCauseFunc) {
 	(*k)(nil)
 	s.mu.Lock()
