Mend what a new user sees: log prefixes, a gauge, missing arguments

Cause: tried as a new user, log lines held the key part twice, the age of the configuration read an hour where it was never known, a missing argument said "accepts 1 arg(s)", and a VM list that is down was logged each second. Change: the program has a key of its own beside the part; the gauge shows -1; an error names the argument and the command line; the list is logged when it begins to fail and when it is back. Conclusion: found by running the commands of the README and killing parts.

--- a/internal/node/entry/gauge.go
+++ b/internal/node/entry/gauge.go
@@ -21,7 +21,7 @@
 		meter.NewGauge("jujuberamp.entry.agents", "agents heard of", e.agents),
 		meter.NewGauge("jujuberamp.entry.inner.bytes", "bytes exchanged with other nodes, both directions", e.InnerBytes),
 		meter.NewGauge("jujuberamp.entry.config.offset", "log offset of the configuration in force", func() int64 { return int64(e.config.State().Offset()) }),
-		meter.NewGauge("jujuberamp.entry.config.age", "ms since the log was read to its end", func() int64 { return int64(e.p.Clock.Now() - e.config.Fresh()) }),
+		meter.NewGauge("jujuberamp.entry.config.age", "ms since the configuration was known to be the newest, -1 for never", e.freshAge),
 		meter.NewGauge("jujuberamp.entry.moves", "placement moves that this entry ordered", e.plans.Moves),
 		meter.NewGauge("jujuberamp.entry.peers", "entries that take work", func() int64 { return int64(len(e.peers.View().Entries())) }),
 	})
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -74,9 +74,10 @@
 	p    Params
 	view atomic.Pointer[View]
 
-	mu     sync.Mutex
-	roster *roster.Roster
-	listed clock.Millis // instant at which the list was last believed
+	mu      sync.Mutex
+	roster  *roster.Roster
+	listed  clock.Millis // instant at which the list was last believed
+	failing bool         // the last read of the list failed
 }
 
 // New returns a membership that knows only its own node.
@@ -130,18 +131,30 @@
 	return next
 }
 
+// noteList logs when the VM list begins to fail and when it is back. The lock
+// is held.
+func (s *Peers) noteList(err error) {
+	switch {
+	case err != nil && !s.failing:
+		s.p.Log.Warn().Err(err).Msg("VM list failed, the last one stays.")
+	case err == nil && s.failing:
+		s.p.Log.Info().Msg("VM list is back.")
+	}
+	s.failing = err != nil
+}
+
 // poll takes in the list and returns its length. Without an answer the last
 // list stays.
 func (s *Peers) poll(ctx context.Context) int {
 	ctx, cancel := context.WithTimeout(ctx, s.p.Policy.Lease.Duration())
 	defer cancel()
 	vms, err := s.p.VMs.List(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteList(err)
 	if err != nil {
-		s.p.Log.Warn().Err(err).Msg("VM list failed, the last one stays.")
 		return 0
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := s.p.Clock.Now()
 	if !s.roster.List(now, members(vms)) {
 		s.p.Log.Warn().Msg("VM list is empty, the last one stays.")
--- a/internal/prod/cmds/apply.go
+++ b/internal/prod/cmds/apply.go
@@ -147,7 +147,7 @@
 	return t.add(&cobra.Command{
 		Use:   "plan DIR",
 		Short: "Print the difference between the declarations and what is in force",
-		Args:  cobra.ExactArgs(1),
+		Args:  oneArg("the directory of the declarations"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := t.context()
 			defer cancel()
@@ -176,7 +176,7 @@
 		Short: "Publish the declarations and wait until they are in force on every live node",
 		Long: "Publish the declarations and wait until they are in force on every live node.\n\n" +
 			"It is safe to run apply again after it was interrupted: what is in force already is not changed again.",
-		Args: cobra.ExactArgs(1),
+		Args: oneArg("the directory of the declarations"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := t.context()
 			defer cancel()
--- a/internal/prod/cmds/cmds.go
+++ b/internal/prod/cmds/cmds.go
@@ -40,3 +40,13 @@
 	}
 	return 0
 }
+
+// oneArg demands one argument and tells what it is.
+func oneArg(what string) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if len(args) == 1 {
+			return nil
+		}
+		return errors.Errorf("give %s and nothing else: %s", what, cmd.UseLine())
+	}
+}
--- a/internal/prod/cmds/oper.go
+++ b/internal/prod/cmds/oper.go
@@ -56,7 +56,7 @@
 	return &cobra.Command{
 		Use:   "check DIR",
 		Short: "Check the declarations in a directory, without a connection",
-		Args:  cobra.ExactArgs(1),
+		Args:  oneArg("the directory of the declarations"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			cs, err := decl.ReadDir(args[0])
 			if err != nil {
--- a/internal/prod/cmds/quar.go
+++ b/internal/prod/cmds/quar.go
@@ -33,7 +33,7 @@
 	return t.add(&cobra.Command{
 		Use:   "lift REQUEST",
 		Short: "Let a quarantined request run again, on every entry",
-		Args:  cobra.ExactArgs(1),
+		Args:  oneArg("the request"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, err := t.client()
 			if err != nil {
--- a/internal/prod/cmds/replay.go
+++ b/internal/prod/cmds/replay.go
@@ -45,7 +45,7 @@
 
 Outcomes, with their keys:
 ` + replay.Help(),
-		Args: cobra.ExactArgs(1),
+		Args: oneArg("the trace"),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return runReplay(cmd.OutOrStdout(), args[0], expect, declare)
 		},
--- a/internal/prod/telem/telem.go
+++ b/internal/prod/telem/telem.go
@@ -23,13 +23,14 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 )
 
-// Logger returns the log of one part at a level; an unknown level is info.
-func Logger(w io.Writer, level, part string) zerolog.Logger {
+// Logger returns the log of one program at a level; an unknown level is info.
+// The parts of a program add their prefix.
+func Logger(w io.Writer, level, program string) zerolog.Logger {
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
-	return zerolog.New(w).Level(l).With().Timestamp().Str("part", part).Logger()
+	return zerolog.New(w).Level(l).With().Timestamp().Str("program", program).Logger()
 }
 
 // Metrics are the metrics of one process.
