--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -14,6 +14,7 @@
 	"hash/fnv"
 	"slices"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/hash"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 )
 
@@ -22,17 +23,7 @@
 	_, _ = h.Write([]byte(key))
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write([]byte(n))
-	return mix(h.Sum64())
-}
-
-// mix spreads the bits of an FNV sum; without it names that differ in the
-// last letter get neighbouring weights.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return hash.Mix(h.Sum64())
 }
 
 // ranked is a node with its weight for a key.
--- a/internal/proof/procs/procs_test.go
+++ b/internal/proof/procs/procs_test.go
@@ -121,8 +121,9 @@
 	}
 }
 
-// send makes a request and returns the answer, nil if it was not whole.
-func (r *rig) send(url string, m codec.Request) []uint32 {
+// post sends a caller's request and returns the lines of the answer, nil if it
+// was not whole.
+func (r *rig) post(url string, m codec.Request) []codec.Chunk {
 	b, err := json.Marshal(m)
 	r.c.Assert(err, qt.IsNil)
 	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, url+"/v1/requests", bytes.NewReader(b))
@@ -133,36 +134,34 @@
 		return nil
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var tokens []uint32
+	var lines []codec.Chunk
 	for dec := json.NewDecoder(resp.Body); ; {
 		var line codec.Chunk
 		if err := dec.Decode(&line); err != nil {
 			return nil
 		}
-		tokens = append(tokens, line.Tokens...)
+		lines = append(lines, line)
 		if line.Done {
-			return tokens
+			return lines
 		}
 	}
 }
 
+// send makes a request and returns the answer, nil if it was not whole.
+func (r *rig) send(url string, m codec.Request) (tokens []uint32) {
+	for _, line := range r.post(url, m) {
+		tokens = append(tokens, line.Tokens...)
+	}
+	return tokens
+}
+
 // act sends an action with a key and returns the answer, nil if there is none.
 func (r *rig) act(url, key, body string) []byte {
-	b, err := json.Marshal(codec.Request{Class: "branch-notice", Key: key, Body: body})
-	r.c.Assert(err, qt.IsNil)
-	req, err := http.NewRequestWithContext(r.ctx, http.MethodPost, url+"/v1/requests", bytes.NewReader(b))
-	r.c.Assert(err, qt.IsNil)
-	req.Header.Set("Authorization", "Bearer caller")
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var line codec.Chunk
-	if err := json.NewDecoder(resp.Body).Decode(&line); err != nil || !line.Done {
+	lines := r.post(url, codec.Request{Class: "branch-notice", Key: key, Body: body})
+	if len(lines) == 0 {
 		return nil
 	}
-	return line.Body
+	return lines[len(lines)-1].Body
 }
 
 func newRig(t *testing.T) *rig {
--- a/internal/stand/oracle/oracle.go
+++ b/internal/stand/oracle/oracle.go
@@ -14,6 +14,8 @@
 	"encoding/binary"
 	"hash/fnv"
 	"math"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/hash"
 )
 
 // Shape of the length distribution: log-normal around a median, and a share
@@ -25,42 +27,32 @@
 	longFactor   = 30
 )
 
-func hash(prompt []byte, seed int64, i int) uint64 {
+func sum(prompt []byte, seed int64, i int) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write(prompt)
 	var b [16]byte
 	binary.BigEndian.PutUint64(b[:8], uint64(seed))
 	binary.BigEndian.PutUint64(b[8:], uint64(i))
 	_, _ = h.Write(b[:])
-	return mix(h.Sum64())
-}
-
-// mix spreads the bits of an FNV sum, whose high bits alone are too regular
-// to draw uniform numbers from.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return hash.Mix(h.Sum64())
 }
 
 func uniform(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
 
 // Length returns the number of tokens of an answer.
 func Length(prompt []byte, seed int64, maxTokens int) int {
-	u := uniform(hash(prompt, seed, -1))
-	v := uniform(hash(prompt, seed, -2))
+	u := uniform(sum(prompt, seed, -1))
+	v := uniform(sum(prompt, seed, -2))
 	normal := math.Sqrt(-2*math.Log(u)) * math.Cos(2*math.Pi*v)
 	n := medianTokens * math.Exp(sigma*normal)
-	if uniform(hash(prompt, seed, -3)) < longShare {
+	if uniform(sum(prompt, seed, -3)) < longShare {
 		n *= longFactor
 	}
 	return max(1, min(int(n), maxTokens))
 }
 
 // Token returns the token at a position of an answer.
-func Token(prompt []byte, seed int64, i int) uint32 { return uint32(hash(prompt, seed, i)) }
+func Token(prompt []byte, seed int64, i int) uint32 { return uint32(sum(prompt, seed, i)) }
 
 // Answer returns all tokens of an answer.
 func Answer(prompt []byte, seed int64, maxTokens int) []uint32 {
