Ask for one service on a request's path; drop a second message type

Cause: a read of the whole change. Each request built and sorted the set of all services under the entry's lock to learn whether one of them is heard; a passed-on request and a passed-on action had two message types of the same shape; opening a round looked its class up twice. Change: hears stops at the first agent of the service and shares isHeard with the set that peers are told; actions travel as passed; spec returns the class that it found.

--- a/internal/node/entry/action.go
+++ b/internal/node/entry/action.go
@@ -18,12 +18,6 @@
 // actionWait bounds the wait for an action without a deadline.
 const actionWait = 35 * clock.Second
 
-// actionMsg is a caller's action on its way to the server of its stream.
-type actionMsg struct {
-	Who     string        `json:"who"`
-	Request codec.Request `json:"request"`
-}
-
 // action runs work that may run at most once. It goes to the entry that serves
 // the key's stream, which saves reads of the log; two such entries are safe.
 func (e *Entry) action(ctx context.Context, who ident.Caller, m codec.Request, sink httpd.Sink) error {
@@ -34,14 +28,14 @@
 	if m.DeadlineMS > 0 {
 		wait = clock.Millis(m.DeadlineMS)
 	}
-	out, err := ownedBy(ctx, e, claims.StreamOf(who, m.Key), pathAction, wait, actionMsg{string(who), m}, e.actionHere)
+	out, err := ownedBy(ctx, e, claims.StreamOf(who, m.Key), pathAction, wait, passed{string(who), m}, e.actionHere)
 	if err != nil {
 		return err
 	}
 	return sink(out)
 }
 
-func (e *Entry) actionHere(ctx context.Context, a actionMsg) (codec.Chunk, error) {
+func (e *Entry) actionHere(ctx context.Context, a passed) (codec.Chunk, error) {
 	m, who := a.Request, ident.Caller(a.Who)
 	c, err := e.classOf(m.Class, class.Action)
 	if err != nil {
--- a/internal/node/entry/pass.go
+++ b/internal/node/entry/pass.go
@@ -12,6 +12,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 	"github.com/jujuberamp/jujuberamp/internal/edge/httpd"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
 )
 
@@ -75,16 +76,36 @@
 	defer e.mu.Unlock()
 	out := sets.Of[string]()
 	for n, r := range e.nodes {
-		if now-e.heard[n] <= e.p.Roster.Lease && !r.Leaving && r.Hosted.Service != "" {
+		if r.Hosted.Service != "" && e.isHeard(now, n, r) {
 			out.Add(r.Hosted.Service)
 		}
 	}
 	return out.Sorted()
 }
 
+// isHeard reports whether an agent was heard lately and takes work. The lock
+// is held.
+func (e *Entry) isHeard(now clock.Millis, n ident.Node, r wire.ReportArgs) bool {
+	return now-e.heard[n] <= e.p.Roster.Lease && !r.Leaving
+}
+
+// hears reports whether this entry hears an agent of a service. It is asked for
+// each request, so it stops at the first one.
+func (e *Entry) hears(svc ident.Service) bool {
+	now := e.p.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for n, r := range e.nodes {
+		if r.Hosted.Service == string(svc) && e.isHeard(now, n, r) {
+			return true
+		}
+	}
+	return false
+}
+
 // helperFor returns an entry that can run a request which this one can't.
 func (e *Entry) helperFor(svc ident.Service, id ident.Request) (addr string, ok bool) {
-	if slices.Contains(e.services(), string(svc)) {
+	if e.hears(svc) {
 		return "", false
 	}
 	return e.helpers.find(svc, string(id), e.p.Clock.Now()-helpFor*e.p.Roster.Lease)
--- a/internal/node/entry/round.go
+++ b/internal/node/entry/round.go
@@ -89,7 +89,7 @@
 
 // OpenRound implements [httpd.Service].
 func (e *Entry) OpenRound(ctx context.Context, who ident.Caller, m codec.Spec) error {
-	if _, err := e.spec(m); err != nil {
+	if _, _, err := e.spec(m); err != nil {
 		return err
 	}
 	m.Round = scoped(who, m.Round)
@@ -98,11 +98,7 @@
 }
 
 func (e *Entry) openHere(ctx context.Context, m codec.Spec) (none, error) {
-	s, err := e.spec(m)
-	if err != nil {
-		return none{}, err
-	}
-	c, err := e.classOf(m.Class, class.Round)
+	s, c, err := e.spec(m)
 	if err != nil {
 		return none{}, err
 	}
@@ -113,19 +109,19 @@
 // maxSamples bounds a round.
 const maxSamples = 1 << 16
 
-// spec checks a specification and maps it.
-func (e *Entry) spec(m codec.Spec) (round.Spec, error) {
+// spec checks a specification, maps it and returns its class.
+func (e *Entry) spec(m codec.Spec) (round.Spec, class.Class, error) {
 	c, err := e.classOf(m.Class, class.Round)
 	if err != nil {
-		return round.Spec{}, err
+		return round.Spec{}, class.Class{}, err
 	}
 	switch {
 	case m.Round == "":
-		return round.Spec{}, fault.New(fault.BadRequest, "round must be set")
+		return round.Spec{}, class.Class{}, fault.New(fault.BadRequest, "round must be set")
 	case len(m.Prompts) == 0, m.Samples <= 0:
-		return round.Spec{}, fault.New(fault.BadRequest, "prompts and samples-per-group must be set")
+		return round.Spec{}, class.Class{}, fault.New(fault.BadRequest, "prompts and samples-per-group must be set")
 	case len(m.Prompts)*m.Samples > maxSamples:
-		return round.Spec{}, fault.New(fault.TooLarge, "a round holds at most 65536 samples")
+		return round.Spec{}, class.Class{}, fault.New(fault.TooLarge, "a round holds at most 65536 samples")
 	}
 	s := round.Spec{
 		ID:        ident.Round(m.Round),
@@ -144,7 +140,7 @@
 	for _, p := range m.Prompts {
 		s.Prompts = append(s.Prompts, []byte(p))
 	}
-	return s, nil
+	return s, c, nil
 }
 
 // Bounds of one read.
