--- /dev/null
+++ b/internal/decide/lots/lots.go
@@ -0,0 +1,279 @@
+// Package lots decides what the jobs of trainers are, from the records of one
+// ordered topic, the index. Every node that has read the same prefix gives the
+// same answers.
+//
+//  1. A job exists from its first valid record on; later ones of the same
+//     identity are repeats.
+//  2. A result's place in its job is the order of its record. The first result
+//     of an item counts; later ones are dropped.
+//  3. After the end of a job no result of it counts.
+//  4. The owner of a job makes its results. It is the node that accepted the
+//     job, until a later record names another one. It is a choice that saves
+//     work, not a lock: a second owner costs tokens, and rule 2 keeps the
+//     results single.
+//  5. A node is alive while its records arrive. The first record of a new
+//     incarnation ends those before it.
+//
+// # Usage
+//
+//	ix := lots.New()
+//	change := ix.Apply(now, offset, record)
+//	job := ix.Job("7c41")
+package lots
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+)
+
+// Place tells where a value lies in the bulk topic.
+type Place struct {
+	Part   int
+	Offset int64
+}
+
+// Scorer is the call that scores a finished item.
+type Scorer struct {
+	ID   string
+	Host string
+	Path string
+	Body []byte
+}
+
+// Item is one piece of work of a job.
+type Item struct {
+	ID     string
+	Group  string
+	Path   string
+	Header http.Header
+	Body   []byte
+	Tokens int // prompt and the most that may be generated
+	Hint   int // the client's estimate of the generated tokens, 0 for none
+	Scorer *Scorer
+}
+
+// Spec is a job as a client hands it in.
+type Spec struct {
+	ID         string
+	Host       string
+	Path       string
+	Model      string
+	Step       int
+	MinVersion int64
+	Groups     int // complete groups that the trainer waits for
+	Items      []Item
+}
+
+// Accept is the record of an accepted job. The bodies of its items lie one
+// after the other in the bulk topic.
+type Accept struct {
+	Job        string
+	Host       string
+	Path       string
+	Model      string
+	MinVersion int64
+	Groups     int
+	Items      []string // identities
+	Bulk       Place    // of the first item
+	Node       Node
+}
+
+// Done is the record of an item that is finished or given up.
+type Done struct {
+	Job      string
+	Item     int
+	Dead     bool
+	Versions []int64
+	Score    string
+	Text     Place
+	Size     int // of the text in bytes
+}
+
+// End is the record of a job that its client has ended.
+type End struct{ Job string }
+
+// Take is the record of a node that goes on with a job.
+type Take struct {
+	Job  string
+	Node Node
+}
+
+// Beat is the record of a living node; Leaving tells that it takes no more jobs.
+type Beat struct {
+	Node    Node
+	Addr    string
+	Zone    string
+	Leaving bool
+}
+
+// Node names one incarnation of a node.
+type Node struct {
+	Name string
+	Boot string // differs for each start
+}
+
+// Record is one of Accept, Done, End, Take and Beat.
+type Record any
+
+// Result is a listed result.
+type Result struct {
+	Item     int
+	Dead     bool
+	Versions []int64
+	Score    string
+	Text     Place
+	Size     int
+}
+
+// Job is an accepted job.
+type Job struct {
+	Accept
+	Owner   Node
+	At      clock.Millis // when this node learned of it; never before its acceptance
+	Results []Result     // in the order of their places
+	Ended   bool
+	place   []int32 // of each item in Results, plus one
+}
+
+// Listed reports whether an item has a result.
+func (j *Job) Listed(item int) bool { return j.place[item] > 0 }
+
+// ResultOf returns an item's result, nil if it has none.
+func (j *Job) ResultOf(item int) *Result {
+	if p := j.place[item]; p > 0 {
+		return &j.Results[p-1]
+	}
+	return nil
+}
+
+// Open reports whether results of the job may still be made.
+func (j *Job) Open() bool { return !j.Ended && len(j.Results) < len(j.Items) }
+
+// Find returns the index of an item by its identity, -1 if the job has none.
+func (j *Job) Find(id string) int { return slices.Index(j.Items, id) }
+
+// Peer is a node that was heard of.
+type Peer struct {
+	Beat
+	Heard clock.Millis
+}
+
+// Index is the state that the records lead to.
+type Index struct {
+	jobs  map[string]*Job
+	peers map[string]*Peer // by name
+	next  int64            // offset to read from
+}
+
+// New returns an empty index.
+func New() *Index { return &Index{jobs: make(map[string]*Job), peers: make(map[string]*Peer)} }
+
+// Next returns the offset of the record that is due next.
+func (x *Index) Next() int64 { return x.next }
+
+// Skip goes on from a later offset after records have expired.
+func (x *Index) Skip(to int64) { x.next = max(x.next, to) }
+
+// Job returns a job, nil if none is known.
+func (x *Index) Job(id string) *Job { return x.jobs[id] }
+
+// Jobs calls fn with each job.
+func (x *Index) Jobs(fn func(*Job)) {
+	for _, j := range x.jobs {
+		fn(j)
+	}
+}
+
+// Apply takes in the record at an offset and returns the job that it changed,
+// nil for none. Records below the offset that is due are passed over.
+func (x *Index) Apply(now clock.Millis, offset int64, rec Record) *Job {
+	if offset < x.next {
+		return nil
+	}
+	x.next = offset + 1
+	switch r := rec.(type) {
+	case Accept:
+		if x.jobs[r.Job] != nil || len(r.Items) == 0 { // rule 1
+			return nil
+		}
+		j := &Job{Accept: r, Owner: r.Node, At: now, place: make([]int32, len(r.Items))}
+		x.jobs[r.Job] = j
+		return j
+	case Done:
+		return x.done(r)
+	case End:
+		if j := x.jobs[r.Job]; j != nil && !j.Ended {
+			j.Ended = true
+			return j
+		}
+	case Take:
+		if j := x.jobs[r.Job]; j != nil && j.Open() { // rule 4
+			j.Owner = r.Node
+			return j
+		}
+	case Beat:
+		x.peers[r.Node.Name] = &Peer{Beat: r, Heard: now} // rule 5
+	}
+	return nil
+}
+
+// done applies rules 2 and 3.
+func (x *Index) done(r Done) *Job {
+	j := x.jobs[r.Job]
+	if j == nil || j.Ended || r.Item < 0 || r.Item >= len(j.Items) || j.place[r.Item] > 0 {
+		return nil
+	}
+	j.Results = append(j.Results, Result{r.Item, r.Dead, r.Versions, r.Score, r.Text, r.Size})
+	j.place[r.Item] = int32(len(j.Results))
+	return j
+}
+
+// Alive returns the names of the nodes that were heard of within a span and
+// don't leave, in order.
+func (x *Index) Alive(now, within clock.Millis) []string {
+	var out []string
+	for name, p := range x.peers {
+		if !p.Leaving && now-p.Heard <= within {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Works reports whether an incarnation of a node still works on its jobs: it
+// was heard of within a span, and no later incarnation was.
+func (x *Index) Works(now, within clock.Millis, n Node) bool {
+	p := x.peers[n.Name]
+	return p != nil && p.Node == n && !p.Leaving && now-p.Heard <= within
+}
+
+// Peers calls fn with each node that was ever heard of.
+func (x *Index) Peers(fn func(*Peer)) {
+	for _, p := range x.peers {
+		fn(p)
+	}
+}
+
+// Quiet notes that nothing could be heard until now, so that silence in that
+// time is no sign of death.
+func (x *Index) Quiet(now clock.Millis) {
+	for _, p := range x.peers {
+		p.Heard = max(p.Heard, now)
+	}
+}
+
+// Forget drops the jobs that were learned of before an instant and returns
+// their number.
+func (x *Index) Forget(before clock.Millis) int {
+	n := 0
+	for id, j := range x.jobs {
+		if j.At < before && !j.Open() {
+			delete(x.jobs, id)
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/decide/seats/seats.go
@@ -0,0 +1,170 @@
+// Package seats decides which item of the open jobs goes next, and to which
+// engine.
+//
+//  1. Items go in the order of their jobs. Within a job, the groups that an
+//     earlier job left incomplete go first, then the longest items, since the
+//     last item of a group decides when it is complete.
+//  2. An item goes to the free engine on which it is likely to end first: by
+//     the engine's pace, its load and the distance.
+//  3. A slow engine takes only items that end there soon all the same; longer
+//     ones wait for another engine, unless all are slow.
+//  4. An item that runs on a slow engine moves to a faster one that is free
+//     when nothing waits and the move saves enough.
+//
+// An engine is slow by comparison with the median of those with a known pace,
+// so that a change which slows all makes none slow.
+//
+// # Usage
+//
+//	seats.Sort(wants)
+//	seat := seats.New(all).Best(want)
+package seats
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+)
+
+const (
+	// slowBy is the pace, in medians, from which an engine is slow. Engines of
+	// one kind differ by less; a disturbed one is 2.5 times slower or more.
+	slowBy = 1.6
+	// soon is what an item may take on a slow engine: well within the time in
+	// which a step's results are due at both deployments.
+	soon = 2500 * clock.Milli
+	// saves is the least gain of a move, which reads the text in again.
+	saves = 400 * clock.Milli
+	// loadCost is how much longer an event takes for each further run in
+	// progress, as a share; step times grow little with the batch.
+	loadCost = 0.03
+	// unknownPace is used while no engine has a known one, in ms an event.
+	unknownPace = 40.0
+	// more is what an item that has passed its estimate is still expected to
+	// make, as a share of what it has made.
+	more   = 0.3
+	least  = 4.0
+	median = 0.5
+)
+
+// Seat is an engine.
+type Seat struct {
+	ID    string
+	Open  int // runs in progress
+	Slots int
+	Pace  float64      // ms between two events, 0 if not known
+	Far   clock.Millis // way there and back
+	Cool  bool         // refused or failed just now
+}
+
+// Want is an item that waits.
+type Want struct {
+	Job   int // place of its job in the order
+	Item  int
+	First bool   // its group is left from an earlier job
+	Size  int    // estimated events, 0 if not known
+	Made  int    // events that are held already
+	NotAt string // engine that it just left, empty for none
+}
+
+// Sort puts wants into the order of rule 1.
+func Sort(ws []Want) {
+	slices.SortStableFunc(ws, func(a, b Want) int {
+		if a.Job != b.Job {
+			return cmp.Compare(a.Job, b.Job)
+		}
+		if a.First != b.First {
+			if a.First {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.Size-b.Made, a.Size-a.Made)
+	})
+}
+
+// Plan is a view of the seats.
+type Plan struct {
+	seats []*Seat
+	mid   float64 // median pace
+}
+
+// New returns a plan over seats.
+func New(ss []*Seat) *Plan {
+	p := &Plan{seats: ss, mid: unknownPace}
+	var paces []float64
+	for _, s := range ss {
+		if s.Pace > 0 {
+			paces = append(paces, s.Pace)
+		}
+	}
+	if len(paces) > 0 {
+		slices.Sort(paces)
+		p.mid = paces[int(median*float64(len(paces)-1))]
+	}
+	return p
+}
+
+func (p *Plan) pace(s *Seat) float64 {
+	if s.Pace > 0 {
+		return s.Pace
+	}
+	return p.mid
+}
+
+// Seat returns a seat by its engine's identity, nil if there is none.
+func (p *Plan) Seat(id string) *Seat {
+	for _, s := range p.seats {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// Slow reports whether a seat is slow.
+func (p *Plan) Slow(s *Seat) bool { return p.pace(s) > slowBy*p.mid }
+
+func (p *Plan) left(size, made int) float64 {
+	return max(float64(size-made), more*float64(made), least)
+}
+
+func (p *Plan) time(s *Seat, left float64) clock.Millis {
+	return clock.Millis(left*p.pace(s)*(1+loadCost*float64(s.Open))) + s.Far
+}
+
+// Best returns the seat for an item, nil if it should wait.
+func (p *Plan) Best(w Want) *Seat {
+	left := p.left(w.Size, w.Made)
+	var best *Seat
+	var bestTime clock.Millis
+	fast := false // an engine that is not slow exists, free or not
+	for _, s := range p.seats {
+		fast = fast || !p.Slow(s)
+	}
+	for _, s := range p.seats {
+		if s.Cool || s.Open >= s.Slots || s.ID == w.NotAt && len(p.seats) > 1 {
+			continue
+		}
+		t := p.time(s, left)
+		if fast && p.Slow(s) && t > soon { // rule 3
+			continue
+		}
+		if best == nil || t < bestTime { // rule 2
+			best, bestTime = s, t
+		}
+	}
+	return best
+}
+
+// Move reports whether an item that runs at a seat should move to a faster one
+// (rule 4).
+func (p *Plan) Move(at *Seat, size, made int) bool {
+	if !p.Slow(at) {
+		return false
+	}
+	left := p.left(size, made)
+	to := p.Best(Want{Size: size, Made: made, NotAt: at.ID})
+	return to != nil && !p.Slow(to) && p.time(at, left)-p.time(to, left) > saves
+}
--- /dev/null
+++ b/internal/inner/index/index.go
@@ -0,0 +1,147 @@
+// Package index encodes the records of the index topic and the items of jobs
+// in the bulk topic.
+//
+// # Usage
+//
+//	b, err := index.Encode(lots.End{Job: "7c41"})
+//	rec, err := index.Decode(b)
+//
+// A record of an unknown kind, such as one of a newer program version, is an
+// error that readers log and pass over.
+package index
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
+)
+
+// Topics of the system in the platform's store.
+const (
+	Topic = "index"
+	Bulk  = "bulk"
+	Fence = "fence" // its offsets are fencing tokens
+)
+
+// record holds the fields of all kinds.
+type record struct {
+	Kind     string   `json:"kind"`
+	Job      string   `json:"job,omitempty"`
+	Host     string   `json:"host,omitempty"`
+	Path     string   `json:"path,omitempty"`
+	Model    string   `json:"model,omitempty"`
+	Min      int64    `json:"min-version,omitempty"`
+	Groups   int      `json:"groups,omitempty"`
+	Items    []string `json:"items,omitempty"`
+	Part     int      `json:"part,omitempty"`
+	Offset   int64    `json:"offset,omitempty"`
+	Size     int      `json:"size,omitempty"`
+	Item     int      `json:"item,omitempty"`
+	Dead     bool     `json:"dead,omitempty"`
+	Versions []int64  `json:"versions,omitempty"`
+	Score    string   `json:"score,omitempty"`
+	Node     string   `json:"node,omitempty"`
+	Boot     string   `json:"boot,omitempty"`
+	Addr     string   `json:"addr,omitempty"`
+	Zone     string   `json:"zone,omitempty"`
+	Leaving  bool     `json:"leaving,omitempty"`
+}
+
+// Encode returns the bytes of a record.
+func Encode(rec lots.Record) ([]byte, error) {
+	var w record
+	switch r := rec.(type) {
+	case lots.Accept:
+		w = record{
+			Kind: "accept", Job: r.Job, Host: r.Host, Path: r.Path, Model: r.Model, Min: r.MinVersion, Groups: r.Groups,
+			Items: r.Items, Part: r.Bulk.Part, Offset: r.Bulk.Offset, Node: r.Node.Name, Boot: r.Node.Boot,
+		}
+	case lots.Done:
+		w = record{
+			Kind: "done", Job: r.Job, Item: r.Item, Dead: r.Dead, Versions: r.Versions, Score: r.Score,
+			Part: r.Text.Part, Offset: r.Text.Offset, Size: r.Size,
+		}
+	case lots.End:
+		w = record{Kind: "end", Job: r.Job}
+	case lots.Take:
+		w = record{Kind: "take", Job: r.Job, Node: r.Node.Name, Boot: r.Node.Boot}
+	case lots.Beat:
+		w = record{Kind: "beat", Node: r.Node.Name, Boot: r.Node.Boot, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving}
+	default:
+		return nil, errors.Errorf("record of type %T has no encoding", rec)
+	}
+	b, err := json.Marshal(w)
+	return b, errors.Wrap(err, "index record")
+}
+
+// Decode parses a record.
+func Decode(b []byte) (lots.Record, error) {
+	var w record
+	if err := json.Unmarshal(b, &w); err != nil {
+		return nil, errors.Wrap(err, "index record")
+	}
+	node := lots.Node{Name: w.Node, Boot: w.Boot}
+	place := lots.Place{Part: w.Part, Offset: w.Offset}
+	switch w.Kind {
+	case "accept":
+		return lots.Accept{
+			Job: w.Job, Host: w.Host, Path: w.Path, Model: w.Model, MinVersion: w.Min, Groups: w.Groups,
+			Items: w.Items, Bulk: place, Node: node,
+		}, nil
+	case "done":
+		return lots.Done{
+			Job: w.Job, Item: w.Item, Dead: w.Dead, Versions: w.Versions, Score: w.Score, Text: place, Size: w.Size,
+		}, nil
+	case "end":
+		return lots.End{Job: w.Job}, nil
+	case "take":
+		return lots.Take{Job: w.Job, Node: node}, nil
+	case "beat":
+		return lots.Beat{Node: node, Addr: w.Addr, Zone: w.Zone, Leaving: w.Leaving}, nil
+	}
+	return nil, errors.Errorf("index record of unknown kind %q", w.Kind)
+}
+
+type item struct {
+	ID     string      `json:"id"`
+	Group  string      `json:"group,omitempty"`
+	Path   string      `json:"path"`
+	Header http.Header `json:"header,omitempty"`
+	Body   []byte      `json:"body,omitempty"`
+	Tokens int         `json:"tokens,omitempty"`
+	Hint   int         `json:"hint,omitempty"`
+	Scorer *scorer     `json:"scorer,omitempty"`
+}
+
+type scorer struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body,omitempty"`
+}
+
+// EncodeItem returns the bytes of an item.
+func EncodeItem(it *lots.Item) ([]byte, error) {
+	w := item{ID: it.ID, Group: it.Group, Path: it.Path, Header: it.Header, Body: it.Body, Tokens: it.Tokens, Hint: it.Hint}
+	if s := it.Scorer; s != nil {
+		w.Scorer = &scorer{s.ID, s.Host, s.Path, s.Body}
+	}
+	b, err := json.Marshal(w)
+	return b, errors.Wrap(err, "item "+it.ID)
+}
+
+// DecodeItem parses an item.
+func DecodeItem(b []byte) (lots.Item, error) {
+	var w item
+	if err := json.Unmarshal(b, &w); err != nil {
+		return lots.Item{}, errors.Wrap(err, "item")
+	}
+	out := lots.Item{ID: w.ID, Group: w.Group, Path: w.Path, Header: w.Header, Body: w.Body, Tokens: w.Tokens, Hint: w.Hint}
+	if s := w.Scorer; s != nil {
+		out.Scorer = &lots.Scorer{ID: s.ID, Host: s.Host, Path: s.Path, Body: s.Body}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/node/jobs/board.go
@@ -0,0 +1,254 @@
+// Package jobs accepts jobs, lists their results and ends them, from the index
+// that every node reads.
+//
+//  1. A job is accepted when its record in the index is acknowledged; the
+//     bodies of its items were appended before.
+//  2. "No such job" is said only after the index was read to its end just now;
+//     a node that can't do so says that it is not sure.
+//  3. A text is read from the store when someone asks for it and is not kept.
+//
+// # Usage
+//
+//	b := jobs.New(jobs.Params{...})
+//	go b.Run(ctx)
+//	err := b.Submit(ctx, spec)
+package jobs
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
+	"github.com/jujuberamp/jujuberamp/internal/node/logs"
+)
+
+const (
+	// BeatEach is how often a node shows that it lives.
+	BeatEach = 700 * clock.Milli
+	// SilentFor is how long a node may show nothing before others go on with
+	// its jobs: three beats and the delay of a slow store.
+	SilentFor = 2500 * clock.Milli
+	// poll is how long a read of the index waits for a record.
+	poll = 500 * clock.Milli
+	// gather is the pause after a read that found records, so that a busy
+	// index costs a node at most some 20 reads a second.
+	gather = 40 * clock.Milli
+	again  = 100 * clock.Milli
+	pageKB = 1024
+	// forgetEach is how often old jobs are dropped, kept is how long beyond
+	// the time for which results are promised.
+	forgetEach = 5 * clock.Second
+	kept       = 20 * clock.Second
+)
+
+// Params are what a board needs.
+type Params struct {
+	Self   lots.Node
+	Addr   string // inner address
+	Zone   string
+	Info   plat.StoreInfo
+	Status clock.Millis // how long results are kept
+	Store  plat.Store
+	Writer *logs.Writer
+	Clock  clock.Clock
+	Log    zerolog.Logger
+}
+
+// Board is a node's view of all jobs.
+type Board struct {
+	Params
+	mu      sync.Mutex
+	ix      *lots.Index
+	changed chan struct{} // closed and replaced at each change
+	caught  bool          // the index was read to its end once
+	heard   clock.Millis  // of the last answer of the store
+	quiet   bool          // the store does not answer
+	leaving atomic.Bool
+}
+
+// New returns a board that knows nothing yet.
+func New(p Params) *Board {
+	return &Board{Params: p, ix: lots.New(), changed: make(chan struct{})}
+}
+
+// Run follows the index until the context ends.
+func (b *Board) Run(ctx context.Context) {
+	go b.beats(ctx)
+	go clock.Every(ctx, forgetEach, b.forget)
+	for ctx.Err() == nil {
+		n, err := b.pull(ctx, poll)
+		switch {
+		case err != nil:
+			clock.Sleep(ctx, again)
+		case n > 0:
+			clock.Sleep(ctx, gather)
+		}
+	}
+}
+
+// Ready reports whether the index was read to its end and the store answered
+// within a span.
+func (b *Board) Ready(within clock.Millis) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.caught && b.Clock.Now()-b.heard <= within
+}
+
+// pull reads on in the index and returns the number of records.
+func (b *Board) pull(ctx context.Context, wait clock.Millis) (int, error) {
+	b.mu.Lock()
+	from := b.ix.Next()
+	b.mu.Unlock()
+	p, err := b.Store.Read(ctx, index.Topic, 0, from, pageKB, wait)
+	var gone *plat.GoneError
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	if errors.As(err, &gone) {
+		b.Log.Info().Int64("from", from).Int64("first", gone.First).Msg("jobs: records have expired, reading on after them")
+		b.ix.Skip(gone.First)
+		return 0, nil
+	}
+	if err != nil {
+		if !b.quiet && ctx.Err() == nil {
+			b.quiet = true
+			b.Log.Warn().Err(err).Int64("from", from).Msg("jobs: the index can't be read")
+		}
+		return 0, err
+	}
+	if b.quiet {
+		b.quiet = false
+		b.Log.Info().Int64("silent-ms", int64(now-b.heard)).Msg("jobs: the index can be read again")
+		b.ix.Quiet(now)
+	}
+	b.heard = now
+	for i, rec := range p.Records {
+		r, err := index.Decode(rec)
+		if err != nil {
+			b.Log.Error().Err(err).Int64("offset", from+int64(i)).Msg("jobs: record passed over")
+			b.ix.Skip(from + int64(i) + 1)
+			continue
+		}
+		if j := b.ix.Apply(now, from+int64(i), r); j != nil {
+			b.logChange(r, j, from+int64(i))
+		}
+	}
+	if from+int64(len(p.Records)) >= p.End && !b.caught {
+		b.caught = true
+		b.Log.Info().Int64("offset", p.End).Msg("jobs: the index was read to its end")
+		b.ix.Quiet(now)
+	}
+	if len(p.Records) > 0 {
+		close(b.changed)
+		b.changed = make(chan struct{})
+	}
+	return len(p.Records), nil
+}
+
+func (b *Board) logChange(r lots.Record, j *lots.Job, offset int64) {
+	ev := b.Log.Info().Str("job", j.Job).Int64("offset", offset)
+	switch r := r.(type) {
+	case lots.Accept:
+		ev.Int("items", len(j.Items)).Str("owner", j.Owner.Name).Int64("min-version", j.MinVersion).Msg("jobs: job accepted")
+	case lots.Take:
+		ev.Str("owner", j.Owner.Name).Msg("jobs: job taken over")
+	case lots.End:
+		ev.Int("listed", len(j.Results)).Int("items", len(j.Items)).Msg("jobs: job ended")
+	case lots.Done:
+		if len(j.Results) == len(j.Items) || r.Dead {
+			ev.Int("listed", len(j.Results)).Int("items", len(j.Items)).Bool("dead", r.Dead).Str("item", j.Items[r.Item]).Msg("jobs: item listed")
+		} else {
+			ev.Discard().Send()
+		}
+	}
+}
+
+// Sync reads the index to its present end.
+func (b *Board) Sync(ctx context.Context) error {
+	for {
+		n, err := b.pull(ctx, 0)
+		if err != nil {
+			return err
+		}
+		b.mu.Lock()
+		caught := b.caught
+		b.mu.Unlock()
+		if n == 0 && caught {
+			return nil
+		}
+	}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (b *Board) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+// View calls fn with the index; fn must not keep it. Fresh tells that the
+// store answers and the index was read to its end once.
+func (b *Board) View(fn func(ix *lots.Index, fresh bool)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fn(b.ix, b.caught && !b.quiet)
+}
+
+// Peers returns the inner addresses of the other nodes that were heard of.
+func (b *Board) Peers() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	b.ix.Peers(func(p *lots.Peer) {
+		if p.Node.Name != b.Self.Name && !p.Leaving {
+			out = append(out, p.Addr)
+		}
+	})
+	return out
+}
+
+func (b *Board) beats(ctx context.Context) {
+	clock.Repeat(ctx, BeatEach, func() {
+		beat, cancel := context.WithTimeout(ctx, SilentFor.Duration())
+		defer cancel()
+		if err := b.put(beat, lots.Beat{Node: b.Self, Addr: b.Addr, Zone: b.Zone, Leaving: b.leaving.Load()}); err != nil && ctx.Err() == nil {
+			b.Log.Warn().Err(err).Msg("jobs: beat not written")
+		}
+	})
+}
+
+// Leave tells the other nodes to go on with this node's jobs.
+func (b *Board) Leave(ctx context.Context) error {
+	b.leaving.Store(true)
+	return b.put(ctx, lots.Beat{Node: b.Self, Addr: b.Addr, Zone: b.Zone, Leaving: true})
+}
+
+// put appends a record to the index.
+func (b *Board) put(ctx context.Context, rec lots.Record) error {
+	raw, err := index.Encode(rec)
+	if err != nil {
+		return err
+	}
+	_, err = b.Writer.Append(ctx, index.Topic, 0, raw)
+	return err
+}
+
+// Take makes this node the owner of a job.
+func (b *Board) Take(ctx context.Context, job string) error {
+	return b.put(ctx, lots.Take{Job: job, Node: b.Self})
+}
+
+func (b *Board) forget() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n := b.ix.Forget(b.Clock.Now() - b.Status - kept); n > 0 {
+		b.Log.Info().Int("jobs", n).Msg("jobs: old jobs dropped")
+	}
+}
--- /dev/null
+++ b/internal/node/jobs/calls.go
@@ -0,0 +1,276 @@
+package jobs
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
+	"github.com/jujuberamp/jujuberamp/internal/node/logs"
+)
+
+const (
+	// comeBack is asked of a client while the store does not answer.
+	comeBack = 500 * clock.Milli
+	// listBytes bounds the texts of one list of results; the platform allows
+	// 1 MB with the marks that JSON adds.
+	listBytes = 640 << 10
+)
+
+// Listed is a result with its text.
+type Listed struct {
+	lots.Result
+	ID   string
+	Text []byte
+}
+
+// List is a part of a job's results.
+type List struct {
+	Total   int
+	Next    int
+	Results []Listed
+}
+
+// part returns the partition of the bulk topic for a name.
+func (b *Board) part(name string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // A hash never returns an error.
+	return int(h.Sum32() % uint32(b.Info.Parts))
+}
+
+// Submit accepts a job. A fault with the outcome not run proves that no part
+// of it will run.
+func (b *Board) Submit(ctx context.Context, s *lots.Spec) error {
+	start := b.Clock.Now()
+	b.mu.Lock()
+	known := b.ix.Job(s.ID) != nil
+	b.mu.Unlock()
+	if known {
+		b.Log.Info().Str("job", s.ID).Msg("jobs: repeat of a known job")
+		return nil
+	}
+	recs := make([][]byte, 0, len(s.Items))
+	ids := make([]string, 0, len(s.Items))
+	for i := range s.Items {
+		raw, err := index.EncodeItem(&s.Items[i])
+		if err != nil {
+			return err
+		}
+		if len(raw) > b.Info.RecordBytes {
+			return fault.New(fault.TooLarge, "item "+s.Items[i].ID+" is larger than a record of the store")
+		}
+		recs = append(recs, raw)
+		ids = append(ids, s.Items[i].ID)
+	}
+	place := lots.Place{Part: b.part(s.ID)}
+	var err error
+	if place.Offset, err = b.Writer.Append(ctx, index.Bulk, place.Part, recs...); err != nil {
+		// Without its record in the index no part of the job runs.
+		return fault.Wrap(fault.LogDown, err, "job "+s.ID+" was not stored").After(comeBack)
+	}
+	err = b.put(ctx, lots.Accept{
+		Job: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, MinVersion: s.MinVersion, Groups: s.Groups,
+		Items: ids, Bulk: place, Node: b.Self,
+	})
+	if errors.Is(err, logs.ErrOpen) {
+		return fault.Wrap(fault.Lost, err, "job "+s.ID+" may be accepted")
+	}
+	if err != nil {
+		return fault.Wrap(fault.LogDown, err, "job "+s.ID+" was not accepted").After(comeBack)
+	}
+	b.Log.Info().Str("job", s.ID).Int("items", len(ids)).Int64("took-ms", int64(b.Clock.Now()-start)).Msg("jobs: job stored")
+	return nil
+}
+
+// find returns a copy of a job's state; it applies rule 2.
+func (b *Board) find(ctx context.Context, id string, enough func(*lots.Job) bool) (*lots.Job, error) {
+	look := func() *lots.Job {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if j := b.ix.Job(id); j != nil {
+			c := *j
+			return &c
+		}
+		return nil
+	}
+	j := look()
+	if j != nil && enough(j) {
+		return j, nil
+	}
+	if err := b.Sync(ctx); err != nil {
+		if j != nil {
+			return j, nil
+		}
+		return nil, fault.Wrap(fault.LogDown, err, "job "+id+" is not known here and the index can't be read").After(comeBack)
+	}
+	if j = look(); j == nil {
+		return nil, fault.New(fault.NotFound, "no job "+id)
+	}
+	return j, nil
+}
+
+// Results lists results from a position on; it waits up to wait for one.
+func (b *Board) Results(ctx context.Context, id string, after int, wait clock.Millis) (*List, error) {
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	for {
+		changed := b.Changed()
+		j, err := b.find(ctx, id, func(j *lots.Job) bool { return len(j.Results) >= after })
+		if err != nil {
+			return nil, err
+		}
+		if after > len(j.Results) {
+			// Positions were read elsewhere that are not known here.
+			return nil, fault.New(fault.LogDown, "results up to that position are not known here yet").After(comeBack)
+		}
+		if after < len(j.Results) {
+			return b.texts(ctx, j, after)
+		}
+		if !j.Open() || wait <= 0 {
+			return &List{Total: len(j.Items), Next: after}, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return &List{Total: len(j.Items), Next: after}, nil
+		case <-ctx.Done():
+			return nil, fault.New(fault.Canceled, "the client left")
+		}
+	}
+}
+
+// texts reads the texts of results from a position on.
+func (b *Board) texts(ctx context.Context, j *lots.Job, after int) (*List, error) {
+	out := &List{Total: len(j.Items), Next: after}
+	size := 0
+	for i := after; i < len(j.Results) && size < listBytes; {
+		r := j.Results[i]
+		if r.Dead {
+			out.Results = append(out.Results, Listed{Result: r, ID: j.Items[r.Item]})
+			i++
+			continue
+		}
+		run, bytes := adjacent(j.Results[i:], listBytes-size)
+		if len(out.Results) > 0 && size+bytes > listBytes {
+			break
+		}
+		p, err := b.Store.Read(ctx, index.Bulk, r.Text.Part, r.Text.Offset, bytes>>10+2, 0)
+		if err == nil && len(p.Records) == 0 {
+			err = errors.Errorf("no record at %d of partition %d", r.Text.Offset, r.Text.Part)
+		}
+		if err != nil {
+			b.Log.Warn().Err(err).Str("job", j.Job).Int("position", i).Msg("jobs: text can't be read")
+			if len(out.Results) > 0 {
+				break
+			}
+			return nil, fault.Wrap(fault.LogDown, err, "a text of job "+j.Job+" can't be read").After(comeBack)
+		}
+		for k := range min(run, len(p.Records)) {
+			r := j.Results[i]
+			out.Results = append(out.Results, Listed{Result: r, ID: j.Items[r.Item], Text: p.Records[k]})
+			size += len(p.Records[k])
+			i++
+		}
+	}
+	out.Next = after + len(out.Results)
+	return out, nil
+}
+
+// adjacent returns how many texts from the first on lie one after the other,
+// and their size, up to a bound that the first may exceed.
+func adjacent(rs []lots.Result, most int) (n, bytes int) {
+	for n < len(rs) {
+		r, f := rs[n], rs[0]
+		if r.Dead || r.Text.Part != f.Text.Part || r.Text.Offset != f.Text.Offset+int64(n) || n > 0 && bytes+r.Size > most {
+			break
+		}
+		bytes += r.Size + 4
+		n++
+	}
+	return n, bytes
+}
+
+// Body returns the body of an item of a job that is not ended.
+func (b *Board) Body(ctx context.Context, id, item string) ([]byte, error) {
+	j, err := b.find(ctx, id, func(*lots.Job) bool { return true })
+	if err != nil {
+		return nil, err
+	}
+	n := j.Find(item)
+	if n < 0 || j.Ended {
+		return nil, fault.New(fault.NotFound, "no item "+item+" in an open job "+id)
+	}
+	its, err := b.items(ctx, j, n, 1)
+	if err != nil {
+		return nil, fault.Wrap(fault.LogDown, err, "the body of item "+item+" can't be read").After(comeBack)
+	}
+	return its[0].Body, nil
+}
+
+// Items reads the items of a job.
+func (b *Board) Items(ctx context.Context, j *lots.Job) ([]lots.Item, error) {
+	return b.items(ctx, j, 0, len(j.Items))
+}
+
+func (b *Board) items(ctx context.Context, j *lots.Job, from, n int) ([]lots.Item, error) {
+	out := make([]lots.Item, 0, n)
+	kb := pageKB
+	if n == 1 {
+		kb = 1
+	}
+	for len(out) < n {
+		p, err := b.Store.Read(ctx, index.Bulk, j.Bulk.Part, j.Bulk.Offset+int64(from+len(out)), kb, 0)
+		if err != nil {
+			return nil, err
+		}
+		if len(p.Records) == 0 {
+			return nil, errors.Errorf("items of job %s end after %d of %d", j.Job, from+len(out), len(j.Items))
+		}
+		for _, rec := range p.Records[:min(len(p.Records), n-len(out))] {
+			it, err := index.DecodeItem(rec)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, it)
+		}
+	}
+	return out, nil
+}
+
+// End ends a job; a repeat has no effect.
+func (b *Board) End(ctx context.Context, id string) error {
+	j, err := b.find(ctx, id, func(*lots.Job) bool { return true })
+	if err != nil {
+		return err
+	}
+	if j.Ended {
+		return nil
+	}
+	err = b.put(ctx, lots.End{Job: id})
+	if errors.Is(err, logs.ErrOpen) {
+		return fault.Wrap(fault.Lost, err, "the end of job "+id+" may take effect")
+	}
+	if err != nil {
+		return fault.Wrap(fault.LogDown, err, "the end of job "+id+" was not stored").After(comeBack)
+	}
+	return nil
+}
+
+// Finish appends a result's text and its record.
+func (b *Board) Finish(ctx context.Context, j *lots.Job, d lots.Done, text []byte) error {
+	d.Job = j.Job
+	if !d.Dead {
+		d.Text.Part = b.part(j.Job)
+		d.Size = len(text)
+		var err error
+		if d.Text.Offset, err = b.Writer.Append(ctx, index.Bulk, d.Text.Part, text); err != nil {
+			return err
+		}
+	}
+	return b.put(ctx, d)
+}
--- /dev/null
+++ b/internal/node/side/order.go
@@ -0,0 +1,124 @@
+package side
+
+import (
+	"context"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/share"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+)
+
+const (
+	// reportEach is how often the engine's report is read; it is free on the
+	// engine's own VM.
+	reportEach = 100 * clock.Milli
+	// effectFor is how long an order without an answer may take before it is
+	// sent again. Only one of the two is accepted, by the count of orders.
+	effectFor = 1500 * clock.Milli
+	// wave is the time between two groups of engines that load a version: one
+	// load takes 0.9 s, and is slower when many load at once.
+	wave = 950 * clock.Milli
+	// waveShare of a service's engines may load at once without slowing each
+	// other, two at least.
+	waveShare = 5
+	waveLeast = 2
+)
+
+// Control reads the engine's report and orders the versions that are named,
+// until the context ends.
+//
+//  1. The engine loads versions of the model that it mainly serves.
+//  2. Engines of one model load in groups, one after the other, so that some
+//     go on serving.
+//  3. An order names the count of orders accepted so far. One that is carried
+//     out late, after another, is refused by that count.
+//  4. An order without an answer is not followed by another before the report
+//     shows its effect or its time is over; it is then sent again unchanged.
+func (a *Agent) Control(ctx context.Context) {
+	c := &orders{agent: a}
+	clock.Every(ctx, reportEach, func() { c.step(ctx) })
+}
+
+type orders struct {
+	agent *Agent
+	model string          // wanted last
+	want  int64           // its version
+	since clock.Millis    // it is wanted
+	sent  *plat.SwapOrder // without a known effect
+	at    clock.Millis
+	id    string // of the engine that it was sent to
+}
+
+func (c *orders) step(ctx context.Context) {
+	a := c.agent
+	st, err := a.Order.State(ctx, plat.Target{Addr: a.Engine})
+	now := a.Clock.Now()
+	a.mu.Lock()
+	was := a.heard
+	if err == nil {
+		a.state, a.heard = st, now
+	}
+	a.mu.Unlock()
+	if err != nil {
+		if was > 0 && now-was >= silent && now-was < silent+reportEach {
+			a.Log.Warn().Err(err).Msg("side: the engine does not report")
+		}
+		return
+	}
+	e := a.engine()
+	if e == nil || e.Leaving || st.Busy {
+		return
+	}
+	if c.sent != nil && (c.id != e.ID || st.Orders != c.sent.Expect || st.Versions[c.sent.Model] >= c.sent.Version) {
+		c.sent = nil
+	}
+	if c.sent != nil {
+		if now-c.at >= effectFor { // rule 4
+			c.send(ctx, e.ID)
+		}
+		return
+	}
+	cfg := a.Conf.Config()
+	if cfg == nil || cfg.Service(e.Service) == nil {
+		return
+	}
+	engines := a.Conf.Servers().Of(e.Service)
+	shares := share.Out(engines, cfg.Service(e.Service).Models)
+	model := shares[e.ID] // rule 1
+	want := a.Conf.Version(model)
+	if model == "" || st.Versions[model] >= want {
+		return
+	}
+	if now < c.due(now, model, want, share.Rank(engines, shares, e.ID), len(engines)) {
+		return
+	}
+	fence, err := a.Fence(ctx)
+	if err != nil {
+		a.Log.Warn().Err(err).Str("model", model).Int64("version", want).Msg("side: no fencing token, the order waits")
+		return
+	}
+	c.sent = &plat.SwapOrder{Model: model, Version: want, Fence: fence, Expect: st.Orders, Owner: a.Node}
+	c.send(ctx, e.ID)
+}
+
+// due applies rule 2.
+func (c *orders) due(now clock.Millis, model string, version int64, rank, engines int) clock.Millis {
+	if c.model != model || c.want != version {
+		c.model, c.want, c.since = model, version, now
+	}
+	together := max(waveLeast, (engines+waveShare-1)/waveShare)
+	return c.since + clock.Millis(rank/together)*wave
+}
+
+func (c *orders) send(ctx context.Context, id string) {
+	a := c.agent
+	c.at, c.id = a.Clock.Now(), id
+	o := *c.sent
+	res, err := a.Order.Swap(ctx, plat.Target{ID: id, Addr: a.Engine}, o)
+	a.Count("orders", [...]string{"unknown", "started", "holds", "conflict", "refused"}[res])
+	a.Log.Info().Err(err).Str("engine", id).Str("model", o.Model).Int64("version", o.Version).Int64("fence", o.Fence).
+		Int64("expected", o.Expect).Uint8("result", uint8(res)).Msg("side: order sent")
+	if res == plat.SwapHolds || res == plat.SwapConflict || res == plat.SwapRefused {
+		c.sent = nil
+	}
+}
--- /dev/null
+++ b/internal/node/side/side.go
@@ -0,0 +1,330 @@
+// Package side is the agent beside one model engine: it runs items for entries
+// and is the only sender of orders to the engine.
+//
+// # Usage
+//
+//	a := side.New(side.Params{...})
+//	go a.Control(ctx)
+//	http.Handle(runs.Path, a)
+package side
+
+import (
+	"context"
+	"encoding/gob"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
+	"github.com/jujuberamp/jujuberamp/internal/node/conf"
+)
+
+const (
+	// runFor is how long an engine may work on an item: beyond any item that
+	// a trainer still waits for.
+	runFor = 60 * clock.Second
+	// mostRun bounds a run's message: an item's body and headers fit a record
+	// of the store.
+	mostRun = 1 << 20
+	// silent is how long a stream may show nothing while the engine does not
+	// answer on its own VM either; the slowest streams show an event every
+	// 400 ms.
+	silent = 800 * clock.Milli
+	// stuck is the same while the engine answers and loads nothing.
+	stuck = 3 * clock.Second
+	// paceShare is the weight of a new span between two events.
+	paceShare = 0.1
+	// defaultSlots is used before the engine's entry in the registry is known.
+	defaultSlots = 4
+)
+
+// Params are what an agent needs.
+type Params struct {
+	Node   string
+	Engine string // IP:port of the engine
+	Conf   *conf.Follower
+	Sender plat.Sender
+	Events func(*plat.Answer) plat.Events
+	Order  plat.Control
+	Fence  func(context.Context) (int64, error) // a token above all before it
+	Clock  clock.Clock
+	Log    zerolog.Logger
+	Count  func(name, label string)
+}
+
+// Agent runs items at one engine.
+type Agent struct {
+	Params
+
+	mu      sync.Mutex
+	running int
+	leaving bool
+	pace    float64
+	state   plat.EngineState
+	heard   clock.Millis // of the last report
+	loading clock.Millis // when an order was sent last
+}
+
+// New returns an agent.
+func New(p Params) *Agent {
+	if p.Count == nil {
+		p.Count = func(string, string) {}
+	}
+	return &Agent{Params: p}
+}
+
+// engine returns the engine's entry in the registry, nil if there is none.
+func (a *Agent) engine() *fleet.Server { return a.Conf.Servers().At(a.Engine) }
+
+func (a *Agent) slots() int {
+	if e := a.engine(); e != nil && e.Slots > 0 {
+		return e.Slots
+	}
+	return defaultSlots
+}
+
+// Leave refuses further runs.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = true
+}
+
+// Running returns the number of runs in progress.
+func (a *Agent) Running() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.running
+}
+
+// admit takes a slot, or returns the reason for a refusal.
+func (a *Agent) admit(r *runs.Run) (runs.Code, string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.leaving:
+		return runs.Leaving, "the agent stops"
+	case a.running >= a.slots():
+		return runs.Full, "all slots are taken"
+	case a.heard > 0 && a.state.Versions[r.Model] < r.MinVersion:
+		return runs.Old, "the engine has an older version"
+	}
+	a.running++
+	return runs.Going, ""
+}
+
+func (a *Agent) release() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.running--
+}
+
+// frame returns a frame with the engine's state.
+func (a *Agent) frame(model string) *runs.Frame {
+	slots := a.slots()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Pace: a.pace}
+}
+
+// ServeHTTP runs one item.
+func (a *Agent) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	var r runs.Run
+	if err := gob.NewDecoder(io.LimitReader(req.Body, mostRun)).Decode(&r); err != nil {
+		a.Log.Warn().Err(err).Str("from", req.RemoteAddr).Msg("side: run not read")
+		http.Error(w, "not a run: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	out := runs.NewWriter(w)
+	code, detail := a.admit(&r)
+	if code != runs.Going {
+		f := a.frame(r.Model)
+		f.Code, f.Detail = code, detail
+		a.Count("runs", string(code))
+		if err := out.Write(f); err != nil {
+			a.Log.Info().Str("item", r.Item).Err(err).Msg("side: refusal not sent")
+		}
+		return
+	}
+	defer a.release()
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	x := &run{agent: a, Run: &r, events: make(chan plat.Event, 16), end: make(chan ending, 1), version: r.Version, seen: r.After}
+	go x.read(ctx)
+	x.pump(ctx, out)
+}
+
+// run is one item at the engine.
+type run struct {
+	agent *Agent
+	*runs.Run
+	events  chan plat.Event
+	end     chan ending
+	seen    int   // last event
+	version int64 // of that event
+}
+
+type ending struct {
+	code   runs.Code
+	detail string
+}
+
+// read sends the item to the engine and passes its events on.
+func (x *run) read(ctx context.Context) {
+	code, detail := x.engine(ctx)
+	x.end <- ending{code, detail}
+}
+
+func (x *run) engine(ctx context.Context) (runs.Code, string) {
+	a := x.agent
+	ans, err := a.Sender.Send(ctx, plat.Target{ID: x.Instance, Addr: a.Engine}, plat.Request{
+		ID: x.Item, Method: http.MethodPost, URI: x.Path, Host: x.Host, Header: x.Header, Body: x.Body, Left: runFor, Resume: x.After,
+	})
+	if err != nil {
+		return runs.Broken, err.Error()
+	}
+	defer ans.Body.Close()
+	switch {
+	case ans.Wrong:
+		return runs.Moved, "another engine has the address"
+	case ans.NotRun:
+		return runs.Full, "the engine refused"
+	case ans.Status == http.StatusUnprocessableEntity:
+		return runs.Rejected, "status 422"
+	case ans.Status != http.StatusOK:
+		return runs.Failed, http.StatusText(ans.Status)
+	}
+	events := a.Events(ans)
+	for {
+		ev, err := events.Next()
+		if err == io.EOF {
+			return runs.Done, ""
+		}
+		if err != nil {
+			return runs.Broken, err.Error()
+		}
+		select {
+		case x.events <- ev:
+		case <-ctx.Done():
+			return runs.Broken, "the entry ended the run"
+		}
+	}
+}
+
+// pump sends frames until the run ends.
+func (x *run) pump(ctx context.Context, out *runs.Writer) {
+	a := x.agent
+	tick := time.NewTicker(runs.Every.Duration())
+	defer tick.Stop()
+	last := a.Clock.Now()
+	var held []runs.Event
+	send := func(code runs.Code, detail string) bool {
+		f := a.frame(x.Model)
+		f.Events, f.Code, f.Detail = held, code, detail
+		held = nil
+		if code != runs.Going {
+			a.Count("runs", string(code))
+			a.Log.Info().Str("item", x.Item).Str("job", x.Job).Str("engine", x.Instance).Str("code", string(code)).Str("why", detail).
+				Int("events", x.seen).Int64("version", x.version).Float64("pace-ms", f.Pace).Msg("side: run ended")
+		}
+		if err := out.Write(f); err != nil {
+			a.Log.Info().Str("item", x.Item).Err(err).Msg("side: the entry left")
+			return false
+		}
+		return code == runs.Going
+	}
+	take := func(ev plat.Event) (runs.Code, string) {
+		now := a.Clock.Now()
+		code, detail := x.check(ev)
+		if code == runs.Going {
+			a.paced(float64(now-last), x.seen > x.After+1)
+			last = now
+			held = append(held, runs.Event{Version: x.version, Data: ev.Data})
+		}
+		return code, detail
+	}
+	for {
+		select {
+		case ev := <-x.events:
+			if code, detail := take(ev); code != runs.Going {
+				send(code, detail)
+				return
+			}
+		case e := <-x.end:
+			for len(x.events) > 0 {
+				if code, detail := take(<-x.events); code != runs.Going {
+					send(code, detail)
+					return
+				}
+			}
+			if e.code == runs.Done && x.seen == 0 {
+				e = ending{runs.Broken, "a text without an event"}
+			}
+			send(e.code, e.detail)
+			return
+		case <-tick.C:
+			if why := a.stalled(a.Clock.Now() - last); why != "" {
+				send(runs.Broken, why)
+				return
+			}
+			if !send(runs.Going, "") {
+				return
+			}
+		case <-ctx.Done():
+			a.Log.Info().Str("item", x.Item).Str("job", x.Job).Int("events", x.seen).Msg("side: the entry ended the run")
+			return
+		}
+	}
+}
+
+// check takes in the number and the version of an event.
+func (x *run) check(ev plat.Event) (runs.Code, string) {
+	if ev.ID != x.seen+1 {
+		return runs.Broken, errors.Errorf("event %d after %d", ev.ID, x.seen).Error()
+	}
+	if ev.Version > 0 {
+		if x.OneModel && x.version > 0 && ev.Version != x.version {
+			return runs.Mixed, "the version changed"
+		}
+		x.version = ev.Version
+	}
+	if x.version < x.MinVersion || x.version == 0 {
+		return runs.Old, "an event of an older version"
+	}
+	x.seen = ev.ID
+	return runs.Going, ""
+}
+
+// paced takes in the span between two events of a stream.
+func (a *Agent) paced(span float64, known bool) {
+	if !known {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pace == 0 {
+		a.pace = span
+	}
+	a.pace += paceShare * (span - a.pace)
+}
+
+// stalled tells why a stream that showed nothing for a span counts as broken.
+func (a *Agent) stalled(span clock.Millis) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	switch {
+	case span >= silent && now-a.heard >= silent:
+		return "the engine does not answer"
+	case span >= stuck && !a.state.Busy:
+		return "the engine shows no event"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/node/work/work.go
@@ -0,0 +1,388 @@
+// Package work makes the results of the jobs that a node owns: it gives their
+// items to the agents beside the engines, has finished texts scored, and
+// stores them.
+//
+// # Usage
+//
+//	w := work.New(work.Params{...})
+//	go w.Run(ctx)
+package work
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
+	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
+	"github.com/jujuberamp/jujuberamp/internal/decide/seats"
+	"github.com/jujuberamp/jujuberamp/internal/decide/share"
+	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
+	"github.com/jujuberamp/jujuberamp/internal/decide/table"
+	"github.com/jujuberamp/jujuberamp/internal/node/conf"
+	"github.com/jujuberamp/jujuberamp/internal/node/front"
+	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
+)
+
+const (
+	// lookEach is how often items are given out when nothing else happens.
+	lookEach = 100 * clock.Milli
+	// takeEach is how often a node tries to take over one job.
+	takeEach = clock.Second
+	// coolFor is how long an engine that refused gets nothing.
+	coolFor = 100 * clock.Milli
+	// breakFirst is the pause before an item whose run broke off goes again;
+	// it doubles, so that an item which crashes engines crashes few.
+	breakFirst = 50 * clock.Milli
+	breakMost  = 4 * clock.Second
+	// Ways there and back; see package pick.
+	sameRegion  = 3 * clock.Milli
+	otherRegion = 25 * clock.Milli
+)
+
+// Params are what a worker needs.
+type Params struct {
+	Self  lots.Node
+	Board *jobs.Board
+	Front *front.Front
+	Conf  *conf.Follower
+	Place pick.Place
+	Port  int // of the agents
+	HTTP  http.RoundTripper
+	Clock clock.Clock
+	Log   zerolog.Logger
+	Count func(name, label string)
+}
+
+// Worker makes results.
+type Worker struct {
+	Params
+	http *http.Client
+	wake chan struct{}
+
+	mu      sync.Mutex
+	specs   map[string][]lots.Item // of jobs accepted here and not begun
+	jobs    map[string]*job
+	engines map[string]*engine
+	takes   map[string]clock.Millis
+	leaving bool
+}
+
+// engine is what the worker knows of an engine.
+type engine struct {
+	open   int // runs from here
+	others int // runs of other nodes, as of the last frame
+	slots  int
+	pace   float64
+	cool   clock.Millis
+	old    map[string]clock.Millis // models of which it has no usable version until then
+}
+
+// New returns a worker.
+func New(p Params) *Worker {
+	if p.Count == nil {
+		p.Count = func(string, string) {}
+	}
+	return &Worker{
+		Params: p, http: &http.Client{Transport: p.HTTP}, wake: make(chan struct{}, 1),
+		specs: make(map[string][]lots.Item), jobs: make(map[string]*job), engines: make(map[string]*engine),
+		takes: make(map[string]clock.Millis),
+	}
+}
+
+// Keep holds the items of a job that is being accepted here, so that they need
+// not be read from the store.
+func (w *Worker) Keep(s *lots.Spec) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.specs[s.ID] = s.Items
+}
+
+// Drop forgets the items of a job that was not accepted here.
+func (w *Worker) Drop(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.specs, id)
+}
+
+// Wake makes the worker look again.
+func (w *Worker) Wake() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run works until the context ends.
+func (w *Worker) Run(ctx context.Context) {
+	go clock.Every(ctx, lookEach, w.Wake)
+	changed := w.Board.Changed()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			changed = w.Board.Changed()
+		case <-w.wake:
+		}
+		w.look(ctx)
+		w.assign()
+	}
+}
+
+// Busy returns the number of items in progress.
+func (w *Worker) Busy() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, j := range w.jobs {
+		n += j.busy()
+	}
+	return n
+}
+
+// Stop gives no more items out; those in progress go on until the context of
+// Run ends.
+func (w *Worker) Stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+// look compares the jobs at hand with the index.
+func (w *Worker) look(ctx context.Context) {
+	var begin []*lots.Job
+	var take []string
+	w.Board.View(func(ix *lots.Index, fresh bool) {
+		now := w.Clock.Now()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		alive := nodes(ix.Alive(now, jobs.SilentFor))
+		ix.Jobs(func(j *lots.Job) {
+			mine := j.Owner == w.Self && j.Open()
+			if r := w.jobs[j.Job]; r != nil {
+				r.update(j)
+				if !mine {
+					w.Log.Info().Str("job", j.Job).Bool("open", j.Open()).Str("owner", j.Owner.Name).Msg("work: job left")
+					r.cancel()
+					delete(w.jobs, j.Job)
+				}
+				return
+			}
+			if mine && !w.leaving {
+				r := newJob(ctx, j)
+				w.jobs[j.Job] = r
+				if its := w.specs[j.Job]; its != nil {
+					delete(w.specs, j.Job)
+					r.start(its)
+					w.Log.Info().Str("job", j.Job).Int("items", len(its)).Msg("work: job begun")
+				} else {
+					c := *j
+					begin = append(begin, &c)
+				}
+				return
+			}
+			if !j.Open() {
+				delete(w.specs, j.Job)
+				delete(w.takes, j.Job)
+				return
+			}
+			if fresh && !w.leaving && !ix.Works(now, jobs.SilentFor, j.Owner) && now-w.takes[j.Job] >= takeEach {
+				if n, ok := spread.First(j.Job, alive); ok && string(n) == w.Self.Name {
+					w.takes[j.Job] = now
+					take = append(take, j.Job)
+				}
+			}
+		})
+	})
+	for _, j := range begin {
+		go w.load(ctx, j)
+	}
+	for _, id := range take {
+		go w.take(ctx, id)
+	}
+}
+
+func nodes(names []string) []ident.Node {
+	out := make([]ident.Node, len(names))
+	for i, n := range names {
+		out[i] = ident.Node(n)
+	}
+	return out
+}
+
+func (w *Worker) take(ctx context.Context, id string) {
+	ctx, cancel := context.WithTimeout(ctx, jobs.SilentFor.Duration())
+	defer cancel()
+	err := w.Board.Take(ctx, id)
+	w.Log.Info().Str("job", id).Err(err).Msg("work: taking a job over, its owner is silent or leaves")
+}
+
+// load reads the items of a job from the store.
+func (w *Worker) load(ctx context.Context, j *lots.Job) {
+	its, err := w.Board.Items(ctx, j)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.jobs[j.Job]
+	if r == nil {
+		return
+	}
+	if err != nil {
+		w.Log.Warn().Str("job", j.Job).Err(err).Msg("work: items can't be read, tried again")
+		delete(w.jobs, j.Job) // The next look begins anew.
+		return
+	}
+	r.start(its)
+	w.Log.Info().Str("job", j.Job).Int("items", len(its)).Int("listed", len(j.Results)).Msg("work: job begun from the store")
+	w.Wake()
+}
+
+func (w *Worker) engine(s *fleet.Server) *engine {
+	e := w.engines[s.ID]
+	if e == nil {
+		e = &engine{slots: s.Slots, old: make(map[string]clock.Millis)}
+		w.engines[s.ID] = e
+	}
+	return e
+}
+
+// route returns the route of a job and the service that runs its items.
+func (w *Worker) route(j *job) (*table.Route, string) {
+	cfg := w.Conf.Config()
+	if cfg == nil {
+		return nil, ""
+	}
+	r := cfg.Find(j.host, j.path)
+	if r == nil || r.Kind != table.Rollout {
+		return nil, ""
+	}
+	return r, r.Pick(0)
+}
+
+// assign gives waiting items to engines.
+func (w *Worker) assign() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leaving {
+		return
+	}
+	now := w.Clock.Now()
+	view := w.Conf.Servers()
+	w.forget(view)
+	all := make([]*job, 0, len(w.jobs))
+	for _, j := range w.jobs {
+		if j.items != nil {
+			all = append(all, j)
+		}
+	}
+	slices.SortFunc(all, func(a, b *job) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id)) })
+	for _, j := range all {
+		r, service := w.route(j)
+		if r == nil {
+			continue
+		}
+		plan, byID := w.plan(now, view, service, j)
+		stride := max(1, w.Conf.Config().Service(service).Stride)
+		wants := j.wants(now, stride)
+		seats.Sort(wants)
+		waiting := 0
+		for _, want := range wants {
+			s := plan.Best(want)
+			if s == nil {
+				waiting++
+				continue
+			}
+			s.Open++
+			w.start(j, want.Item, r, byID[s.ID])
+		}
+		if waiting == 0 {
+			w.move(j, plan, byID, stride)
+		}
+	}
+}
+
+// plan lists the engines that can run a job's items.
+func (w *Worker) plan(now clock.Millis, view *fleet.View, service string, j *job) (*seats.Plan, map[string]*fleet.Server) {
+	engines := view.Of(service)
+	var models []string
+	if s := w.Conf.Config().Service(service); s != nil {
+		models = s.Models
+	}
+	shares := share.Out(engines, models)
+	byID := make(map[string]*fleet.Server)
+	var ss []*seats.Seat
+	for _, s := range engines {
+		if s.Leaving || shares[s.ID] != j.model && s.Loaded[j.model] < j.min {
+			continue
+		}
+		e := w.engine(s)
+		slots := e.slots
+		if slots == 0 {
+			slots = s.Slots
+		}
+		ss = append(ss, &seats.Seat{
+			ID: s.ID, Open: e.open + e.others, Slots: slots, Pace: e.pace, Far: w.far(s.Zone),
+			Cool: now < e.cool || now < e.old[j.model],
+		})
+		byID[s.ID] = s
+	}
+	return seats.New(ss), byID
+}
+
+func (w *Worker) far(zone string) clock.Millis {
+	switch {
+	case zone == w.Place.Zone:
+		return 0
+	case w.Place.Regions[zone] == w.Place.Regions[w.Place.Zone]:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// forget drops engines that are gone.
+func (w *Worker) forget(v *fleet.View) {
+	for id, e := range w.engines {
+		if e.open == 0 && v.ByID(id) == nil {
+			delete(w.engines, id)
+		}
+	}
+}
+
+// move takes items back from slow engines while faster ones are free.
+func (w *Worker) move(j *job, plan *seats.Plan, byID map[string]*fleet.Server, stride int) {
+	for i := range j.state {
+		st := &j.state[i]
+		s := plan.Seat(st.engine)
+		if st.phase != running || st.stop == nil || s == nil || byID[s.ID] == nil || st.moves >= mostMoves {
+			continue
+		}
+		if plan.Move(s, j.items[i].Hint/stride, len(st.events)) {
+			st.moves++
+			st.moving = true
+			w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", st.engine).Int("events", len(st.events)).
+				Float64("pace-ms", s.Pace).Msg("work: moving an item off a slow engine")
+			st.stop()
+			return // One at a time; the next look sees where it went.
+		}
+	}
+}
+
+// mostMoves bounds how often one item moves; each move reads its text in again.
+const mostMoves = 2
+
+func (w *Worker) agentAddr(s *fleet.Server) string {
+	host, _, err := net.SplitHostPort(s.Addr)
+	if err != nil {
+		host = s.Addr // Dialing it fails with an error that is logged.
+	}
+	return net.JoinHostPort(host, strconv.Itoa(w.Port))
+}
--- /dev/null
+++ b/internal/prod/cmds/site.go
@@ -0,0 +1,29 @@
+package cmds
+
+import (
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/jujuberamp/jujuberamp/internal/prod/roles"
+	"github.com/jujuberamp/jujuberamp/platform"
+)
+
+// siteCmd returns the command that runs a role on the users' platform.
+func siteCmd() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "site",
+		Short: "Run a role on the users' platform",
+		Long:  "Run a role on the users' platform, with the settings file that " + platform.BootVar + " names.",
+	}
+	role := func(name, short string, run func(string, io.Writer) error) {
+		cmd.AddCommand(&cobra.Command{
+			Use: name, Short: short, Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error { return run(os.Getenv(platform.BootVar), c.OutOrStdout()) },
+		})
+	}
+	role("entry", "Serve clients, trainers and their jobs", roles.Entry)
+	role("agent", "Run items and give orders at the engine on this VM", roles.Agent)
+	return cmd
+}
--- /dev/null
+++ b/internal/prod/roles/agent.go
@@ -0,0 +1,67 @@
+package roles
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/edge/dial"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
+	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
+	"github.com/jujuberamp/jujuberamp/internal/node/relay"
+	"github.com/jujuberamp/jujuberamp/internal/node/side"
+	"github.com/jujuberamp/jujuberamp/platform"
+)
+
+// lookEach is how often a stopping agent looks whether its runs have ended.
+const lookEach = 50 * clock.Milli
+
+// Agent runs the agent beside one model engine.
+func Agent(path string, out io.Writer) error {
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	b, err := start(ctx, "agent", path, out)
+	if err != nil {
+		return err
+	}
+	defer b.closed()
+	boot := b.boot.Load()
+	if boot.Engine == "" {
+		return fault.New(fault.BadSetting, "the settings name no engine on this VM; run the agent beside an engine only")
+	}
+	engines := platform.NewEngines(dial.NewTransport(engineConns, 0))
+	a := side.New(side.Params{
+		Node: boot.Node, Engine: boot.Engine, Conf: b.conf, Sender: engines, Events: platform.ReadEvents, Order: engines,
+		// Offsets rise for all nodes, also across restarts.
+		Fence: func(ctx context.Context) (int64, error) {
+			n, err := b.writer.Append(ctx, index.Fence, 0, []byte(boot.Node))
+			return n + 1, err
+		},
+		Clock: b.clock, Log: b.log, Count: b.count,
+	})
+	stop := terminated()
+	mux := http.NewServeMux()
+	mux.Handle(relay.Prefix, relay.Handler(b.direct, b.log))
+	mux.Handle(runs.Path, a)
+	srv, err := b.serveInner(mux)
+	if err != nil {
+		return err
+	}
+	go b.conf.Run(ctx, b.store)
+	go a.Control(ctx)
+
+	<-stop
+	b.log.Info().Int("running", a.Running()).Msg("roles: stopping, no more runs")
+	a.Leave()
+	over := b.clock.Now() + clock.Millis(drainShare*float64(boot.Grace))
+	for a.Running() > 0 && b.clock.Now() < over {
+		clock.Sleep(ctx, lookEach)
+	}
+	if err := srv.Close(); err != nil {
+		b.log.Info().Err(err).Msg("roles: inner address not closed")
+	}
+	b.log.Info().Int("cut", a.Running()).Msg("roles: stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/prod/roles/site.go
@@ -0,0 +1,230 @@
+// Package roles runs the entry and the agent on the users' platform.
+//
+// # Usage
+//
+//	err := roles.Entry(os.Getenv(platform.BootVar), os.Stdout)
+//	err := roles.Agent(os.Getenv(platform.BootVar), os.Stdout)
+//
+// Both run until a termination signal, finish what is in progress and return.
+// The settings file is read again on SIGHUP and when its content changes.
+package roles
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
+	"github.com/jujuberamp/jujuberamp/internal/edge/dial"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/node/conf"
+	"github.com/jujuberamp/jujuberamp/internal/node/logs"
+	"github.com/jujuberamp/jujuberamp/internal/node/relay"
+	"github.com/jujuberamp/jujuberamp/internal/prod/telem"
+	"github.com/jujuberamp/jujuberamp/platform"
+)
+
+const (
+	// MetricsPort is where both roles serve their metrics; it lies outside the
+	// ports that the platform hands out.
+	MetricsPort = 9464
+	// logLines are held for a reader of the log that is slow; further ones are
+	// dropped and counted.
+	logLines = 1000
+	logPoll  = 20 * time.Millisecond
+	// settingsEach is how often the settings file is compared with the one in
+	// force.
+	settingsEach = clock.Second
+	// heapPercent is how far the heap grows beyond what is in use before it
+	// is collected; memory costs more than processor time here.
+	heapPercent = 40
+	// storeConns to the store are kept; long polls hold three of them.
+	storeConns = 8
+)
+
+// base is what both roles have.
+type base struct {
+	role   string
+	path   string
+	boot   atomic.Pointer[plat.Boot]
+	raw    []byte
+	self   lots.Node
+	clock  clock.Clock
+	log    zerolog.Logger
+	meters *telem.Metrics
+	direct *platform.Store
+	store  *relay.Store
+	conf   *conf.Follower
+	writer *logs.Writer
+	peers  func() []string
+	inner  http.RoundTripper // to other nodes
+	count  func(name, label string)
+	closed func()
+}
+
+func start(ctx context.Context, role, path string, out io.Writer) (*base, error) {
+	debug.SetGCPercent(heapPercent)
+	boot, err := platform.ReadBoot(path)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings file")
+	}
+	b := &base{role: role, path: path, raw: raw, clock: clock.NewSystem()}
+	b.boot.Store(boot)
+	id := make([]byte, 6)
+	if _, err := rand.Read(id); err != nil {
+		return nil, errors.Wrap(err, "incarnation")
+	}
+	b.self = lots.Node{Name: boot.Node, Boot: hex.EncodeToString(id)}
+	var dropped atomic.Int64
+	w := diode.NewWriter(out, logLines, logPoll, func(n int) { dropped.Add(int64(n)) })
+	b.closed = func() { _ = w.Close() } // Nothing is left to tell it to.
+	zerolog.TimeFieldFormat = "15:04:05.000"
+	b.log = telem.Logger(w, "info", role)
+	if b.meters, err = telem.NewMetrics(); err != nil {
+		return nil, err
+	}
+	if b.count, err = counter(b.meters.Meter(role), &dropped); err != nil {
+		return nil, err
+	}
+	b.inner = dial.NewTransport(16, 0)
+	b.direct = platform.NewStore(func() string { return b.boot.Load().Store.Address }, &http.Client{Transport: dial.NewTransport(storeConns, 0)})
+	b.peers = b.seeds
+	b.store = relay.New(b.direct, func() []string { return b.peers() }, b.inner, b.clock, b.log)
+	b.conf = conf.New(conf.Decoder{
+		OperatorTopic: platform.TopicOperator, ServersTopic: platform.TopicServers,
+		Change: func(key string, value []byte) (conf.Change, error) {
+			c, err := platform.DecodeChange(key, value)
+			return conf.Change(c), err
+		},
+		Server: platform.DecodeServer,
+	}, b.clock, b.log)
+	b.writer = logs.NewWriter(ctx, b.store, b.self.Name+"/"+b.self.Boot, boot.Store.CallBytes, b.log)
+	go b.reload(ctx)
+	go b.metrics()
+	b.log.Info().Str("node", boot.Node).Str("incarnation", b.self.Boot).Str("zone", boot.Zone).Str("inner", boot.Inner).
+		Str("store", boot.Store.Address).Msg("roles: started")
+	return b, nil
+}
+
+// counter returns a function that counts events by a name and a label.
+func counter(m metric.Meter, dropped *atomic.Int64) (func(name, label string), error) {
+	c, err := m.Int64Counter("events", metric.WithDescription("Decisions by name and outcome"))
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	_, err = m.Int64ObservableCounter("log.dropped", metric.WithDescription("Log lines dropped because their reader was slow"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(dropped.Load())
+			return nil
+		}))
+	if err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	return func(name, label string) {
+		c.Add(context.Background(), 1, metric.WithAttributes(attribute.String("name", name), attribute.String("outcome", label)))
+	}, nil
+}
+
+// seeds returns the inner addresses of the VMs that the settings name.
+func (b *base) seeds() []string {
+	boot := b.boot.Load()
+	var out []string
+	for _, s := range boot.Seeds {
+		if host, _, err := net.SplitHostPort(s); err == nil && host != boot.IP {
+			out = append(out, net.JoinHostPort(host, strconv.Itoa(boot.InnerPort)))
+		}
+	}
+	return out
+}
+
+// reload reads the settings again on SIGHUP and when the file has changed.
+func (b *base) reload(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(settingsEach.Duration())
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-tick.C:
+		}
+		raw, err := os.ReadFile(b.path)
+		if err != nil {
+			b.log.Warn().Err(err).Msg("roles: settings can't be read, those before stay in force")
+			continue
+		}
+		if string(raw) == string(b.raw) {
+			continue
+		}
+		b.raw = raw
+		boot, err := platform.DecodeBoot(raw)
+		if err != nil {
+			b.log.Error().Err(err).Msg("roles: settings refused, those before stay in force")
+			continue
+		}
+		b.boot.Store(boot)
+		b.log.Info().Str("store", boot.Store.Address).Strs("seeds", boot.Seeds).Msg("roles: settings reloaded")
+	}
+}
+
+func (b *base) metrics() {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", b.meters.Handler())
+	addr := net.JoinHostPort(b.boot.Load().IP, strconv.Itoa(MetricsPort))
+	srv := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: time.Second}
+	if err := srv.ListenAndServe(); err != nil {
+		b.log.Warn().Err(err).Str("addr", addr).Msg("roles: metrics are not served")
+	}
+}
+
+// serveInner listens for other nodes.
+func (b *base) serveInner(h http.Handler) (*http.Server, error) {
+	ln, err := net.Listen("tcp", b.boot.Load().Inner)
+	if err != nil {
+		return nil, errors.Wrap(err, "inner address")
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() {
+		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			b.log.Error().Err(err).Msg("roles: inner address not served any more")
+		}
+	}()
+	return srv, nil
+}
+
+// terminated returns a channel that is closed by the signal to stop.
+func terminated() <-chan struct{} {
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+	done := make(chan struct{})
+	go func() {
+		<-sig
+		signal.Stop(sig) // A second signal ends the process at once.
+		close(done)
+	}()
+	return done
+}
--- a/internal/proof/invar/layer_test.go
+++ b/internal/proof/invar/layer_test.go
@@ -30,6 +30,7 @@
 	"internal/node":         4,
 	"internal/stand":        5,
 	"trainer":               5,
+	"platform":              5,
 	"internal/prod":         6,
 	"internal/proof":        6,
 	"cmd":                   7,
