--- /dev/null
+++ b/internal/decide/seats/seats_test.go
@@ -0,0 +1,91 @@
+package seats
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestBest(t *testing.T) {
+	fast := Seat{ID: "fast", Slots: 8, Pace: 40}
+	slow := Seat{ID: "slow", Slots: 8, Pace: 120}
+	full := func(s Seat) Seat { s.Open = s.Slots; return s }
+	cool := func(s Seat) Seat { s.Cool = true; return s }
+	named := func(s Seat, id string) Seat { s.ID = id; return s }
+	tests := map[string]struct {
+		seats []Seat
+		want  Want
+		best  string
+	}{
+		"the faster one":                         {seats: []Seat{slow, fast, named(fast, "z")}, want: Want{Size: 20}, best: "fast"},
+		"the less loaded one":                    {seats: []Seat{{ID: "a", Slots: 8, Open: 3, Pace: 40}, fast}, want: Want{Size: 20}, best: "fast"},
+		"the nearer one":                         {seats: []Seat{{ID: "far", Slots: 8, Pace: 40, Far: 25}, fast}, want: Want{Size: 4}, best: "fast"},
+		"short work on a slow engine":            {seats: []Seat{slow, full(fast), named(full(fast), "z")}, want: Want{Size: 10}, best: "slow"},
+		"long work waits for a fast engine":      {seats: []Seat{slow, full(fast), named(full(fast), "z")}, want: Want{Size: 170}},
+		"all slow means none is":                 {seats: []Seat{slow, named(slow, "other")}, want: Want{Size: 170}, best: "slow"},
+		"an engine that refused":                 {seats: []Seat{cool(fast), named(fast, "z")}, want: Want{Size: 20}, best: "z"},
+		"not where it just broke off":            {seats: []Seat{fast, named(fast, "z")}, want: Want{Size: 20, NotAt: "fast"}, best: "z"},
+		"where it broke off if there's no other": {seats: []Seat{fast}, want: Want{Size: 20, NotAt: "fast"}, best: "fast"},
+		"unknown paces":                          {seats: []Seat{{ID: "a", Slots: 4}}, want: Want{Size: 20}, best: "a"},
+		"no slot":                                {seats: []Seat{full(fast)}, want: Want{Size: 20}},
+		"no engine":                              {want: Want{Size: 20}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var ss []*Seat
+			for i := range test.seats {
+				ss = append(ss, &test.seats[i])
+			}
+			got := ""
+			if s := New(ss).Best(test.want); s != nil {
+				got = s.ID
+			}
+			c.Check(got, qt.Equals, test.best)
+		})
+	}
+}
+
+func TestSort(t *testing.T) {
+	c := qt.New(t)
+	ws := []Want{
+		{Job: 1, Item: 0, Size: 99},
+		{Job: 0, Item: 1, Size: 5},
+		{Job: 0, Item: 2, Size: 50},
+		{Job: 0, Item: 3, Size: 60, Made: 58},
+		{Job: 0, Item: 4, Size: 1, First: true},
+	}
+	Sort(ws)
+	var got []int
+	for _, w := range ws {
+		got = append(got, w.Item)
+	}
+	c.Check(got, qt.DeepEquals, []int{4, 2, 1, 3, 0})
+}
+
+func TestMove(t *testing.T) {
+	fast, slow := Seat{ID: "fast", Slots: 8, Pace: 40}, Seat{ID: "slow", Slots: 8, Pace: 120}
+	tests := map[string]struct {
+		at         Seat
+		size, made int
+		fastOpen   int
+		want       bool
+	}{
+		"long item off a slow engine": {at: slow, size: 100, made: 10, want: true},
+		"nearly done":                 {at: slow, size: 12, made: 10},
+		"past its estimate":           {at: slow, size: 10, made: 90, want: true},
+		"no faster slot":              {at: slow, size: 100, made: 10, fastOpen: 8},
+		"not off a usual engine":      {at: fast, size: 100, made: 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			at, f := test.at, fast
+			f.ID, f.Open = "other", test.fastOpen
+			third := f
+			third.ID, third.Open = "third", f.Slots
+			p := New([]*Seat{&at, &f, &third})
+			c.Check(p.Move(&at, test.size, test.made), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/node/side/order.go
+++ b/internal/node/side/order.go
@@ -15,21 +15,18 @@
 	// effectFor is how long an order without an answer may take before it is
 	// sent again. Only one of the two is accepted, by the count of orders.
 	effectFor = 1500 * clock.Milli
-	// wave is the time between two groups of engines that load a version: one
-	// load takes 0.9 s, and is slower when many load at once.
-	wave = 950 * clock.Milli
-	// waveShare of a service's engines may load at once without slowing each
-	// other, two at least.
-	waveShare = 5
-	waveLeast = 2
+	// settle is how long after a version was named an idle engine waits for
+	// work: a trainer hands in its next job right after it has named one.
+	settle = 300 * clock.Milli
 )
 
 // Control reads the engine's report and orders the versions that are named,
 // until the context ends.
 //
 //  1. The engine loads versions of the model that it mainly serves.
-//  2. Engines of one model load in groups, one after the other, so that some
-//     go on serving.
+//  2. It loads one while nothing runs, since a load stops all runs for about a
+//     second and the longest items can't spare that. Jobs may use the version
+//     before the newest; an engine that is further behind loads at once.
 //  3. An order names the count of orders accepted so far. One that is carried
 //     out late, after another, is refused by that count.
 //  4. An order without an answer is not followed by another before the report
@@ -57,7 +54,9 @@
 	was := a.heard
 	if err == nil {
 		a.state, a.heard = st, now
+		a.loading = st.Busy
 	}
+	idle := a.idle
 	a.mu.Unlock()
 	if err != nil {
 		if was > 0 && now-was >= silent && now-was < silent+reportEach {
@@ -89,7 +88,10 @@
 	if model == "" || st.Versions[model] >= want {
 		return
 	}
-	if now < c.due(now, model, want, share.Rank(engines, shares, e.ID), len(engines)) {
+	if c.model != model || c.want != want {
+		c.model, c.want, c.since = model, want, now
+	}
+	if !due(now, want-st.Versions[model], idle, c.since) {
 		return
 	}
 	fence, err := a.Fence(ctx)
@@ -101,13 +103,13 @@
 	c.send(ctx, e.ID)
 }
 
-// due applies rule 2.
-func (c *orders) due(now clock.Millis, model string, version int64, rank, engines int) clock.Millis {
-	if c.model != model || c.want != version {
-		c.model, c.want, c.since = model, version, now
+// due applies rule 2: behind is how many versions the engine lacks, idle since
+// when nothing runs (0 while something does), named when the newest was named.
+func due(now clock.Millis, behind int64, idle, named clock.Millis) bool {
+	if behind > 1 {
+		return true
 	}
-	together := max(waveLeast, (engines+waveShare-1)/waveShare)
-	return c.since + clock.Millis(rank/together)*wave
+	return idle > 0 && now >= named+settle
 }
 
 func (c *orders) send(ctx context.Context, id string) {
@@ -118,6 +120,11 @@
 	a.Count("orders", [...]string{"unknown", "started", "holds", "conflict", "refused"}[res])
 	a.Log.Info().Err(err).Str("engine", id).Str("model", o.Model).Int64("version", o.Version).Int64("fence", o.Fence).
 		Int64("expected", o.Expect).Uint8("result", uint8(res)).Msg("side: order sent")
+	if res == plat.SwapStarted {
+		a.mu.Lock()
+		a.loading = true
+		a.mu.Unlock()
+	}
 	if res == plat.SwapHolds || res == plat.SwapConflict || res == plat.SwapRefused {
 		c.sent = nil
 	}
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -12,6 +12,7 @@
 	"context"
 	"encoding/gob"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -33,14 +34,19 @@
 	// mostRun bounds a run's message: an item's body and headers fit a record
 	// of the store.
 	mostRun = 1 << 20
+	// mostRefusal bounds what is read of a refusal's body, in bytes.
+	mostRefusal = 4 << 10
 	// silent is how long a stream may show nothing while the engine does not
 	// answer on its own VM either; the slowest streams show an event every
 	// 400 ms.
 	silent = 800 * clock.Milli
 	// stuck is the same while the engine answers and loads nothing.
 	stuck = 3 * clock.Second
-	// paceShare is the weight of a new span between two events.
-	paceShare = 0.1
+	// paceFor is the memory of the pace: longer than the moments in which
+	// unseen neighbours slow an engine, shorter than a long item.
+	paceFor = 1500 * clock.Milli
+	// paceLeast is the number of events from which the pace is told.
+	paceLeast = 10.0
 	// defaultSlots is used before the engine's entry in the registry is known.
 	defaultSlots = 4
 )
@@ -66,10 +72,13 @@
 	mu      sync.Mutex
 	running int
 	leaving bool
-	pace    float64
+	spans   float64 // ms between events lately, summed
+	events  float64 // their number
+	pacedAt clock.Millis
 	state   plat.EngineState
 	heard   clock.Millis // of the last report
-	loading clock.Millis // when an order was sent last
+	idle    clock.Millis // since when nothing runs, 0 while something does
+	loading bool         // an order was accepted and its end is not seen yet
 }
 
 // New returns an agent.
@@ -77,7 +86,7 @@
 	if p.Count == nil {
 		p.Count = func(string, string) {}
 	}
-	return &Agent{Params: p}
+	return &Agent{Params: p, idle: p.Clock.Now()}
 }
 
 // engine returns the engine's entry in the registry, nil if there is none.
@@ -111,12 +120,15 @@
 	switch {
 	case a.leaving:
 		return runs.Leaving, "the agent stops"
+	case a.loading:
+		return runs.Full, "the engine loads a version"
 	case a.running >= a.slots():
 		return runs.Full, "all slots are taken"
 	case a.heard > 0 && a.state.Versions[r.Model] < r.MinVersion:
 		return runs.Old, "the engine has an older version"
 	}
 	a.running++
+	a.idle = 0
 	return runs.Going, ""
 }
 
@@ -124,6 +136,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.running--
+	if a.running == 0 {
+		a.idle = a.Clock.Now()
+	}
 }
 
 // frame returns a frame with the engine's state.
@@ -131,7 +146,11 @@
 	slots := a.slots()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Pace: a.pace}
+	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model]}
+	if a.events >= paceLeast {
+		f.Pace = a.spans / a.events
+	}
+	return f
 }
 
 // ServeHTTP runs one item.
@@ -195,7 +214,9 @@
 	case ans.Wrong:
 		return runs.Moved, "another engine has the address"
 	case ans.NotRun:
-		return runs.Full, "the engine refused"
+		// Read to its end, so that the connection is used again.
+		_, err := io.Copy(io.Discard, io.LimitReader(ans.Body, mostRefusal))
+		return runs.Full, errText("the engine refused", err)
 	case ans.Status == http.StatusUnprocessableEntity:
 		return runs.Rejected, "status 422"
 	case ans.Status != http.StatusOK:
@@ -302,17 +323,17 @@
 	return runs.Going, ""
 }
 
-// paced takes in the span between two events of a stream.
+// paced takes in the span between two events of a stream. What passes while a
+// version is loaded says nothing of the engine's pace.
 func (a *Agent) paced(span float64, known bool) {
-	if !known {
-		return
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.pace == 0 {
-		a.pace = span
+	if !known || a.loading {
+		return
 	}
-	a.pace += paceShare * (span - a.pace)
+	now := a.Clock.Now()
+	fade := math.Exp(-float64(now-a.pacedAt) / float64(paceFor))
+	a.spans, a.events, a.pacedAt = a.spans*fade+span, a.events*fade+1, now
 }
 
 // stalled tells why a stream that showed nothing for a span counts as broken.
@@ -323,8 +344,15 @@
 	switch {
 	case span >= silent && now-a.heard >= silent:
 		return "the engine does not answer"
-	case span >= stuck && !a.state.Busy:
+	case span >= stuck && !a.loading:
 		return "the engine shows no event"
 	}
 	return ""
 }
+
+func errText(text string, err error) string {
+	if err == nil {
+		return text
+	}
+	return text + ": " + err.Error()
+}
