Tests of the log's writer and follower; a refused append is told as refused

Cause: a caller that gave up while its append was being refused heard 'may take effect' although nothing had been sent that could. TestGivenUp failed first.

--- a/internal/node/logs/writer.go
+++ b/internal/node/logs/writer.go
@@ -50,7 +50,8 @@
 	ctx  context.Context
 	recs [][]byte
 	size int
-	done chan result // one value
+	done chan result   // one value
+	open chan struct{} // closed when a try ended without proof
 }
 
 type result struct {
@@ -75,7 +76,7 @@
 // [plat.ErrNotDone] proves that they never will be added; [ErrOpen] leaves
 // that open.
 func (w *Writer) Append(ctx context.Context, topic string, p int, recs ...[]byte) (int64, error) {
-	a := &ask{ctx: ctx, recs: recs, done: make(chan result, 1)}
+	a := &ask{ctx: ctx, recs: recs, done: make(chan result, 1), open: make(chan struct{})}
 	for _, r := range recs {
 		a.size += 4 + len(r)
 	}
@@ -104,10 +105,11 @@
 	if w.withdraw(q, a) {
 		return 0, plat.ErrNotDone
 	}
-	select { // It may have been decided meanwhile.
+	// The try under way may still prove what becomes of it; it is bounded.
+	select {
 	case r := <-a.done:
 		return r.offset, r.err
-	default:
+	case <-a.open:
 		return 0, ErrOpen
 	}
 }
@@ -180,8 +182,11 @@
 			}
 			return
 		}
-		if !errors.Is(err, plat.ErrNotDone) {
+		if !errors.Is(err, plat.ErrNotDone) && !open {
 			open = true
+			for _, a := range batch {
+				close(a.open)
+			}
 		}
 		w.log.Warn().Err(err).Str("topic", q.key.topic).Int("partition", q.key.part).Int64("sequence", q.seq).
 			Int("records", len(recs)).Int("try", try).Bool("open", open).Msg("logs: append failed")
