--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -79,17 +79,16 @@
 	return all
 }
 
-// Rank returns the place of an engine among those with its model; loads are
-// staggered by it.
-func Rank(engines []*fleet.Server, shares map[string]string, id string) int {
-	rank := 0
+// Rank returns the place of an engine among those with its model, and their
+// number; loads take turns by it.
+func Rank(engines []*fleet.Server, shares map[string]string, id string) (rank, of int) {
 	for _, e := range order(engines) {
 		if e.ID == id {
-			break
+			rank = of
 		}
 		if shares[e.ID] == shares[id] {
-			rank++
+			of++
 		}
 	}
-	return rank
+	return rank, of
 }
--- a/internal/node/side/order.go
+++ b/internal/node/side/order.go
@@ -18,15 +18,25 @@
 	// settle is how long after a version was named an idle engine waits for
 	// work: a trainer hands in its next job right after it has named one.
 	settle = 300 * clock.Milli
+	// wave is the time between two groups of engines that load at once: one
+	// load takes 0.9 s, and longer while too many engines load.
+	wave = 950 * clock.Milli
+	// waveShare is one in how many engines of a service may load at once
+	// without slowing each other; two may at any size.
+	waveShare = 5
+	waveLeast = 2
 )
 
 // Control reads the engine's report and orders the versions that are named,
 // until the context ends.
 //
 //  1. The engine loads versions of the model that it mainly serves.
-//  2. It loads one while nothing runs, since a load stops all runs for about a
-//     second and the longest items can't spare that. Jobs may use the version
-//     before the newest; an engine that is further behind loads at once.
+//  2. A load stops all runs for about a second, which the longest items can't
+//     spare, so the engines of a model take turns. The first half loads a
+//     version as soon as it is named, a few at a time; the longest items
+//     start on the other half, which loads while nothing runs. Jobs may use
+//     the version before the newest; an engine that is further behind loads
+//     at once.
 //  3. An order names the count of orders accepted so far. One that is carried
 //     out late, after another, is refused by that count.
 //  4. An order without an answer is not followed by another before the report
@@ -91,7 +101,9 @@
 	if c.model != model || c.want != want {
 		c.model, c.want, c.since = model, want, now
 	}
-	if !due(now, want-st.Versions[model], idle, c.since) {
+	rank, of := share.Rank(engines, shares, e.ID)
+	t := turn{rank: rank, of: of, together: max(waveLeast, (len(engines)+waveShare-1)/waveShare)}
+	if !t.due(now, want-st.Versions[model], idle, c.since) {
 		return
 	}
 	fence, err := a.Fence(ctx)
@@ -103,12 +115,22 @@
 	c.send(ctx, e.ID)
 }
 
+// turn is an engine's place among those with its model.
+type turn struct {
+	rank     int
+	of       int
+	together int // engines that may load at once
+}
+
 // due applies rule 2: behind is how many versions the engine lacks, idle since
 // when nothing runs (0 while something does), named when the newest was named.
-func due(now clock.Millis, behind int64, idle, named clock.Millis) bool {
+func (t turn) due(now clock.Millis, behind int64, idle, named clock.Millis) bool {
 	if behind > 1 {
 		return true
 	}
+	if t.rank < t.of/2 {
+		return now >= named+clock.Millis(t.rank/t.together)*wave
+	}
 	return idle > 0 && now >= named+settle
 }
 
