--- /dev/null
+++ b/internal/decide/pulse/pulse.go
@@ -0,0 +1,88 @@
+// Package pulse notices the moments in which an engine is slower than usual,
+// from the spans between the events of its streams.
+//
+// Unseen neighbours slow an engine for some hundred milliseconds at a time.
+// Over a long text this adds up to more than a step can spare; a text that goes
+// on elsewhere loses a fraction of it.
+//
+//  1. What is usual is a low quantile of the spans, so that the slow moments
+//     themselves don't raise it.
+//  2. A stream is late if its next event has been due for a while, or if the
+//     last one took as long and came just now.
+//  3. The engine is slow at this moment if at least half of its streams are
+//     late. A single stream may be late by itself.
+//
+// # Usage
+//
+//	stream.Event(now, span, true)
+//	usual.Add(span)
+//	slow := usual.Hiccup(now, streams)
+package pulse
+
+import "github.com/jujuberamp/jujuberamp/internal/base/clock"
+
+const (
+	// quantile of the spans that counts as usual.
+	quantile = 0.3
+	// step is how far one span moves it, as a share.
+	step = 0.02
+	// lateBy is the span, in usual ones, from which a stream is late. A slow
+	// moment makes spans 2.5 times as long.
+	lateBy = 1.6
+	// fewest events before anything counts as usual.
+	fewest = 12
+)
+
+// Usual is the usual span between two events of a stream.
+type Usual struct {
+	span  float64 // ms
+	count int
+}
+
+// Add takes in a span in ms; it applies rule 1.
+func (u *Usual) Add(span float64) {
+	u.count++
+	switch {
+	case u.count == 1:
+		u.span = span
+	case span < u.span:
+		u.span *= 1 - step*(1-quantile)
+	default:
+		u.span *= 1 + step*quantile
+	}
+}
+
+// Stream is one stream in progress.
+type Stream struct {
+	at    clock.Millis // of the last event
+	span  float64      // before it, 0 if not known
+	known bool
+}
+
+// Event takes in an event and the span before it; known tells that the span
+// says something of the engine's pace.
+func (s *Stream) Event(now clock.Millis, span float64, known bool) {
+	s.at, s.known, s.span = now, true, 0
+	if known {
+		s.span = span
+	}
+}
+
+// Hiccup reports whether the engine is slower than usual at this moment.
+func (u *Usual) Hiccup(now clock.Millis, streams []*Stream) bool {
+	if u.count < fewest {
+		return false
+	}
+	shown, late := 0, 0
+	for _, s := range streams {
+		if !s.known {
+			continue
+		}
+		shown++
+		since := float64(now - s.at)
+		if since > lateBy*u.span || s.span > lateBy*u.span && since < u.span { // rule 2
+			late++
+		}
+	}
+	return late > 0 && 2*late >= shown // rule 3
+}
--- a/internal/decide/seats/seats.go
+++ b/internal/decide/seats/seats.go
@@ -8,8 +8,10 @@
 //     the engine's pace, its load and the distance.
 //  3. A slow engine takes only items that end there soon all the same; longer
 //     ones wait for another engine, unless all are slow.
-//  4. An item that runs on a slow engine moves to a faster one that is free
-//     when nothing waits and the move saves enough.
+//  4. An item that runs on a slow engine, or on one that is slower than usual
+//     at this moment, moves to a faster one that is free when nothing waits
+//     and the move saves enough. Its text is read in again there, which takes
+//     much less than a slow moment.
 //
 // An engine is slow by comparison with the median of those with a known pace,
 // so that a change which slows all makes none slow.
@@ -36,6 +38,10 @@
 	soon = 2500 * clock.Milli
 	// saves is the least gain of a move, which reads the text in again.
 	saves = 400 * clock.Milli
+	// hiccup is what an engine's slow moment is expected to cost an item still,
+	// and hop what a move costs: reading in, and the event that is lost.
+	hiccup = 300 * clock.Milli
+	hop    = 80 * clock.Milli
 	// loadCost is how much longer an event takes for each further run in
 	// progress, as a share; step times grow little with the batch.
 	loadCost = 0.03
@@ -56,6 +62,8 @@
 	Pace  float64      // ms between two events, 0 if not known
 	Far   clock.Millis // way there and back
 	Cool  bool         // refused or failed just now
+	// Hiccup tells that the engine is slower than usual at this moment.
+	Hiccup bool
 }
 
 // Want is an item that waits.
@@ -131,7 +139,11 @@
 }
 
 func (p *Plan) time(s *Seat, left float64) clock.Millis {
-	return clock.Millis(left*p.pace(s)*(1+loadCost*float64(s.Open))) + s.Far
+	t := clock.Millis(left*p.pace(s)*(1+loadCost*float64(s.Open))) + s.Far
+	if s.Hiccup {
+		t += min(hiccup, t) // Short work meets less of it.
+	}
+	return t
 }
 
 // Best returns the seat for an item, nil if it should wait.
@@ -158,13 +170,26 @@
 	return best
 }
 
-// Move reports whether an item that runs at a seat should move to a faster one
-// (rule 4).
-func (p *Plan) Move(at *Seat, size, made int) bool {
-	if !p.Slow(at) {
-		return false
+// Move returns the seat to which an item that runs at a seat should move, nil
+// if it should stay (rule 4).
+func (p *Plan) Move(at *Seat, size, made int) *Seat {
+	if !p.Slow(at) && !at.Hiccup {
+		return nil
 	}
 	left := p.left(size, made)
 	to := p.Best(Want{Size: size, Made: made, NotAt: at.ID})
-	return to != nil && !p.Slow(to) && p.time(at, left)-p.time(to, left) > saves
+	if to == nil || to == at || to.Hiccup || p.Slow(to) {
+		return nil
+	}
+	least := saves
+	if at.Hiccup {
+		least = 2 * hop
+	}
+	// The run itself is part of the load here and not yet of the other's.
+	here := *at
+	here.Open--
+	if p.time(&here, left)-p.time(to, left) <= least {
+		return nil
+	}
+	return to
 }
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -77,6 +77,7 @@
 	Slots   int     // of the engine
 	Version int64   // loaded, of the run's model
 	Pace    float64 // ms between two events of one stream lately, 0 if not known
+	Hiccup  bool    // the engine is slower than usual at this moment, or loads
 }
 
 // Writer writes frames to an answer as they come.
--- a/internal/node/jobs/board.go
+++ b/internal/node/jobs/board.go
@@ -83,11 +83,11 @@
 	go b.beats(ctx)
 	go clock.Every(ctx, forgetEach, b.forget)
 	for ctx.Err() == nil {
-		n, err := b.pull(ctx, poll)
+		p, err := b.pull(ctx, poll)
 		switch {
 		case err != nil:
 			clock.Sleep(ctx, again)
-		case n > 0:
+		case len(p.Records) > 0:
 			clock.Sleep(ctx, gather)
 		}
 	}
@@ -101,27 +101,29 @@
 	return b.caught && b.Clock.Now()-b.heard <= within
 }
 
-// pull reads on in the index and returns the number of records.
-func (b *Board) pull(ctx context.Context, wait clock.Millis) (int, error) {
+// pull reads on in the index and returns what it read.
+func (b *Board) pull(ctx context.Context, wait clock.Millis) (plat.Page, error) {
 	b.mu.Lock()
 	from := b.ix.Next()
 	b.mu.Unlock()
 	p, err := b.Store.Read(ctx, index.Topic, 0, from, pageKB, wait)
 	var gone *plat.GoneError
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.Clock.Now()
 	if errors.As(err, &gone) {
 		b.Log.Info().Int64("from", from).Int64("first", gone.First).Msg("jobs: records have expired, reading on after them")
+		b.mu.Lock()
 		b.ix.Skip(gone.First)
-		return 0, nil
+		b.mu.Unlock()
+		return b.pull(ctx, wait)
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
 	if err != nil {
 		if !b.quiet && ctx.Err() == nil {
 			b.quiet = true
 			b.Log.Warn().Err(err).Int64("from", from).Msg("jobs: the index can't be read")
 		}
-		return 0, err
+		return p, err
 	}
 	if b.quiet {
 		b.quiet = false
@@ -149,7 +151,7 @@
 		close(b.changed)
 		b.changed = make(chan struct{})
 	}
-	return len(p.Records), nil
+	return p, nil
 }
 
 func (b *Board) logChange(r lots.Record, j *lots.Job, offset int64) {
@@ -170,17 +172,19 @@
 	}
 }
 
-// Sync reads the index to its present end.
+// Sync reads the index up to where it ends now. What is added meanwhile is not
+// waited for: on a busy day there is always more.
 func (b *Board) Sync(ctx context.Context) error {
+	end := int64(-1)
 	for {
-		n, err := b.pull(ctx, 0)
+		p, err := b.pull(ctx, 0)
 		if err != nil {
 			return err
 		}
-		b.mu.Lock()
-		caught := b.caught
-		b.mu.Unlock()
-		if n == 0 && caught {
+		if end < 0 {
+			end = p.End
+		}
+		if p.From+int64(len(p.Records)) >= end {
 			return nil
 		}
 	}
--- /dev/null
+++ b/internal/node/jobs/jobs_test.go
@@ -0,0 +1,254 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/node/logs"
+	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
+)
+
+func board(ctx context.Context, s plat.Store, name, boot string) *Board {
+	w := logs.NewWriter(ctx, s, name+"/"+boot, 1<<20, zerolog.Nop())
+	b := New(Params{
+		Self: lots.Node{Name: name, Boot: boot}, Addr: "10.0.0.1:1", Info: plat.StoreInfo{Parts: 3, RecordBytes: 1 << 16, CallBytes: 1 << 20},
+		Status: 120 * clock.Second, Store: s, Writer: w, Clock: clock.NewSystem(), Log: zerolog.Nop(),
+	})
+	go b.Run(ctx)
+	return b
+}
+
+func spec(id string, items int) *lots.Spec {
+	s := &lots.Spec{ID: id, Host: "h", Path: "/p/", Model: "m", MinVersion: 1}
+	for i := range items {
+		s.Items = append(s.Items, lots.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/p/1", Body: fmt.Appendf(nil, "body %d", i)})
+	}
+	return s
+}
+
+func job(b *Board, id string) *lots.Job {
+	var out *lots.Job
+	b.View(func(ix *lots.Index, _ bool) {
+		if j := ix.Job(id); j != nil {
+			c := *j
+			out = &c
+		}
+	})
+	return out
+}
+
+// world runs a test with two boards on one store in virtual time.
+func world(t *testing.T, fn func(c *qt.C, ctx context.Context, s *topic.Store, a, b *Board)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := topic.New()
+		a, b := board(ctx, s, "a", "1"), board(ctx, s, "b", "1")
+		time.Sleep(time.Second)
+		fn(qt.New(t), ctx, s, a, b)
+	})
+}
+
+func TestWholePathOfAJob(t *testing.T) {
+	world(t, func(c *qt.C, ctx context.Context, _ *topic.Store, a, b *Board) {
+		c.Assert(a.Submit(ctx, spec("j", 3)), qt.IsNil)
+		c.Assert(b.Submit(ctx, spec("j", 3)), qt.IsNil) // a repeat at another node
+		body, err := b.Body(ctx, "j", "j-1")
+		c.Assert(err, qt.IsNil)
+		c.Check(string(body), qt.Equals, "body 1")
+		l, err := b.Results(ctx, "j", 0, 0)
+		c.Assert(err, qt.IsNil)
+		c.Check(*l, qt.DeepEquals, List{Total: 3})
+
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			c.Check(a.Finish(ctx, job(a, "j"), lots.Done{Item: 2, Versions: []int64{1, 2}, Score: "s"}, []byte("text 2")), qt.IsNil)
+		}()
+		start := time.Now()
+		l, err = b.Results(ctx, "j", 0, clock.Second) // waits for a result
+		c.Assert(err, qt.IsNil)
+		c.Check(time.Since(start) < time.Second, qt.IsTrue)
+		c.Check(l.Next, qt.Equals, 1)
+		c.Check(l.Results[0].ID, qt.Equals, "j-2")
+		c.Check(string(l.Results[0].Text), qt.Equals, "text 2")
+
+		// A second result of the item, and a result given up, change nothing listed.
+		c.Assert(b.Finish(ctx, job(b, "j"), lots.Done{Item: 2}, []byte("other")), qt.IsNil)
+		c.Assert(b.Finish(ctx, job(b, "j"), lots.Done{Item: 0, Dead: true}, nil), qt.IsNil)
+		for _, n := range []*Board{a, b} {
+			c.Assert(n.Sync(ctx), qt.IsNil)
+			l, err = n.Results(ctx, "j", 0, 0)
+			c.Assert(err, qt.IsNil)
+			c.Check(l.Next, qt.Equals, 2)
+			c.Check(string(l.Results[0].Text), qt.Equals, "text 2")
+			c.Check(l.Results[1].Dead, qt.IsTrue)
+		}
+		c.Assert(a.End(ctx, "j"), qt.IsNil)
+		c.Assert(b.End(ctx, "j"), qt.IsNil)
+		c.Assert(b.Sync(ctx), qt.IsNil)
+		_, err = b.Body(ctx, "j", "j-1")
+		c.Check(fault.Is(err, fault.NotFound), qt.IsTrue)
+		l, err = b.Results(ctx, "j", 1, 0)
+		c.Assert(err, qt.IsNil)
+		c.Check(l.Results, qt.HasLen, 1)
+	})
+}
+
+func TestUnknownJob(t *testing.T) {
+	world(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, _ *Board) {
+		_, err := a.Results(ctx, "k", 0, 0)
+		c.Check(fault.Is(err, fault.NotFound), qt.IsTrue)
+		s.Trouble(topic.Busy)
+		// Another node may have accepted it meanwhile.
+		_, err = a.Results(ctx, "k", 0, 0)
+		f, ok := fault.As(err)
+		c.Assert(ok, qt.IsTrue)
+		c.Check(f.Kind(), qt.Equals, fault.LogDown)
+		c.Check(f.Wait() > 0, qt.IsTrue)
+	})
+}
+
+// A position that was read at another node is known here, or "not sure".
+func TestPositionReadElsewhere(t *testing.T) {
+	world(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, b *Board) {
+		c.Assert(a.Submit(ctx, spec("j", 2)), qt.IsNil)
+		c.Assert(b.Sync(ctx), qt.IsNil)
+		c.Assert(a.Finish(ctx, &lots.Job{Accept: lots.Accept{Job: "j"}}, lots.Done{}, []byte("t")), qt.IsNil)
+		l, err := b.Results(ctx, "j", 1, 0)
+		c.Assert(err, qt.IsNil)
+		c.Check(l.Next, qt.Equals, 1)
+		s.Trouble(topic.Silent)
+		_, err = b.Results(ctx, "j", 2, 0)
+		c.Check(fault.Is(err, fault.LogDown), qt.IsTrue)
+	})
+}
+
+// An acceptance is told only after the record is in the log, and "not
+// accepted" only if it never will be.
+func TestSubmitInTrouble(t *testing.T) {
+	tests := map[string]struct {
+		trouble topic.Trouble
+		kind    fault.Kind
+		exists  bool
+	}{
+		"busy":         {topic.Busy, fault.LogDown, false},
+		"answers lost": {topic.Lost, fault.LogDown, false}, // not even the bodies are known to be stored
+		"late effects": {topic.Late, fault.LogDown, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			world(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, b *Board) {
+				s.Trouble(test.trouble)
+				short, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				err := a.Submit(short, spec("j", 1))
+				c.Check(fault.Is(err, test.kind), qt.IsTrue, qt.Commentf("%v", err))
+				s.Trouble(topic.None)
+				time.Sleep(5 * time.Second)
+				c.Assert(b.Sync(ctx), qt.IsNil)
+				c.Check(job(b, "j") != nil, qt.Equals, test.exists)
+			})
+		})
+	}
+}
+
+func TestSubmitWaitsForTheStore(t *testing.T) {
+	world(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, b *Board) {
+		s.Trouble(topic.Busy)
+		time.AfterFunc(2*time.Second, func() { s.Trouble(topic.None) })
+		c.Assert(a.Submit(ctx, spec("j", 1)), qt.IsNil)
+		c.Assert(b.Sync(ctx), qt.IsNil)
+		c.Check(job(b, "j"), qt.IsNotNil)
+	})
+}
+
+func TestTooLargeItem(t *testing.T) {
+	world(t, func(c *qt.C, ctx context.Context, _ *topic.Store, a, _ *Board) {
+		s := spec("j", 1)
+		s.Items[0].Body = make([]byte, 1<<17)
+		c.Check(fault.Is(a.Submit(ctx, s), fault.TooLarge), qt.IsTrue)
+	})
+}
+
+// busy is a store to whose index another node adds a record during each read.
+type busy struct {
+	*topic.Store
+	reads int
+}
+
+func (s *busy) Read(ctx context.Context, t string, p int, from int64, kb int, wait clock.Millis) (plat.Page, error) {
+	s.reads++
+	if s.reads > 100 {
+		return plat.Page{}, errors.New("read without an end")
+	}
+	page, err := s.Store.Read(ctx, t, p, from, kb, wait)
+	if _, err := s.Append(ctx, plat.Append{Topic: t, Part: p, Records: [][]byte{[]byte(`{"kind":"end"}`)}}); err != nil {
+		return plat.Page{}, err
+	}
+	return page, err
+}
+
+// On a busy day there is always one more record; Sync ends all the same.
+func TestSyncOnABusyIndex(t *testing.T) {
+	c := qt.New(t)
+	s := &busy{Store: topic.New()}
+	b := New(Params{Store: s, Clock: clock.NewManual(clock.Second), Log: zerolog.Nop()})
+	c.Assert(b.Sync(context.Background()), qt.IsNil)
+	c.Assert(b.Sync(context.Background()), qt.IsNil)
+	c.Check(s.reads, qt.Equals, 2)
+}
+
+// All VMs lose power right after a job was accepted and a result was read.
+func TestRestartOfAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := topic.New()
+		first, kill := context.WithCancel(context.Background())
+		a := board(first, s, "a", "1")
+		time.Sleep(time.Second)
+		c.Assert(a.Submit(first, spec("j", 2)), qt.IsNil)
+		c.Assert(a.Sync(first), qt.IsNil)
+		c.Assert(a.Finish(first, job(a, "j"), lots.Done{Item: 1}, []byte("t")), qt.IsNil)
+		kill()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		b := board(ctx, s, "a", "2")
+		time.Sleep(100 * time.Millisecond)
+		l, err := b.Results(ctx, "j", 0, 0)
+		c.Assert(err, qt.IsNil)
+		c.Check(string(l.Results[0].Text), qt.Equals, "t")
+		b.View(func(ix *lots.Index, fresh bool) {
+			c.Check(fresh, qt.IsTrue)
+			c.Check(ix.Works(b.Clock.Now(), SilentFor, a.Self), qt.IsFalse) // its job is taken over at once
+		})
+		its, err := b.Items(ctx, job(b, "j"))
+		c.Assert(err, qt.IsNil)
+		c.Check(its, qt.HasLen, 2)
+	})
+}
+
+// Records that expired while a node could not read are passed over.
+func TestExpiredRecords(t *testing.T) {
+	world(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, b *Board) {
+		s.Trouble(topic.Silent)
+		time.Sleep(time.Second)
+		s.Expire("index", 0)
+		s.Trouble(topic.None)
+		time.Sleep(time.Second)
+		c.Assert(a.Submit(ctx, spec("j", 1)), qt.IsNil)
+		c.Assert(b.Sync(ctx), qt.IsNil)
+		c.Check(job(b, "j"), qt.IsNotNil)
+	})
+}
--- a/internal/node/logs/writer.go
+++ b/internal/node/logs/writer.go
@@ -111,6 +111,8 @@
 		return r.offset, r.err
 	case <-a.open:
 		return 0, ErrOpen
+	case <-w.ctx.Done():
+		return 0, ErrOpen
 	}
 }
 
--- a/internal/node/side/order.go
+++ b/internal/node/side/order.go
@@ -64,7 +64,10 @@
 	was := a.heard
 	if err == nil {
 		a.state, a.heard = st, now
-		a.loading = st.Busy
+		if a.loading != st.Busy {
+			a.loading = st.Busy
+			a.tell()
+		}
 	}
 	idle := a.idle
 	a.mu.Unlock()
@@ -145,6 +148,7 @@
 	if res == plat.SwapStarted {
 		a.mu.Lock()
 		a.loading = true
+		a.tell()
 		a.mu.Unlock()
 	}
 	if res == plat.SwapHolds || res == plat.SwapConflict || res == plat.SwapRefused {
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -22,6 +22,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/pulse"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/conf"
@@ -42,6 +43,9 @@
 	silent = 800 * clock.Milli
 	// stuck is the same while the engine answers and loads nothing.
 	stuck = 3 * clock.Second
+	// watchEach is how often the streams are looked at for a slow moment: half
+	// of the usual span between two events.
+	watchEach = 20 * clock.Milli
 	// paceFor is the memory of the pace: longer than the moments in which
 	// unseen neighbours slow an engine, shorter than a long item.
 	paceFor = 1500 * clock.Milli
@@ -79,6 +83,9 @@
 	heard   clock.Millis // of the last report
 	idle    clock.Millis // since when nothing runs, 0 while something does
 	loading bool         // an order was accepted and its end is not seen yet
+	active  map[*run]struct{}
+	usual   pulse.Usual
+	hiccup  bool
 }
 
 // New returns an agent.
@@ -86,7 +93,7 @@
 	if p.Count == nil {
 		p.Count = func(string, string) {}
 	}
-	return &Agent{Params: p, idle: p.Clock.Now()}
+	return &Agent{Params: p, idle: p.Clock.Now(), active: make(map[*run]struct{})}
 }
 
 // engine returns the engine's entry in the registry, nil if there is none.
@@ -146,7 +153,7 @@
 	slots := a.slots()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model]}
+	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Hiccup: a.hiccup || a.loading}
 	if a.events >= paceLeast {
 		f.Pace = a.spans / a.events
 	}
@@ -175,7 +182,12 @@
 	defer a.release()
 	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
-	x := &run{agent: a, Run: &r, events: make(chan plat.Event, 16), end: make(chan ending, 1), version: r.Version, seen: r.After}
+	x := &run{
+		agent: a, Run: &r, events: make(chan plat.Event, 16), end: make(chan ending, 1), kick: make(chan struct{}, 1),
+		version: r.Version, seen: r.After,
+	}
+	a.enter(x)
+	defer a.exit(x)
 	go x.read(ctx)
 	x.pump(ctx, out)
 }
@@ -186,8 +198,10 @@
 	*runs.Run
 	events  chan plat.Event
 	end     chan ending
-	seen    int   // last event
-	version int64 // of that event
+	kick    chan struct{} // a frame is due now
+	stream  pulse.Stream  // guarded by the agent's lock
+	seen    int           // last event
+	version int64         // of that event
 }
 
 type ending struct {
@@ -265,7 +279,7 @@
 		now := a.Clock.Now()
 		code, detail := x.check(ev)
 		if code == runs.Going {
-			a.paced(float64(now-last), x.seen > x.After+1)
+			a.paced(x, now, float64(now-last), x.seen > x.After+1)
 			last = now
 			held = append(held, runs.Event{Version: x.version, Data: ev.Data})
 		}
@@ -298,6 +312,10 @@
 			if !send(runs.Going, "") {
 				return
 			}
+		case <-x.kick:
+			if !send(runs.Going, "") {
+				return
+			}
 		case <-ctx.Done():
 			a.Log.Info().Str("item", x.Item).Str("job", x.Job).Int("events", x.seen).Msg("side: the entry ended the run")
 			return
@@ -323,19 +341,62 @@
 	return runs.Going, ""
 }
 
+func (a *Agent) enter(x *run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.active[x] = struct{}{}
+}
+
+func (a *Agent) exit(x *run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.active, x)
+}
+
 // paced takes in the span between two events of a stream. What passes while a
 // version is loaded says nothing of the engine's pace.
-func (a *Agent) paced(span float64, known bool) {
+func (a *Agent) paced(x *run, now clock.Millis, span float64, known bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	x.stream.Event(now, span, known && !a.loading)
 	if !known || a.loading {
 		return
 	}
-	now := a.Clock.Now()
+	a.usual.Add(span)
 	fade := math.Exp(-float64(now-a.pacedAt) / float64(paceFor))
 	a.spans, a.events, a.pacedAt = a.spans*fade+span, a.events*fade+1, now
 }
 
+// Watch looks for moments in which the engine is slower than usual and tells
+// the entries of all runs at once, until the context ends.
+func (a *Agent) Watch(ctx context.Context) {
+	clock.Every(ctx, watchEach, a.watch)
+}
+
+func (a *Agent) watch() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	streams := make([]*pulse.Stream, 0, len(a.active))
+	for x := range a.active {
+		streams = append(streams, &x.stream)
+	}
+	hiccup := a.usual.Hiccup(a.Clock.Now(), streams)
+	if hiccup != a.hiccup {
+		a.hiccup = hiccup
+		a.tell()
+	}
+}
+
+// tell has a frame sent on each run; the caller holds the lock.
+func (a *Agent) tell() {
+	for x := range a.active {
+		select {
+		case x.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // stalled tells why a stream that showed nothing for a span counts as broken.
 func (a *Agent) stalled(span clock.Millis) string {
 	a.mu.Lock()
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -28,8 +28,9 @@
 	fails  int          // answers of failure
 	breaks int          // runs that broke off
 	moves  int
-	moving bool   // stopped in order to go elsewhere
-	notAt  string // engine that it just left
+	stay   clock.Millis // no move before then
+	moving bool         // stopped in order to go elsewhere
+	notAt  string       // engine that it just left
 }
 
 // job is a job that this node owns.
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -94,6 +94,14 @@
 	if f.Pace > 0 {
 		e.pace = f.Pace
 	}
+	now := w.Clock.Now()
+	if f.Hiccup != (now < e.hiccup) {
+		w.Wake()
+	}
+	e.hiccup = 0
+	if f.Hiccup {
+		e.hiccup = now + hiccupFor
+	}
 	if st := &j.state[i]; st.phase == running {
 		st.events = append(st.events, f.Events...)
 	}
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -39,7 +39,7 @@
 	// takeEach is how often a node tries to take over one job.
 	takeEach = clock.Second
 	// coolFor is how long an engine that refused gets nothing.
-	coolFor = 100 * clock.Milli
+	coolFor = 150 * clock.Milli
 	// breakFirst is the pause before an item whose run broke off goes again;
 	// it doubles, so that an item which crashes engines crashes few.
 	breakFirst = 50 * clock.Milli
@@ -83,6 +83,7 @@
 	others int // runs of other nodes, as of the last frame
 	slots  int
 	pace   float64
+	hiccup clock.Millis // until when it counts as slower than usual
 	cool   clock.Millis
 	old    map[string]clock.Millis // models of which it has no usable version until then
 }
@@ -304,8 +305,8 @@
 			s.Open++
 			w.start(j, want.Item, r, byID[s.ID])
 		}
-		if waiting == 0 {
-			w.move(j, plan, byID, stride)
+		if waiting == 0 && !r.OneModel {
+			w.move(j, plan, byID, now, stride)
 		}
 	}
 }
@@ -331,7 +332,8 @@
 		}
 		ss = append(ss, &seats.Seat{
 			ID: s.ID, Open: e.open + e.others, Slots: slots, Pace: e.pace, Far: w.far(s.Zone),
-			Cool: now < e.cool || now < e.old[j.model],
+			Hiccup: now < e.hiccup,
+			Cool:   now < e.cool || now < e.old[j.model],
 		})
 		byID[s.ID] = s
 	}
@@ -358,26 +360,38 @@
 }
 
 // move takes items back from slow engines while faster ones are free.
-func (w *Worker) move(j *job, plan *seats.Plan, byID map[string]*fleet.Server, stride int) {
+func (w *Worker) move(j *job, plan *seats.Plan, byID map[string]*fleet.Server, now clock.Millis, stride int) {
 	for i := range j.state {
 		st := &j.state[i]
 		s := plan.Seat(st.engine)
-		if st.phase != running || st.stop == nil || s == nil || byID[s.ID] == nil || st.moves >= mostMoves {
+		if st.phase != running || st.stop == nil || s == nil || st.moving || st.moves >= mostMoves || now < st.stay {
 			continue
 		}
-		if plan.Move(s, j.items[i].Hint/stride, len(st.events)) {
-			st.moves++
-			st.moving = true
-			w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", st.engine).Int("events", len(st.events)).
-				Float64("pace-ms", s.Pace).Msg("work: moving an item off a slow engine")
-			st.stop()
-			return // One at a time; the next look sees where it went.
+		to := plan.Move(s, j.items[i].Hint/stride, len(st.events))
+		if to == nil || byID[to.ID] == nil {
+			continue
 		}
+		to.Open++ // Taken in this look.
+		s.Open--
+		st.moves++
+		st.moving, st.stay = true, now+stayFor
+		w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", st.engine).Str("to", to.ID).Int("events", len(st.events)).
+			Float64("pace-ms", s.Pace).Bool("hiccup", s.Hiccup).Msg("work: moving an item off a slow engine")
+		st.stop()
 	}
 }
 
-// mostMoves bounds how often one item moves; each move reads its text in again.
-const mostMoves = 2
+const (
+	// mostMoves bounds how often one item moves: an engine has a slow moment
+	// about once in four seconds, the longest items take eight.
+	mostMoves = 8
+	// stayFor is how long an item stays after a move, so that it does not
+	// wander between engines that are both slow.
+	stayFor = 250 * clock.Milli
+	// hiccupFor is how long an engine counts as slower than usual after it said
+	// so; its agent says so again while it lasts.
+	hiccupFor = 600 * clock.Milli
+)
 
 func (w *Worker) agentAddr(s *fleet.Server) string {
 	host, _, err := net.SplitHostPort(s.Addr)
--- a/internal/prod/roles/agent.go
+++ b/internal/prod/roles/agent.go
@@ -51,6 +51,7 @@
 	}
 	go b.conf.Run(ctx, b.store)
 	go a.Control(ctx)
+	go a.Watch(ctx)
 
 	<-stop
 	b.log.Info().Int("running", a.Running()).Msg("roles: stopping, no more runs")
