--- a/internal/decide/pulse/pulse.go
+++ b/internal/decide/pulse/pulse.go
@@ -52,6 +52,9 @@
 	}
 }
 
+// Span returns the usual span in ms, 0 if none is known.
+func (u *Usual) Span() float64 { return u.span }
+
 // Stream is one stream in progress.
 type Stream struct {
 	at    clock.Millis // of the last event
--- a/internal/decide/seats/seats.go
+++ b/internal/decide/seats/seats.go
@@ -121,6 +121,9 @@
 	return p.mid
 }
 
+// Seats returns all seats.
+func (p *Plan) Seats() []*Seat { return p.seats }
+
 // Seat returns a seat by its engine's identity, nil if there is none.
 func (p *Plan) Seat(id string) *Seat {
 	for _, s := range p.seats {
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -12,9 +12,11 @@
 package runs
 
 import (
+	"context"
 	"encoding/gob"
 	"io"
 	"net/http"
+	"net/url"
 
 	"github.com/pkg/errors"
 
@@ -24,6 +26,10 @@
 // Path is where an agent takes runs.
 const Path = "/run"
 
+// StatePath is where an agent tells its engine's state, as one frame, for the
+// model that the query names.
+const StatePath = "/state"
+
 // Every is the longest span between two frames of a run; an agent that sends
 // none for several of it is out of reach.
 const Every = 250 * clock.Milli
@@ -78,6 +84,7 @@
 	Version int64   // loaded, of the run's model
 	Pace    float64 // ms between two events of one stream lately, 0 if not known
 	Hiccup  bool    // the engine is slower than usual at this moment, or loads
+	Loading bool    // the engine loads a version and takes no runs
 }
 
 // Writer writes frames to an answer as they come.
@@ -113,3 +120,17 @@
 	}
 	return &f, nil
 }
+
+// State reads an agent's frame for a model.
+func State(ctx context.Context, c *http.Client, addr, model string) (*Frame, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+StatePath+"?model="+url.QueryEscape(model), nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "state")
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "state")
+	}
+	defer resp.Body.Close()
+	return NewReader(resp.Body).Read()
+}
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -46,6 +46,9 @@
 	// watchEach is how often the streams are looked at for a slow moment: half
 	// of the usual span between two events.
 	watchEach = 20 * clock.Milli
+	// slowFor is how long an engine counts as slow after it was seen so: the
+	// next event of a stream is due by then.
+	slowFor = 100 * clock.Milli
 	// paceFor is the memory of the pace: longer than the moments in which
 	// unseen neighbours slow an engine, shorter than a long item.
 	paceFor = 1500 * clock.Milli
@@ -86,6 +89,8 @@
 	active  map[*run]struct{}
 	usual   pulse.Usual
 	hiccup  bool
+	slowAt  clock.Millis // when the engine was last seen slow
+	yields  bool         // a load is due; runs are better moved
 }
 
 // New returns an agent.
@@ -127,7 +132,7 @@
 	switch {
 	case a.leaving:
 		return runs.Leaving, "the agent stops"
-	case a.loading:
+	case a.loading || a.yields:
 		return runs.Full, "the engine loads a version"
 	case a.running >= a.slots():
 		return runs.Full, "all slots are taken"
@@ -153,13 +158,20 @@
 	slots := a.slots()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Hiccup: a.hiccup || a.loading}
+	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Hiccup: a.hiccup || a.loading || a.yields, Loading: a.loading || a.yields}
 	if a.events >= paceLeast {
 		f.Pace = a.spans / a.events
 	}
 	return f
 }
 
+// State serves the engine's state as one frame.
+func (a *Agent) State(w http.ResponseWriter, r *http.Request) {
+	if err := runs.NewWriter(w).Write(a.frame(r.URL.Query().Get("model"))); err != nil {
+		a.Log.Info().Str("from", r.RemoteAddr).Err(err).Msg("side: state not sent")
+	}
+}
+
 // ServeHTTP runs one item.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	var r runs.Run
@@ -258,7 +270,8 @@
 	a := x.agent
 	tick := time.NewTicker(runs.Every.Duration())
 	defer tick.Stop()
-	last := a.Clock.Now()
+	began := a.Clock.Now()
+	last, first := began, clock.Millis(0)
 	var held []runs.Event
 	send := func(code runs.Code, detail string) bool {
 		f := a.frame(x.Model)
@@ -267,7 +280,8 @@
 		if code != runs.Going {
 			a.Count("runs", string(code))
 			a.Log.Info().Str("item", x.Item).Str("job", x.Job).Str("engine", x.Instance).Str("code", string(code)).Str("why", detail).
-				Int("events", x.seen).Int64("version", x.version).Float64("pace-ms", f.Pace).Msg("side: run ended")
+				Int("after", x.After).Int("events", x.seen).Int64("version", x.version).Int64("first-ms", int64(first)).
+				Int64("took-ms", int64(a.Clock.Now()-began)).Float64("pace-ms", f.Pace).Msg("side: run ended")
 		}
 		if err := out.Write(f); err != nil {
 			a.Log.Info().Str("item", x.Item).Err(err).Msg("side: the entry left")
@@ -280,8 +294,17 @@
 		code, detail := x.check(ev)
 		if code == runs.Going {
 			a.paced(x, now, float64(now-last), x.seen > x.After+1)
+			if first == 0 {
+				first = now - began
+			}
 			last = now
 			held = append(held, runs.Event{Version: x.version, Data: ev.Data})
+			if x.seen == x.After+1 { // The entry waits for a sign that the run has begun.
+				select {
+				case x.kick <- struct{}{}:
+				default:
+				}
+			}
 		}
 		return code, detail
 	}
@@ -317,7 +340,8 @@
 				return
 			}
 		case <-ctx.Done():
-			a.Log.Info().Str("item", x.Item).Str("job", x.Job).Int("events", x.seen).Msg("side: the entry ended the run")
+			a.Log.Info().Str("item", x.Item).Str("job", x.Job).Int("after", x.After).Int("events", x.seen).Int64("first-ms", int64(first)).
+				Int64("took-ms", int64(a.Clock.Now()-began)).Msg("side: the entry ended the run")
 			return
 		}
 	}
@@ -380,9 +404,14 @@
 	for x := range a.active {
 		streams = append(streams, &x.stream)
 	}
-	hiccup := a.usual.Hiccup(a.Clock.Now(), streams)
+	now := a.Clock.Now()
+	if a.usual.Hiccup(now, streams) {
+		a.slowAt = now
+	}
+	hiccup := a.slowAt > 0 && now-a.slowAt < slowFor
 	if hiccup != a.hiccup {
 		a.hiccup = hiccup
+		a.Log.Info().Bool("slow", hiccup).Int("running", a.running).Float64("usual-ms", a.usual.Span()).Bool("loading", a.loading).Msg("side: the engine's pace changed")
 		a.tell()
 	}
 }
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/decide/seats"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
@@ -20,17 +21,71 @@
 
 // item is the state of one item.
 type item struct {
-	phase  phase
-	events []runs.Event
-	engine string
-	stop   func()       // ends the run early; its events are kept
-	next   clock.Millis // not before then
+	phase phase
+	held  []runs.Event // before the current attempt's
+	cur   *attempt
+	// next runs the rest of the item at a faster engine. It takes the place of
+	// the current attempt with its first event, so that a refusal costs nothing.
+	next   *attempt
+	after  clock.Millis // no start before then
+	stay   clock.Millis // no move before then
+	notAt  string       // engine that it just left
 	fails  int          // answers of failure
 	breaks int          // runs that broke off
 	moves  int
-	stay   clock.Millis // no move before then
-	moving bool         // stopped in order to go elsewhere
-	notAt  string       // engine that it just left
+}
+
+// attempt is one run of an item at one engine.
+type attempt struct {
+	server *fleet.Server
+	cancel func()
+	from   int // events that were held when it was asked for
+	events []runs.Event
+}
+
+// made returns the number of events that are held.
+func (st *item) made() int {
+	if st.cur == nil {
+		return len(st.held)
+	}
+	return st.cur.from + len(st.cur.events)
+}
+
+// version returns the version of the last event that is held.
+func (st *item) version() int64 {
+	if st.cur != nil && len(st.cur.events) > 0 {
+		return st.cur.events[len(st.cur.events)-1].Version
+	}
+	if n := st.made(); n > 0 {
+		return st.held[n-1].Version
+	}
+	return 0
+}
+
+// settle takes the current attempt's events in.
+func (st *item) settle() {
+	if st.cur != nil {
+		st.held = append(st.held[:st.cur.from:st.cur.from], st.cur.events...)
+		st.cur = nil
+	}
+}
+
+// adopt makes the next attempt the current one. A text goes on after the event
+// for which the attempt was asked, also if more are held by now.
+func (st *item) adopt() {
+	st.settle()
+	st.held = st.held[:st.next.from]
+	st.cur, st.next = st.next, nil
+}
+
+// stop ends all attempts.
+func (st *item) stop() {
+	for _, a := range []*attempt{st.cur, st.next} {
+		if a != nil {
+			a.cancel()
+		}
+	}
+	st.cur, st.next = nil, nil
 }
 
 // job is a job that this node owns.
@@ -42,8 +97,9 @@
 	path   string
 	model  string
 	min    int64
-	at     clock.Millis
-	record lots.Job // without its state
+	at     clock.Millis // of its acceptance, as far as is known here
+	begun  clock.Millis // when its items were at hand
+	record lots.Job     // without its state
 	items  []lots.Item
 	state  []item
 }
@@ -62,15 +118,13 @@
 func (j *job) update(from *lots.Job) {
 	for i := range j.state {
 		if st := &j.state[i]; from.Listed(i) && st.phase != listed {
-			if st.stop != nil {
-				st.stop()
-			}
+			st.stop()
 			*st = item{phase: listed}
 		}
 	}
 }
 
-func (j *job) start(its []lots.Item) { j.items = its }
+func (j *job) start(now clock.Millis, its []lots.Item) { j.items, j.begun = its, now }
 
 func (j *job) busy() int {
 	n := 0
@@ -87,8 +141,8 @@
 	var out []seats.Want
 	for i := range j.state {
 		st := &j.state[i]
-		if st.phase == waiting && now >= st.next {
-			out = append(out, seats.Want{Item: i, Size: j.items[i].Hint / stride, Made: len(st.events), NotAt: st.notAt})
+		if st.phase == waiting && now >= st.after {
+			out = append(out, seats.Want{Item: i, Size: j.items[i].Hint / stride, Made: len(st.held), NotAt: st.notAt})
 		}
 	}
 	return out
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -30,37 +30,34 @@
 	lost runs.Code = "lost"
 )
 
-// start runs an item at an engine; the caller holds the lock.
-func (w *Worker) start(j *job, i int, r *table.Route, s *fleet.Server) {
-	st := &j.state[i]
-	ctx, stop := context.WithCancel(j.ctx)
-	st.phase, st.engine, st.stop = running, s.ID, stop
-	e := w.engine(s)
-	e.open++
-	it := &j.items[i]
+// launch runs an item at an engine from the event on that is held; the caller
+// holds the lock.
+func (w *Worker) launch(j *job, i int, r *table.Route, s *fleet.Server) *attempt {
+	st, it := &j.state[i], &j.items[i]
+	ctx, cancel := context.WithCancel(j.ctx)
+	a := &attempt{server: s, cancel: cancel, from: st.made()}
+	w.engine(s).open++
 	run := &runs.Run{
 		Job: j.id, Item: it.ID, Instance: s.ID, Model: j.model, MinVersion: j.min, OneModel: r.OneModel,
-		Host: j.host, Path: it.Path, Header: it.Header, Body: it.Body, After: len(st.events), Priority: r.Priority,
-	}
-	if n := len(st.events); n > 0 {
-		run.Version = st.events[n-1].Version
+		Host: j.host, Path: it.Path, Header: it.Header, Body: it.Body, After: a.from, Version: st.version(), Priority: r.Priority,
 	}
 	go func() {
-		defer stop()
-		code, detail := w.run(ctx, j, i, run, s)
-		w.ended(j, i, r, s, code, detail)
+		defer cancel()
+		code, detail := w.run(ctx, j, i, a, run)
+		w.ended(j, i, r, a, code, detail)
 	}()
+	return a
 }
 
 // run asks an agent for an item and takes its frames in.
-func (w *Worker) run(ctx context.Context, j *job, i int, run *runs.Run, s *fleet.Server) (runs.Code, string) {
+func (w *Worker) run(ctx context.Context, j *job, i int, a *attempt, run *runs.Run) (runs.Code, string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var buf bytes.Buffer
 	if err := gob.NewEncoder(&buf).Encode(run); err != nil {
 		return lost, err.Error()
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.agentAddr(s)+runs.Path, &buf)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.agentAddr(a.server)+runs.Path, &buf)
 	if err != nil {
 		return lost, err.Error()
 	}
@@ -78,7 +75,7 @@
 			return lost, err.Error()
 		}
 		silence.Reset(frameFor.Duration())
-		w.frame(j, i, s, f)
+		w.frame(j, i, a, f)
 		if f.Code != runs.Going {
 			return f.Code, f.Detail
 		}
@@ -86,15 +83,31 @@
 }
 
 // frame takes in a part of a run.
-func (w *Worker) frame(j *job, i int, s *fleet.Server, f *runs.Frame) {
+func (w *Worker) frame(j *job, i int, a *attempt, f *runs.Frame) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.heard(a.server, f)
+	st := &j.state[i]
+	if st.next == a && len(f.Events) > 0 {
+		from := st.cur.server
+		w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", from.ID).Str("to", a.server.ID).
+			Int("events", a.from).Int("dropped", st.made()-a.from).Msg("work: item moved")
+		st.cur.cancel()
+		st.adopt()
+	}
+	if st.cur == a {
+		a.events = append(a.events, f.Events...)
+	}
+}
+
+// heard takes in what an agent says of its engine.
+func (w *Worker) heard(s *fleet.Server, f *runs.Frame) {
 	e := w.engine(s)
-	e.others, e.slots = max(0, f.Running-e.open), f.Slots
+	now := w.Clock.Now()
+	e.others, e.slots, e.at = max(0, f.Running-e.open), f.Slots, now
 	if f.Pace > 0 {
 		e.pace = f.Pace
 	}
-	now := w.Clock.Now()
 	if f.Hiccup != (now < e.hiccup) {
 		w.Wake()
 	}
@@ -102,54 +115,59 @@
 	if f.Hiccup {
 		e.hiccup = now + hiccupFor
 	}
-	if st := &j.state[i]; st.phase == running {
-		st.events = append(st.events, f.Events...)
-	}
+	e.loading = f.Loading
 }
 
 // ended decides what becomes of an item after a run.
-func (w *Worker) ended(j *job, i int, r *table.Route, s *fleet.Server, code runs.Code, detail string) {
+func (w *Worker) ended(j *job, i int, r *table.Route, a *attempt, code runs.Code, detail string) {
 	w.Count("items", string(code))
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	defer w.Wake()
 	now := w.Clock.Now()
+	s := a.server
 	e := w.engine(s)
 	e.open--
 	st := &j.state[i]
-	if st.phase != running || j.ctx.Err() != nil {
+	if j.ctx.Err() != nil || st.cur != a && st.next != a {
 		return
 	}
-	moved := st.moving && code == lost
-	st.phase, st.stop, st.moving, st.notAt = waiting, nil, false, ""
 	w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", s.ID).Str("code", string(code)).Str("why", detail).
-		Int("events", len(st.events)).Int("fails", st.fails).Int("breaks", st.breaks).Msg("work: run ended")
-	if moved {
-		st.notAt = s.ID
+		Int("events", st.made()).Int("fails", st.fails).Int("breaks", st.breaks).Bool("move", st.next == a).Msg("work: run ended")
+	if st.next == a { // It never began; the current attempt goes on.
+		st.next = nil
+		st.stay = now + stayFor
+		e.cool = now + coolFor
 		return
 	}
-	switch code {
-	case runs.Done:
-		if len(st.events) == 0 {
+	st.settle()
+	st.phase, st.notAt = waiting, ""
+	if n := st.next; n != nil {
+		if code == lost || code == runs.Broken || code == runs.Leaving {
+			st.adopt()
+			st.phase = running
+			e.cool = now + coolFor
 			return
 		}
+		n.cancel()
+		st.next = nil
+	}
+	switch code {
+	case runs.Done:
 		st.phase = scoring
-		go w.finish(j, i, slices.Clone(st.events))
-		st.events = nil
+		go w.finish(j, i, st.held)
+		st.held = nil
 	case runs.Full, runs.Moved, runs.Leaving:
 		e.cool = now + coolFor
 	case runs.Old:
 		e.old[j.model] = now + coolFor
-		if len(st.events) > 0 && st.events[0].Version < j.min {
-			st.events = nil
-		}
 	case runs.Mixed:
-		st.events = nil
+		st.held = nil
 	case runs.Rejected:
 		w.dead(j, i, "the engine can never run it")
 	case runs.Failed:
 		st.fails++
-		st.events = nil
+		st.held = nil
 		if st.fails >= r.Attempts {
 			w.dead(j, i, "each attempt failed")
 		}
@@ -157,7 +175,7 @@
 		st.breaks++
 		st.notAt = s.ID
 		e.cool = now + coolFor
-		st.next = now + min(breakMost, breakFirst<<min(st.breaks-1, 10))
+		st.after = now + min(breakMost, breakFirst<<min(st.breaks-1, 10))
 	}
 }
 
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -28,6 +28,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/share"
 	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
 	"github.com/jujuberamp/jujuberamp/internal/decide/table"
+	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/conf"
 	"github.com/jujuberamp/jujuberamp/internal/node/front"
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
@@ -79,13 +80,16 @@
 
 // engine is what the worker knows of an engine.
 type engine struct {
-	open   int // runs from here
-	others int // runs of other nodes, as of the last frame
-	slots  int
-	pace   float64
-	hiccup clock.Millis // until when it counts as slower than usual
-	cool   clock.Millis
-	old    map[string]clock.Millis // models of which it has no usable version until then
+	open    int // runs from here
+	others  int // runs of other nodes, as of the last frame
+	slots   int
+	pace    float64
+	at      clock.Millis // when its agent was heard of last
+	asked   clock.Millis // when its agent was asked for its state last
+	hiccup  clock.Millis // until when it counts as slower than usual
+	loading bool
+	cool    clock.Millis
+	old     map[string]clock.Millis // models of which it has no usable version until then
 }
 
 // New returns a worker.
@@ -184,7 +188,7 @@
 				w.jobs[j.Job] = r
 				if its := w.specs[j.Job]; its != nil {
 					delete(w.specs, j.Job)
-					r.start(its)
+					r.start(w.Clock.Now(), its)
 					w.Log.Info().Str("job", j.Job).Int("items", len(its)).Msg("work: job begun")
 				} else {
 					c := *j
@@ -242,7 +246,7 @@
 		delete(w.jobs, j.Job) // The next look begins anew.
 		return
 	}
-	r.start(its)
+	r.start(w.Clock.Now(), its)
 	w.Log.Info().Str("job", j.Job).Int("items", len(its)).Int("listed", len(j.Results)).Msg("work: job begun from the store")
 	w.Wake()
 }
@@ -292,7 +296,13 @@
 			continue
 		}
 		plan, byID := w.plan(now, view, service, j)
-		stride := max(1, w.Conf.Config().Service(service).Stride)
+		if w.ask(j, plan, byID, now) {
+			continue // The answers make the worker look again.
+		}
+		stride := 1
+		if s := w.Conf.Config().Service(service); s != nil {
+			stride = max(1, s.Stride)
+		}
 		wants := j.wants(now, stride)
 		seats.Sort(wants)
 		waiting := 0
@@ -303,10 +313,12 @@
 				continue
 			}
 			s.Open++
-			w.start(j, want.Item, r, byID[s.ID])
+			st := &j.state[want.Item]
+			st.phase, st.cur = running, nil
+			st.cur = w.launch(j, want.Item, r, byID[s.ID])
 		}
 		if waiting == 0 && !r.OneModel {
-			w.move(j, plan, byID, now, stride)
+			w.move(j, r, plan, byID, now, stride)
 		}
 	}
 }
@@ -333,7 +345,7 @@
 		ss = append(ss, &seats.Seat{
 			ID: s.ID, Open: e.open + e.others, Slots: slots, Pace: e.pace, Far: w.far(s.Zone),
 			Hiccup: now < e.hiccup,
-			Cool:   now < e.cool || now < e.old[j.model],
+			Cool:   now < e.cool || now < e.old[j.model] || e.loading && now-e.at < loadFor,
 		})
 		byID[s.ID] = s
 	}
@@ -350,6 +362,40 @@
 	return otherRegion
 }
 
+// ask asks the agents of which nothing was heard lately for their state. It
+// reports whether a job that has just begun should wait for the answers.
+func (w *Worker) ask(j *job, plan *seats.Plan, byID map[string]*fleet.Server, now clock.Millis) bool {
+	unheard := false
+	for _, seat := range plan.Seats() {
+		s := byID[seat.ID]
+		e := w.engine(s)
+		if now-e.at < fresh {
+			continue
+		}
+		unheard = true
+		if now-e.asked >= fresh {
+			e.asked = now
+			go w.fetch(s, j.model)
+		}
+	}
+	return unheard && now-j.begun < askFor
+}
+
+// fetch reads an agent's state.
+func (w *Worker) fetch(s *fleet.Server, model string) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchFor.Duration())
+	defer cancel()
+	f, err := runs.State(ctx, w.http, w.agentAddr(s), model)
+	if err != nil {
+		w.Log.Info().Str("engine", s.ID).Str("addr", s.Addr).Err(err).Msg("work: agent does not tell its state")
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard(s, f)
+	w.Wake()
+}
+
 // forget drops engines that are gone.
 func (w *Worker) forget(v *fleet.View) {
 	for id, e := range w.engines {
@@ -359,25 +405,25 @@
 	}
 }
 
-// move takes items back from slow engines while faster ones are free.
-func (w *Worker) move(j *job, plan *seats.Plan, byID map[string]*fleet.Server, now clock.Millis, stride int) {
+// move starts the rest of items at faster engines that are free.
+func (w *Worker) move(j *job, r *table.Route, plan *seats.Plan, byID map[string]*fleet.Server, now clock.Millis, stride int) {
 	for i := range j.state {
 		st := &j.state[i]
-		s := plan.Seat(st.engine)
-		if st.phase != running || st.stop == nil || s == nil || st.moving || st.moves >= mostMoves || now < st.stay {
+		if st.cur == nil || st.next != nil || st.moves >= mostMoves || now < st.stay {
+			continue
+		}
+		s := plan.Seat(st.cur.server.ID)
+		if s == nil {
 			continue
 		}
-		to := plan.Move(s, j.items[i].Hint/stride, len(st.events))
-		if to == nil || byID[to.ID] == nil {
+		to := plan.Move(s, j.items[i].Hint/stride, st.made())
+		if to == nil {
 			continue
 		}
 		to.Open++ // Taken in this look.
-		s.Open--
 		st.moves++
-		st.moving, st.stay = true, now+stayFor
-		w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", st.engine).Str("to", to.ID).Int("events", len(st.events)).
-			Float64("pace-ms", s.Pace).Bool("hiccup", s.Hiccup).Msg("work: moving an item off a slow engine")
-		st.stop()
+		st.stay = now + stayFor
+		st.next = w.launch(j, i, r, byID[to.ID])
 	}
 }
 
@@ -388,6 +434,15 @@
 	// stayFor is how long an item stays after a move, so that it does not
 	// wander between engines that are both slow.
 	stayFor = 250 * clock.Milli
+	// fresh is how long what an agent said holds; runs send a frame as often.
+	fresh = runs.Every
+	// askFor is how long a job waits at its begin to learn which engines are
+	// free: a way to another region and back.
+	askFor = 40 * clock.Milli
+	// fetchFor bounds the read of an agent's state.
+	fetchFor = 500 * clock.Milli
+	// loadFor is how long an engine that said that it loads is passed over.
+	loadFor = clock.Second
 	// hiccupFor is how long an engine counts as slower than usual after it said
 	// so; its agent says so again while it lasts.
 	hiccupFor = 600 * clock.Milli
--- a/internal/prod/roles/agent.go
+++ b/internal/prod/roles/agent.go
@@ -45,6 +45,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(relay.Prefix, relay.Handler(b.direct, b.log))
 	mux.Handle(runs.Path, a)
+	mux.HandleFunc("GET "+runs.StatePath, a.State)
 	srv, err := b.serveInner(mux)
 	if err != nil {
 		return err
