--- a/internal/node/side/order.go
+++ b/internal/node/side/order.go
@@ -21,9 +21,6 @@
 	// wave is the time between two groups of engines that load at once: one
 	// load takes 0.9 s, and longer while too many engines load.
 	wave = 950 * clock.Milli
-	// yieldFor is how long an engine with runs in progress waits before it
-	// loads, so that the entries can move the runs elsewhere.
-	yieldFor = 250 * clock.Milli
 	// waveShare is one in how many engines of a service may load at once
 	// without slowing each other; two may at any size.
 	waveShare = 5
@@ -103,7 +100,6 @@
 	model := shares[e.ID] // rule 1
 	want := a.Conf.Version(model)
 	if model == "" || st.Versions[model] >= want {
-		c.keep()
 		return
 	}
 	if c.model != model || c.want != want {
@@ -111,10 +107,7 @@
 	}
 	rank, of := share.Rank(engines, shares, e.ID)
 	t := turn{rank: rank, of: of, together: max(waveLeast, (len(engines)+waveShare-1)/waveShare)}
-	if c.yield == 0 && !t.due(now, want-st.Versions[model], idle, c.since) {
-		return
-	}
-	if !c.yielded(now, idle > 0) {
+	if !t.due(now, want-st.Versions[model], idle, c.since) {
 		return
 	}
 	fence, err := a.Fence(ctx)
@@ -126,35 +119,6 @@
 	c.send(ctx, e.ID)
 }
 
-// keep ends a wait for a load that is not wanted any more.
-func (c *orders) keep() {
-	if c.yield == 0 {
-		return
-	}
-	a := c.agent
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	c.yield, a.yields = 0, false
-}
-
-// yielded reports whether a load that is due may begin: nothing runs, or the
-// entries had their time to move what does.
-func (c *orders) yielded(now clock.Millis, idle bool) bool {
-	a := c.agent
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if c.yield == 0 && !idle {
-		c.yield, a.yields = now, true
-		a.tell()
-		return false
-	}
-	if !idle && now-c.yield < yieldFor {
-		return false
-	}
-	c.yield, a.yields = 0, false
-	return true
-}
-
 // turn is an engine's place among those with its model.
 type turn struct {
 	rank     int
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -90,7 +90,6 @@
 	usual   pulse.Usual
 	hiccup  bool
 	slowAt  clock.Millis // when the engine was last seen slow
-	yields  bool         // a load is due; runs are better moved
 }
 
 // New returns an agent.
@@ -132,7 +131,7 @@
 	switch {
 	case a.leaving:
 		return runs.Leaving, "the agent stops"
-	case a.loading || a.yields:
+	case a.loading:
 		return runs.Full, "the engine loads a version"
 	case a.running >= a.slots():
 		return runs.Full, "all slots are taken"
@@ -158,7 +157,7 @@
 	slots := a.slots()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Hiccup: a.hiccup || a.loading || a.yields, Loading: a.loading || a.yields}
+	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Hiccup: a.hiccup || a.loading, Loading: a.loading}
 	if a.events >= paceLeast {
 		f.Pace = a.spans / a.events
 	}
