--- a/internal/decide/lots/lots.go
+++ b/internal/decide/lots/lots.go
@@ -22,6 +22,7 @@
 package lots
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 
@@ -78,6 +79,7 @@
 	Items      []string // identities
 	Bulk       Place    // of the first item
 	Node       Node
+	Work       int64 // estimated tokens of all items
 }
 
 // Done is the record of an item that is finished or given up.
@@ -164,11 +166,14 @@
 type Index struct {
 	jobs  map[string]*Job
 	peers map[string]*Peer // by name
+	work  map[string]int64 // of the latest jobs of each model, smoothed
 	next  int64            // offset to read from
 }
 
 // New returns an empty index.
-func New() *Index { return &Index{jobs: make(map[string]*Job), peers: make(map[string]*Peer)} }
+func New() *Index {
+	return &Index{jobs: make(map[string]*Job), peers: make(map[string]*Peer), work: make(map[string]int64)}
+}
 
 // Next returns the offset of the record that is due next.
 func (x *Index) Next() int64 { return x.next }
@@ -200,6 +205,11 @@
 		}
 		j := &Job{Accept: r, Owner: r.Node, At: now, place: make([]int32, len(r.Items))}
 		x.jobs[r.Job] = j
+		if w, known := x.work[r.Model]; known {
+			x.work[r.Model] = (w + r.Work) / 2
+		} else {
+			x.work[r.Model] = r.Work
+		}
 		return j
 	case Done:
 		return x.done(r)
@@ -265,6 +275,10 @@
 	}
 }
 
+// Demand returns the estimated tokens of a step of each model. It leaves out
+// how often a step is asked for: a trainer that lags behind asks less often.
+func (x *Index) Demand() map[string]int64 { return maps.Clone(x.work) }
+
 // Forget drops the jobs that were learned of before an instant and returns
 // their number.
 func (x *Index) Forget(before clock.Millis) int {
--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -8,13 +8,14 @@
 //     address, which outlives a restart.
 //  2. Each takes the model that it prefers by rendezvous hashing, so that few
 //     engines change their model when one comes or goes.
-//  3. No model gets more than its equal share, rounded up.
-//  4. No model gets less than its equal share, rounded down: the last engines
-//     take what is missing.
+//  3. A model's quota is its part of the demand, at least one engine while
+//     there are enough. Without a known demand all are equal.
+//  4. No model gets more or less than its quota: the last engines take what is
+//     missing.
 //
 // # Usage
 //
-//	m := share.Out(view.Of("drafts"), models)
+//	m := share.Out(view.Of("drafts"), models, demand)
 //	model := m["i-7"]
 package share
 
@@ -36,21 +37,18 @@
 }
 
 // Out returns the model of each engine by the engine's identity. Leaving
-// engines get none.
-func Out(engines []*fleet.Server, models []string) map[string]string {
+// engines get none. The demand is in any unit, nil if it is not known.
+func Out(engines []*fleet.Server, models []string, demand map[string]int64) map[string]string {
 	out := make(map[string]string, len(engines))
 	if len(models) == 0 {
 		return out
 	}
 	all := order(engines) // rule 1
-	least, most := len(all)/len(models), (len(all)+len(models)-1)/len(models)
-	count := make(map[string]int, len(models))
-	missing := least * len(models)
-	for i, e := range all {
-		forced := missing >= len(all)-i // rule 4
+	left := Quotas(len(all), models, demand)
+	for _, e := range all {
 		best := ""
 		for _, m := range models {
-			if count[m] >= most || forced && count[m] >= least { // rule 3
+			if left[m] == 0 { // rule 4
 				continue
 			}
 			if best == "" || weight(e.Addr, m) > weight(e.Addr, best) { // rule 2
@@ -58,14 +56,48 @@
 			}
 		}
 		out[e.ID] = best
-		if count[best] < least {
-			missing--
+		left[best]--
+	}
+	return out
+}
+
+// Quotas returns how many of n engines each model gets (rule 3), by the largest
+// remainder.
+func Quotas(n int, models []string, demand map[string]int64) map[string]int {
+	out := make(map[string]int, len(models))
+	ms := slices.Clone(models)
+	slices.Sort(ms)
+	var total int64
+	for _, m := range ms {
+		total += max(0, demand[m])
+	}
+	part := func(m string) float64 {
+		if total == 0 {
+			return float64(n) / float64(len(ms))
 		}
-		count[best]++
+		return float64(n) * float64(max(0, demand[m])) / float64(total)
+	}
+	for range n {
+		best := ""
+		for _, m := range ms {
+			if best == "" || lacks(out[m], part(m), out[best], part(best)) {
+				best = m
+			}
+		}
+		out[best]++
 	}
 	return out
 }
 
+// lacks reports whether a model with some engines and a wanted part lacks one
+// more than another does. One without an engine comes first.
+func lacks(has int, part float64, otherHas int, otherPart float64) bool {
+	if (has == 0) != (otherHas == 0) {
+		return has == 0
+	}
+	return part-float64(has) > otherPart-float64(otherHas)
+}
+
 func order(engines []*fleet.Server) []*fleet.Server {
 	all := make([]*fleet.Server, 0, len(engines))
 	for _, e := range engines {
--- a/internal/decide/share/share_test.go
+++ b/internal/decide/share/share_test.go
@@ -30,7 +30,7 @@
 			models = append(models, fmt.Sprintf("m%d", i))
 		}
 		all := engines(n)
-		out := Out(all, models)
+		out := Out(all, models, nil)
 		count := make(map[string]int)
 		for _, model := range out {
 			count[model]++
@@ -41,7 +41,7 @@
 			}
 		}
 		slices.Reverse(all)
-		if again := Out(all, models); fmt.Sprint(again) != fmt.Sprint(out) {
+		if again := Out(all, models, nil); fmt.Sprint(again) != fmt.Sprint(out) {
 			t.Fatalf("the shares depend on the order of the list: %v and %v", out, again)
 		}
 	})
@@ -54,11 +54,11 @@
 	models := []string{"a", "b", "c"}
 	for _, n := range []int{9, 40} {
 		all := engines(n)
-		before := Out(all, models)
+		before := Out(all, models, nil)
 		total := 0
 		for gone := range all {
 			left := slices.Delete(slices.Clone(all), gone, gone+1)
-			for id, m := range Out(left, models) {
+			for id, m := range Out(left, models, nil) {
 				if before[id] != m {
 					total++
 				}
@@ -73,19 +73,45 @@
 	c := qt.New(t)
 	models := []string{"a", "b"}
 	all := engines(5)
-	before := Out(all, models)
+	before := Out(all, models, nil)
 	again := *all[2]
 	again.ID = "i-new"
 	model := before[all[2].ID]
 	all[2] = &again
-	c.Check(Out(all, models)["i-new"], qt.Equals, model)
+	c.Check(Out(all, models, nil)["i-new"], qt.Equals, model)
 }
 
 func TestLeavingEngineHasNoModel(t *testing.T) {
 	c := qt.New(t)
 	all := engines(3)
 	all[0].Leaving = true
-	out := Out(all, []string{"a", "b"})
+	out := Out(all, []string{"a", "b"}, nil)
 	c.Check(out, qt.HasLen, 2)
-	c.Check(Out(all, nil), qt.HasLen, 0)
+	c.Check(Out(all, nil, nil), qt.HasLen, 0)
+}
+
+// The pattern of both deployments: trainers whose steps differ in size by two
+// and more.
+func TestQuotas(t *testing.T) {
+	tests := map[string]struct {
+		n      int
+		models []string
+		demand map[string]int64
+		want   map[string]int
+	}{
+		"two trainers, nine engines":   {9, []string{"a", "b"}, map[string]int64{"a": 1700, "b": 660}, map[string]int{"a": 6, "b": 3}},
+		"three trainers, nine engines": {9, []string{"a", "b", "c"}, map[string]int64{"a": 1176, "b": 500, "c": 980}, map[string]int{"a": 4, "b": 2, "c": 3}},
+		"three trainers, 40 engines":   {40, []string{"a", "b", "c"}, map[string]int64{"a": 2584, "b": 1232, "c": 2432}, map[string]int{"a": 16, "b": 8, "c": 16}},
+		"two trainers, five engines":   {5, []string{"a", "b"}, map[string]int64{"a": 9, "b": 1}, map[string]int{"a": 4, "b": 1}},
+		"nobody is left without":       {3, []string{"a", "b", "c"}, map[string]int64{"a": 100}, map[string]int{"a": 1, "b": 1, "c": 1}},
+		"unknown demand":               {7, []string{"a", "b"}, nil, map[string]int{"a": 4, "b": 3}},
+		"fewer engines than models":    {1, []string{"a", "b"}, map[string]int64{"b": 1}, map[string]int{"b": 1}},
+		"a demand below zero is none":  {4, []string{"a", "b"}, map[string]int64{"a": -5, "b": 1}, map[string]int{"a": 1, "b": 3}},
+		"no engine":                    {0, []string{"a", "b"}, nil, map[string]int{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Check(Quotas(test.n, test.models, test.demand), qt.DeepEquals, test.want)
+		})
+	}
 }
--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -24,6 +24,10 @@
 	Topic = "index"
 	Bulk  = "bulk"
 	Fence = "fence" // its offsets are fencing tokens
+	// Plans holds, under one key, the demand by which engines share out the
+	// models.
+	Plans     = "keyed.plans"
+	KeyDemand = "demand"
 )
 
 // record holds the fields of all kinds.
@@ -48,6 +52,7 @@
 	Addr     string   `json:"addr,omitempty"`
 	Zone     string   `json:"zone,omitempty"`
 	Leaving  bool     `json:"leaving,omitempty"`
+	Work     int64    `json:"work,omitempty"`
 }
 
 // Encode returns the bytes of a record.
@@ -57,7 +62,7 @@
 	case lots.Accept:
 		w = record{
 			Kind: "accept", Job: r.Job, Host: r.Host, Path: r.Path, Model: r.Model, Min: r.MinVersion, Groups: r.Groups,
-			Items: r.Items, Part: r.Bulk.Part, Offset: r.Bulk.Offset, Node: r.Node.Name, Boot: r.Node.Boot,
+			Items: r.Items, Part: r.Bulk.Part, Offset: r.Bulk.Offset, Node: r.Node.Name, Boot: r.Node.Boot, Work: r.Work,
 		}
 	case lots.Done:
 		w = record{
@@ -89,7 +94,7 @@
 	case "accept":
 		return lots.Accept{
 			Job: w.Job, Host: w.Host, Path: w.Path, Model: w.Model, MinVersion: w.Min, Groups: w.Groups,
-			Items: w.Items, Bulk: place, Node: node,
+			Items: w.Items, Bulk: place, Node: node, Work: w.Work,
 		}, nil
 	case "done":
 		return lots.Done{
@@ -145,3 +150,25 @@
 	}
 	return out, nil
 }
+
+type demand struct {
+	Models map[string]int64 `json:"models"`
+}
+
+// EncodeDemand returns the record of the demand of each model.
+func EncodeDemand(d map[string]int64) ([]byte, error) {
+	b, err := json.Marshal(demand{Models: d})
+	if err != nil {
+		return nil, errors.Wrap(err, "demand")
+	}
+	return append(append([]byte{byte(len(KeyDemand))}, KeyDemand...), b...), nil
+}
+
+// DecodeDemand parses the value of that record.
+func DecodeDemand(value []byte) (map[string]int64, error) {
+	var w demand
+	if err := json.Unmarshal(value, &w); err != nil {
+		return nil, errors.Wrap(err, "demand")
+	}
+	return w.Models, nil
+}
--- a/internal/node/conf/conf.go
+++ b/internal/node/conf/conf.go
@@ -23,6 +23,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/table"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/node/logs"
 )
 
@@ -53,6 +54,7 @@
 	config   atomic.Pointer[table.Config]
 	versions atomic.Pointer[map[string]int64]
 	view     atomic.Pointer[fleet.View]
+	demand   atomic.Pointer[map[string]int64]
 
 	mu      sync.Mutex
 	list    *fleet.List
@@ -64,6 +66,7 @@
 	f := &Follower{dec: dec, clock: c, log: log, list: fleet.New(), changed: func() {}}
 	f.versions.Store(&map[string]int64{})
 	f.view.Store(f.list.View())
+	f.demand.Store(&map[string]int64{})
 	return f
 }
 
@@ -77,6 +80,9 @@
 // Servers returns the backend servers.
 func (f *Follower) Servers() *fleet.View { return f.view.Load() }
 
+// Demand returns the demand by which engines share out the models.
+func (f *Follower) Demand() map[string]int64 { return *f.demand.Load() }
+
 // Version returns the newest named version of a model; engines start at 1.
 func (f *Follower) Version(model string) int64 { return max(1, (*f.versions.Load())[model]) }
 
@@ -91,6 +97,15 @@
 		},
 		One: f.operator,
 	}, f.log)
+	go logs.FollowKeyed(ctx, store, logs.Keyed{
+		Topic: index.Plans,
+		All: func(ks []plat.Keyed) {
+			for _, k := range ks {
+				f.plan(k)
+			}
+		},
+		One: f.plan,
+	}, f.log)
 	go clock.Every(ctx, expireEach, f.expire)
 	logs.FollowKeyed(ctx, store, logs.Keyed{Topic: f.dec.ServersTopic, All: f.all, One: f.one, State: f.state}, f.log)
 }
@@ -120,6 +135,20 @@
 	}
 }
 
+func (f *Follower) plan(k plat.Keyed) {
+	if k.Key != index.KeyDemand || k.Value == nil {
+		return
+	}
+	d, err := index.DecodeDemand(k.Value)
+	if err != nil {
+		f.log.Error().Err(err).Int64("offset", k.Offset).Msg("conf: plan passed over, the one before stays in force")
+		return
+	}
+	f.demand.Store(&d)
+	f.log.Info().Interface("demand", d).Int64("offset", k.Offset).Msg("conf: engines are shared out anew")
+	f.changed()
+}
+
 // put takes in one entry; one that can't be read counts as dropped.
 func (f *Follower) put(k plat.Keyed) {
 	now := f.clock.Now()
--- a/internal/node/jobs/board.go
+++ b/internal/node/jobs/board.go
@@ -71,6 +71,7 @@
 	heard   clock.Millis  // of the last answer of the store
 	quiet   bool          // the store does not answer
 	leaving atomic.Bool
+	unfit   atomic.Bool
 }
 
 // New returns a board that knows nothing yet.
@@ -222,12 +223,16 @@
 	clock.Repeat(ctx, BeatEach, func() {
 		beat, cancel := context.WithTimeout(ctx, SilentFor.Duration())
 		defer cancel()
-		if err := b.put(beat, lots.Beat{Node: b.Self, Addr: b.Addr, Zone: b.Zone, Leaving: b.leaving.Load()}); err != nil && ctx.Err() == nil {
+		if err := b.put(beat, lots.Beat{Node: b.Self, Addr: b.Addr, Zone: b.Zone, Leaving: b.leaving.Load() || b.unfit.Load()}); err != nil && ctx.Err() == nil {
 			b.Log.Warn().Err(err).Msg("jobs: beat not written")
 		}
 	})
 }
 
+// SetFit notes whether this node can work on jobs; others go on with the jobs
+// of one that can't.
+func (b *Board) SetFit(fit bool) { b.unfit.Store(!fit) }
+
 // Leave tells the other nodes to go on with this node's jobs.
 func (b *Board) Leave(ctx context.Context) error {
 	b.leaving.Store(true)
@@ -249,6 +254,16 @@
 	return b.put(ctx, lots.Take{Job: job, Node: b.Self})
 }
 
+// PublishDemand writes the demand by which engines share out the models.
+func (b *Board) PublishDemand(ctx context.Context, d map[string]int64) error {
+	raw, err := index.EncodeDemand(d)
+	if err != nil {
+		return err
+	}
+	_, err = b.Writer.Append(ctx, index.Plans, 0, raw)
+	return err
+}
+
 func (b *Board) forget() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/node/jobs/calls.go
+++ b/internal/node/jobs/calls.go
@@ -56,6 +56,7 @@
 	}
 	recs := make([][]byte, 0, len(s.Items))
 	ids := make([]string, 0, len(s.Items))
+	work := int64(0)
 	for i := range s.Items {
 		raw, err := index.EncodeItem(&s.Items[i])
 		if err != nil {
@@ -66,6 +67,7 @@
 		}
 		recs = append(recs, raw)
 		ids = append(ids, s.Items[i].ID)
+		work += int64(s.Items[i].Hint)
 	}
 	place := lots.Place{Part: b.part(s.ID)}
 	var err error
@@ -75,7 +77,7 @@
 	}
 	err = b.put(ctx, lots.Accept{
 		Job: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, MinVersion: s.MinVersion, Groups: s.Groups,
-		Items: ids, Bulk: place, Node: b.Self,
+		Items: ids, Bulk: place, Node: b.Self, Work: work,
 	})
 	if errors.Is(err, logs.ErrOpen) {
 		return fault.Wrap(fault.Lost, err, "job "+s.ID+" may be accepted")
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -113,7 +113,8 @@
 	http   *http.Client
 	clock  clock.Clock
 	log    zerolog.Logger
-	failed atomic.Int64 // instant of the last failure of the direct way
+	failed atomic.Int64           // instant of the last failure of the direct way
+	good   atomic.Pointer[string] // the node that passed a call on last
 }
 
 // New returns a store that goes through peers while the direct way fails.
@@ -151,16 +152,16 @@
 		}
 		notDone = a.NotDone
 	}
-	peers := s.peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, p := range peers[:min(asked, len(peers))] { // rule 2
+	for _, p := range s.around() { // rule 2
 		if ctx.Err() != nil {
 			break
 		}
 		b := s.ask(ctx, p, c)
 		if passed(b.err()) {
+			s.good.Store(&p)
 			return b
 		}
+		s.good.CompareAndSwap(s.good.Load(), nil)
 		notDone = notDone && b.NotDone
 		a = b
 	}
@@ -175,6 +176,16 @@
 	return a
 }
 
+// around returns the nodes to ask: first the one that passed a call on last.
+func (s *Store) around() []string {
+	peers := s.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if g := s.good.Load(); g != nil {
+		peers = append([]string{*g}, peers...)
+	}
+	return peers[:min(asked, len(peers))]
+}
+
 func (s *Store) ask(ctx context.Context, addr string, c *call) *answer {
 	ctx, cancel := context.WithTimeout(ctx, (peerFor + c.Wait).Duration())
 	defer cancel()
--- a/internal/node/side/order.go
+++ b/internal/node/side/order.go
@@ -96,7 +96,7 @@
 		return
 	}
 	engines := a.Conf.Servers().Of(e.Service)
-	shares := share.Out(engines, cfg.Service(e.Service).Models)
+	shares := share.Out(engines, cfg.Service(e.Service).Models, a.Conf.Demand())
 	model := shares[e.ID] // rule 1
 	want := a.Conf.Version(model)
 	if model == "" || st.Versions[model] >= want {
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -104,6 +104,7 @@
 func (w *Worker) heard(s *fleet.Server, f *runs.Frame) {
 	e := w.engine(s)
 	now := w.Clock.Now()
+	w.reached, w.lost = now, 0
 	e.others, e.slots, e.at = max(0, f.Running-e.open), f.Slots, now
 	if f.Pace > 0 {
 		e.pace = f.Pace
@@ -128,6 +129,9 @@
 	s := a.server
 	e := w.engine(s)
 	e.open--
+	if code == lost {
+		w.lost++
+	}
 	st := &j.state[i]
 	if j.ctx.Err() != nil || st.cur != a && st.next != a {
 		return
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -39,6 +39,11 @@
 	lookEach = 100 * clock.Milli
 	// takeEach is how often a node tries to take over one job.
 	takeEach = clock.Second
+	// lostLeast runs that reached no agent, and none heard of for lostFor, tell
+	// that this node is cut off from the agents; it tries again after unfitFor.
+	lostLeast = 3
+	lostFor   = 1500 * clock.Milli
+	unfitFor  = 4 * clock.Second
 	// coolFor is how long an engine that refused gets nothing.
 	coolFor = 150 * clock.Milli
 	// breakFirst is the pause before an item whose run broke off goes again;
@@ -76,6 +81,9 @@
 	engines map[string]*engine
 	takes   map[string]clock.Millis
 	leaving bool
+	reached clock.Millis // when an agent was heard of last
+	lost    int          // runs since then that reached no agent
+	unfit   clock.Millis // until when this node counts as cut off from the agents
 }
 
 // engine is what the worker knows of an engine.
@@ -139,11 +147,31 @@
 			changed = w.Board.Changed()
 		case <-w.wake:
 		}
+		w.fit()
 		w.look(ctx)
 		w.assign()
 	}
 }
 
+// fit tells the other nodes when this one reaches no agent, so that they go on
+// with its jobs.
+func (w *Worker) fit() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.Clock.Now()
+	was := w.unfit > 0
+	switch {
+	case w.lost >= lostLeast && now-w.reached >= lostFor:
+		w.unfit, w.lost = now+unfitFor, 0
+	case was && now >= w.unfit:
+		w.unfit = 0
+	}
+	if is := w.unfit > 0; is != was {
+		w.Log.Warn().Bool("fit", !is).Int64("silent-ms", int64(now-w.reached)).Msg("work: the agents' reach changed")
+		w.Board.SetFit(!is)
+	}
+}
+
 // Busy returns the number of items in progress.
 func (w *Worker) Busy() int {
 	w.mu.Lock()
@@ -330,7 +358,7 @@
 	if s := w.Conf.Config().Service(service); s != nil {
 		models = s.Models
 	}
-	shares := share.Out(engines, models)
+	shares := share.Out(engines, models, w.Conf.Demand())
 	byID := make(map[string]*fleet.Server)
 	var ss []*seats.Seat
 	for _, s := range engines {
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -119,12 +119,7 @@
 		Self: b.self, Addr: boot.Inner, Zone: boot.Zone, Info: boot.Store, Status: boot.Status,
 		Store: b.store, Writer: b.writer, Clock: b.clock, Log: b.log,
 	})
-	b.peers = func() []string {
-		if ps := e.board.Peers(); len(ps) > 0 {
-			return ps
-		}
-		return b.seeds()
-	}
+	b.peers = func() []string { return append(b.around(), e.board.Peers()...) }
 	e.work = work.New(work.Params{
 		Self: b.self, Board: e.board, Front: e.front, Conf: b.conf, Place: place, Port: boot.InnerPort,
 		HTTP: b.inner, Clock: b.clock, Log: b.log, Count: b.count,
@@ -159,6 +154,7 @@
 	workCtx, endWork := context.WithCancel(ctx)
 	defer endWork()
 	go e.work.Run(workCtx)
+	go e.work.Plan(workCtx)
 	go clock.Every(ctx, tidyEach, e.front.Tidy)
 
 	<-stop
--- a/internal/prod/roles/site.go
+++ b/internal/prod/roles/roles.go
@@ -109,7 +109,7 @@
 	}
 	b.inner = dial.NewTransport(16, 0)
 	b.direct = platform.NewStore(func() string { return b.boot.Load().Store.Address }, &http.Client{Transport: dial.NewTransport(storeConns, 0)})
-	b.peers = b.seeds
+	b.peers = b.around
 	b.store = relay.New(b.direct, func() []string { return b.peers() }, b.inner, b.clock, b.log)
 	b.conf = conf.New(conf.Decoder{
 		OperatorTopic: platform.TopicOperator, ServersTopic: platform.TopicServers,
@@ -146,15 +146,27 @@
 	}, nil
 }
 
-// seeds returns the inner addresses of the VMs that the settings name.
-func (b *base) seeds() []string {
+// around returns the inner addresses of other VMs: those that the settings
+// name, and those with an engine, which each have an agent. A cut between the
+// entries need not cut the ways to the agents.
+func (b *base) around() []string {
 	boot := b.boot.Load()
 	var out []string
-	for _, s := range boot.Seeds {
-		if host, _, err := net.SplitHostPort(s); err == nil && host != boot.IP {
+	add := func(addr string) {
+		if host, _, err := net.SplitHostPort(addr); err == nil && host != boot.IP {
 			out = append(out, net.JoinHostPort(host, strconv.Itoa(boot.InnerPort)))
 		}
 	}
+	for _, s := range boot.Seeds {
+		add(s)
+	}
+	if cfg := b.conf.Config(); cfg != nil {
+		for service := range cfg.Models() {
+			for _, s := range b.conf.Servers().Of(service) {
+				add(s.Addr)
+			}
+		}
+	}
 	return out
 }
 
