--- /dev/null
+++ b/internal/decide/table/table_test.go
@@ -0,0 +1,61 @@
+package table
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestFind(t *testing.T) {
+	one := []Backend{{Service: "x", Weight: 1}}
+	c := New(1, Limits{}, []*Route{
+		{Name: "root", Host: "h", Prefix: "/", Backends: one},
+		{Name: "long", Host: "h", Prefix: "/a/b/", Backends: one},
+		{Name: "short", Host: "h", Prefix: "/a/", Backends: one},
+		{Name: "other", Host: "k", Prefix: "/a/", Backends: one},
+		{Name: "empty", Host: "k", Prefix: "/a/b/"},
+	}, nil)
+	tests := map[string]struct{ host, path, want string }{
+		"longest prefix":    {"h", "/a/b/c", "long"},
+		"shorter prefix":    {"h", "/a/bc", "short"},
+		"root":              {"h", "/x", "root"},
+		"port and case":     {"H:8080", "/a/x", "short"},
+		"other host":        {"k", "/a/x", "other"},
+		"no backend":        {"k", "/a/b/x", "other"},
+		"no route":          {"k", "/x", ""},
+		"unknown host":      {"z", "/a/", ""},
+		"prefix of a slash": {"k", "/a", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if r := c.Find(test.host, test.path); r != nil {
+				got = r.Name
+			}
+			qt.New(t).Check(got, qt.Equals, test.want)
+		})
+	}
+}
+
+func TestPick(t *testing.T) {
+	c := qt.New(t)
+	r := &Route{Backends: []Backend{{"x", 90}, {"y", 10}, {"z", 0}}}
+	c.Check(r.Pick(0), qt.Equals, "x")
+	c.Check(r.Pick(0.899), qt.Equals, "x")
+	c.Check(r.Pick(0.901), qt.Equals, "y")
+	c.Check(r.Pick(0.999), qt.Equals, "y")
+}
+
+func TestRepeatable(t *testing.T) {
+	for name, test := range map[string]struct {
+		r    Route
+		want bool
+	}{
+		"idempotent":       {Route{Kind: Idempotent}, true},
+		"not idempotent":   {Route{Kind: NonIdempotent}, false},
+		"stream":           {Route{Kind: Streaming}, false},
+		"resumable stream": {Route{Kind: Streaming, Resumable: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) { qt.New(t).Check(test.r.Repeatable(), qt.Equals, test.want) })
+	}
+}
--- a/internal/edge/plat/store.go
+++ b/internal/edge/plat/store.go
@@ -50,6 +50,8 @@
 	// Newest returns the newest record of each key and the end of the
 	// partition before the first of its pages was read.
 	Newest(ctx context.Context, topic string) ([]Keyed, int64, error)
+	// Put writes the newest record of a key of a topic that keeps those.
+	Put(ctx context.Context, topic, key string, value []byte) error
 	// Trim deletes the records before an offset.
 	Trim(ctx context.Context, topic string, part int, before int64) error
 }
@@ -73,17 +75,3 @@
 func (e *SequenceError) Error() string {
 	return fmt.Sprintf("append out of sequence (fenced %t, want %d); start a new epoch", e.Fenced, e.Want)
 }
-
-// SplitKeyed parses a record of a keyed topic: a length byte, the key and the
-// value.
-func SplitKeyed(offset int64, rec []byte) (Keyed, error) {
-	if len(rec) == 0 || int(rec[0]) > len(rec)-1 {
-		return Keyed{}, errors.Errorf("record %d of a keyed topic is cut short (%d bytes); it is passed over", offset, len(rec))
-	}
-	n := 1 + int(rec[0])
-	k := Keyed{Key: string(rec[1:n]), Offset: offset}
-	if len(rec) > n {
-		k.Value = rec[n:]
-	}
-	return k, nil
-}
--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -24,9 +24,9 @@
 	Topic = "index"
 	Bulk  = "bulk"
 	Fence = "fence" // its offsets are fencing tokens
-	// Plans holds, under one key, the demand by which engines share out the
-	// models.
-	Plans     = "keyed.plans"
+	// Plans names the topic that holds, under one key, the demand by which
+	// engines share out the models; the store keeps its newest record.
+	Plans     = "plans"
 	KeyDemand = "demand"
 )
 
@@ -155,13 +155,10 @@
 	Models map[string]int64 `json:"models"`
 }
 
-// EncodeDemand returns the record of the demand of each model.
+// EncodeDemand returns the value of the demand of each model.
 func EncodeDemand(d map[string]int64) ([]byte, error) {
 	b, err := json.Marshal(demand{Models: d})
-	if err != nil {
-		return nil, errors.Wrap(err, "demand")
-	}
-	return append(append([]byte{byte(len(KeyDemand))}, KeyDemand...), b...), nil
+	return b, errors.Wrap(err, "demand")
 }
 
 // DecodeDemand parses the value of that record.
--- a/internal/node/conf/conf.go
+++ b/internal/node/conf/conf.go
@@ -38,6 +38,8 @@
 type Decoder struct {
 	OperatorTopic string
 	ServersTopic  string
+	PlansTopic    string
+	Split         func(offset int64, rec []byte) (plat.Keyed, error)
 	Change        func(key string, value []byte) (Change, error)
 	Server        func(id string, value []byte) (*fleet.Server, error)
 }
@@ -89,7 +91,7 @@
 // Run follows the store until the context ends.
 func (f *Follower) Run(ctx context.Context, store plat.Store) {
 	go logs.FollowKeyed(ctx, store, logs.Keyed{
-		Topic: f.dec.OperatorTopic,
+		Topic: f.dec.OperatorTopic, Split: f.dec.Split,
 		All: func(ks []plat.Keyed) {
 			for _, k := range ks {
 				f.operator(k)
@@ -98,7 +100,7 @@
 		One: f.operator,
 	}, f.log)
 	go logs.FollowKeyed(ctx, store, logs.Keyed{
-		Topic: index.Plans,
+		Topic: f.dec.PlansTopic, Split: f.dec.Split,
 		All: func(ks []plat.Keyed) {
 			for _, k := range ks {
 				f.plan(k)
@@ -107,7 +109,7 @@
 		One: f.plan,
 	}, f.log)
 	go clock.Every(ctx, expireEach, f.expire)
-	logs.FollowKeyed(ctx, store, logs.Keyed{Topic: f.dec.ServersTopic, All: f.all, One: f.one, State: f.state}, f.log)
+	logs.FollowKeyed(ctx, store, logs.Keyed{Topic: f.dec.ServersTopic, Split: f.dec.Split, All: f.all, One: f.one, State: f.state}, f.log)
 }
 
 func (f *Follower) operator(k plat.Keyed) {
--- a/internal/node/jobs/board.go
+++ b/internal/node/jobs/board.go
@@ -54,6 +54,7 @@
 	Addr   string // inner address
 	Zone   string
 	Info   plat.StoreInfo
+	Plans  string       // topic of the plans
 	Status clock.Millis // how long results are kept
 	Store  plat.Store
 	Writer *logs.Writer
@@ -260,8 +261,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = b.Writer.Append(ctx, index.Plans, 0, raw)
-	return err
+	return b.Store.Put(ctx, b.Plans, index.KeyDemand, raw)
 }
 
 func (b *Board) forget() {
--- a/internal/node/logs/follow.go
+++ b/internal/node/logs/follow.go
@@ -24,6 +24,8 @@
 // Keyed is the receiver of a keyed topic.
 type Keyed struct {
 	Topic string
+	// Split parses a record that lies at an offset.
+	Split func(offset int64, rec []byte) (plat.Keyed, error)
 	// All takes the newest record of each key, after a start or a gap.
 	All func([]plat.Keyed)
 	// One takes a later record; a nil value means the key was dropped.
@@ -105,7 +107,7 @@
 		return from, err
 	}
 	for i, rec := range p.Records {
-		k, err := plat.SplitKeyed(from+int64(i), rec)
+		k, err := f.Split(from+int64(i), rec)
 		if err != nil {
 			f.log.Warn().Err(err).Msg("logs: record passed over")
 			continue
--- a/internal/node/logs/logs_test.go
+++ b/internal/node/logs/logs_test.go
@@ -134,11 +134,11 @@
 		after  func(s *topic.Store)
 	}{
 		"calm":               {},
-		"history is gone":    {before: func(s *topic.Store) { s.Trouble(topic.Silent) }, after: func(s *topic.Store) { s.Expire("keyed.x", 0); s.Trouble(topic.None) }},
+		"history is gone":    {before: func(s *topic.Store) { s.Trouble(topic.Silent) }, after: func(s *topic.Store) { s.Expire("newest", 0); s.Trouble(topic.None) }},
 		"store was busy":     {before: func(s *topic.Store) { s.Trouble(topic.Busy) }, after: func(s *topic.Store) { s.Trouble(topic.None) }},
-		"gone between reads": {after: func(s *topic.Store) { s.Expire("keyed.x", 0) }},
+		"gone between reads": {after: func(s *topic.Store) { s.Expire("newest", 0) }},
 		"foreign record first": {before: func(s *topic.Store) {
-			_, _ = s.Append(context.Background(), plat.Append{Topic: "keyed.x", Records: [][]byte{{99}}})
+			_, _ = s.Append(context.Background(), plat.Append{Topic: "newest", Records: [][]byte{{99}}})
 		}},
 	}
 	for name, test := range tests {
@@ -148,10 +148,10 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				s := topic.New()
-				s.Put("keyed.x", "k", []byte("1"))
+				s.Write("newest", "k", []byte("1"))
 				f := &follower{state: make(map[string]string)}
 				go FollowKeyed(ctx, s, Keyed{
-					Topic: "keyed.x", One: f.put,
+					Topic: "newest", Split: topic.Split, One: f.put,
 					All: func(ks []plat.Keyed) {
 						for _, k := range ks {
 							f.put(k)
@@ -163,7 +163,7 @@
 				if test.before != nil {
 					test.before(s)
 				}
-				s.Put("keyed.x", "k", []byte("2"))
+				s.Write("newest", "k", []byte("2"))
 				if test.after != nil {
 					test.after(s)
 				}
@@ -196,12 +196,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		s := &stale{Store: topic.New()}
-		s.Put("keyed.x", "k", []byte("1"))
-		s.old, s.end, _ = s.Store.Newest(ctx, "keyed.x")
+		s.Write("newest", "k", []byte("1"))
+		s.old, s.end, _ = s.Store.Newest(ctx, "newest")
 		f := &follower{state: make(map[string]string)}
 		lists := 0
 		go FollowKeyed(ctx, s, Keyed{
-			Topic: "keyed.x", One: f.put,
+			Topic: "newest", Split: topic.Split, One: f.put,
 			All: func(ks []plat.Keyed) {
 				lists++
 				for _, k := range ks {
@@ -210,12 +210,12 @@
 			},
 		}, zerolog.Nop())
 		time.Sleep(time.Second)
-		s.Put("keyed.x", "k", []byte("2"))
+		s.Write("newest", "k", []byte("2"))
 		time.Sleep(time.Second)
 		s.on = true
-		s.Expire("keyed.x", 0) // The next read finds its records gone.
-		s.Put("keyed.x", "other", []byte("x"))
-		s.Expire("keyed.x", 0)
+		s.Expire("newest", 0) // The next read finds its records gone.
+		s.Write("newest", "other", []byte("x"))
+		s.Expire("newest", 0)
 		time.Sleep(time.Second)
 		c.Check(f.get("k"), qt.Equals, "2")
 		s.on = false
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -54,6 +54,8 @@
 	MaxKB  int
 	Wait   clock.Millis
 	Newest bool
+	Key    string // of a record to put
+	Value  []byte
 }
 
 type answer struct {
@@ -97,6 +99,8 @@
 	switch {
 	case c.Append != nil:
 		a.Offset, err = s.Append(ctx, *c.Append)
+	case c.Key != "":
+		err = s.Put(ctx, c.Topic, c.Key, c.Value)
 	case c.Newest:
 		a.Keyed, a.Offset, err = s.Newest(ctx, c.Topic)
 	default:
@@ -244,6 +248,11 @@
 	return r.Keyed, r.Offset, r.err()
 }
 
+// Put implements [plat.Store].
+func (s *Store) Put(ctx context.Context, topic, key string, value []byte) error {
+	return s.run(ctx, &call{Topic: topic, Key: key, Value: value}).err()
+}
+
 // Trim implements [plat.Store]; it is not worth a way around.
 func (s *Store) Trim(ctx context.Context, topic string, part int, before int64) error {
 	return s.direct.Trim(ctx, topic, part, before)
--- a/internal/prod/cmds/site.go
+++ b/internal/prod/cmds/site.go
@@ -17,10 +17,12 @@
 		Short: "Run a role on the users' platform",
 		Long:  "Run a role on the users' platform, with the settings file that " + platform.BootVar + " names.",
 	}
-	role := func(name, short string, run func(string, io.Writer) error) {
+	role := func(name, short string, run func(<-chan struct{}, string, io.Writer) error) {
 		cmd.AddCommand(&cobra.Command{
 			Use: name, Short: short, Args: cobra.NoArgs,
-			RunE: func(c *cobra.Command, _ []string) error { return run(os.Getenv(platform.BootVar), c.OutOrStdout()) },
+			RunE: func(c *cobra.Command, _ []string) error {
+				return run(roles.Terminated(), os.Getenv(platform.BootVar), c.OutOrStdout())
+			},
 		})
 	}
 	role("entry", "Serve clients, trainers and their jobs", roles.Entry)
--- a/internal/prod/roles/agent.go
+++ b/internal/prod/roles/agent.go
@@ -18,15 +18,16 @@
 // lookEach is how often a stopping agent looks whether its runs have ended.
 const lookEach = 50 * clock.Milli
 
-// Agent runs the agent beside one model engine.
-func Agent(path string, out io.Writer) error {
+// Agent runs the agent beside one model engine until a channel is closed, and
+// then finishes what is in progress.
+func Agent(stop <-chan struct{}, path string, out io.Writer) error {
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	b, err := start(ctx, "agent", path, out)
 	if err != nil {
 		return err
 	}
-	defer b.closed()
+	defer b.close()
 	boot := b.boot.Load()
 	if boot.Engine == "" {
 		return fault.New(fault.BadSetting, "the settings name no engine on this VM; run the agent beside an engine only")
@@ -41,13 +42,11 @@
 		},
 		Clock: b.clock, Log: b.log, Count: b.count,
 	})
-	stop := terminated()
 	mux := http.NewServeMux()
 	mux.Handle(relay.Prefix, relay.Handler(b.direct, b.log))
 	mux.Handle(runs.Path, a)
 	mux.HandleFunc("GET "+runs.StatePath, a.State)
-	srv, err := b.serveInner(mux)
-	if err != nil {
+	if err := b.serveInner(mux); err != nil {
 		return err
 	}
 	go b.conf.Run(ctx, b.store)
@@ -61,9 +60,6 @@
 	for a.Running() > 0 && b.clock.Now() < over {
 		clock.Sleep(ctx, lookEach)
 	}
-	if err := srv.Close(); err != nil {
-		b.log.Info().Err(err).Msg("roles: inner address not closed")
-	}
 	b.log.Info().Int("cut", a.Running()).Msg("roles: stopped")
 	return nil
 }
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -18,6 +18,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/table"
 	"github.com/jujuberamp/jujuberamp/internal/edge/dial"
 	"github.com/jujuberamp/jujuberamp/internal/edge/listen"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/node/front"
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
 	"github.com/jujuberamp/jujuberamp/internal/node/relay"
@@ -91,15 +92,16 @@
 
 func (e *entry) Now() clock.Millis { return e.clock.Now() }
 
-// Entry runs an entry.
-func Entry(path string, out io.Writer) error {
+// Entry runs an entry until a channel is closed, and then finishes what is in
+// progress.
+func Entry(stop <-chan struct{}, path string, out io.Writer) error {
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	b, err := start(ctx, "entry", path, out)
 	if err != nil {
 		return err
 	}
-	defer b.closed()
+	defer b.close()
 	boot := b.boot.Load()
 	took, err := b.meters.Meter("entry").Float64Histogram("request.duration", metric.WithUnit("s"), metric.WithDescription("Time to the end of clients' requests"))
 	if err != nil {
@@ -116,7 +118,7 @@
 		},
 	})
 	e.board = jobs.New(jobs.Params{
-		Self: b.self, Addr: boot.Inner, Zone: boot.Zone, Info: boot.Store, Status: boot.Status,
+		Self: b.self, Addr: boot.Inner, Zone: boot.Zone, Info: boot.Store, Status: boot.Status, Plans: platform.Keyed(index.Plans),
 		Store: b.store, Writer: b.writer, Clock: b.clock, Log: b.log,
 	})
 	b.peers = func() []string { return append(b.around(), e.board.Peers()...) }
@@ -129,15 +131,13 @@
 		srv.SetLimits(e.Limits())
 		e.work.Wake()
 	})
-	stop := terminated()
 	var leaving atomic.Bool
 	if err := e.probe(boot.Ready, &leaving); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(relay.Prefix, relay.Handler(b.direct, b.log))
-	inner, err := b.serveInner(mux)
-	if err != nil {
+	if err := b.serveInner(mux); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", boot.Front)
@@ -162,9 +162,6 @@
 	b.log.Info().Msg("roles: stopping, not ready any more")
 	over := b.clock.Now() + boot.Grace
 	e.drain(ctx, ln, srv, endWork, over)
-	if err := inner.Close(); err != nil {
-		b.log.Info().Err(err).Msg("roles: inner address not closed")
-	}
 	b.log.Info().Msg("roles: stopped")
 	return nil
 }
@@ -179,7 +176,7 @@
 	if err := e.board.Leave(leave); err != nil {
 		e.log.Warn().Err(err).Msg("roles: the other nodes were not told; they notice by the silence")
 	}
-	clock.Sleep(ctx, balancerFor)
+	clock.Sleep(ctx, min(balancerFor, until-e.clock.Now()))
 	if err := ln.Close(); err != nil {
 		e.log.Info().Err(err).Msg("roles: listener not closed")
 	}
@@ -210,8 +207,9 @@
 		}
 	})
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	e.ends = append(e.ends, s.Close)
 	go func() {
-		if err := s.Serve(ln); err != nil {
+		if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error().Err(err).Msg("roles: readiness probe not served any more")
 		}
 	}()
--- a/internal/prod/roles/roles.go
+++ b/internal/prod/roles/roles.go
@@ -2,10 +2,9 @@
 //
 // # Usage
 //
-//	err := roles.Entry(os.Getenv(platform.BootVar), os.Stdout)
-//	err := roles.Agent(os.Getenv(platform.BootVar), os.Stdout)
+//	err := roles.Entry(roles.Terminated(), os.Getenv(platform.BootVar), os.Stdout)
+//	err := roles.Agent(roles.Terminated(), os.Getenv(platform.BootVar), os.Stdout)
 //
-// Both run until a termination signal, finish what is in progress and return.
 // The settings file is read again on SIGHUP and when its content changes.
 package roles
 
@@ -19,6 +18,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -34,6 +34,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/edge/dial"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/node/conf"
 	"github.com/jujuberamp/jujuberamp/internal/node/logs"
 	"github.com/jujuberamp/jujuberamp/internal/node/relay"
@@ -76,7 +77,16 @@
 	peers  func() []string
 	inner  http.RoundTripper // to other nodes
 	count  func(name, label string)
-	closed func()
+	ends   []func() error // what the end of the process closes, last first
+}
+
+// close closes what was opened.
+func (b *base) close() {
+	for _, end := range slices.Backward(b.ends) {
+		if err := end(); err != nil {
+			b.log.Info().Err(err).Msg("roles: not closed")
+		}
+	}
 }
 
 func start(ctx context.Context, role, path string, out io.Writer) (*base, error) {
@@ -98,7 +108,7 @@
 	b.self = lots.Node{Name: boot.Node, Boot: hex.EncodeToString(id)}
 	var dropped atomic.Int64
 	w := diode.NewWriter(out, logLines, logPoll, func(n int) { dropped.Add(int64(n)) })
-	b.closed = func() { _ = w.Close() } // Nothing is left to tell it to.
+	b.ends = append(b.ends, w.Close)
 	zerolog.TimeFieldFormat = "15:04:05.000"
 	b.log = telem.Logger(w, "info", role)
 	if b.meters, err = telem.NewMetrics(); err != nil {
@@ -112,7 +122,8 @@
 	b.peers = b.around
 	b.store = relay.New(b.direct, func() []string { return b.peers() }, b.inner, b.clock, b.log)
 	b.conf = conf.New(conf.Decoder{
-		OperatorTopic: platform.TopicOperator, ServersTopic: platform.TopicServers,
+		OperatorTopic: platform.TopicOperator, ServersTopic: platform.TopicServers, PlansTopic: platform.Keyed(index.Plans),
+		Split: platform.SplitKeyed,
 		Change: func(key string, value []byte) (conf.Change, error) {
 			c, err := platform.DecodeChange(key, value)
 			return conf.Change(c), err
@@ -121,7 +132,7 @@
 	}, b.clock, b.log)
 	b.writer = logs.NewWriter(ctx, b.store, b.self.Name+"/"+b.self.Boot, boot.Store.CallBytes, b.log)
 	go b.reload(ctx)
-	go b.metrics()
+	b.metrics()
 	b.log.Info().Str("node", boot.Node).Str("incarnation", b.self.Boot).Str("zone", boot.Zone).Str("inner", boot.Inner).
 		Str("store", boot.Store.Address).Msg("roles: started")
 	return b, nil
@@ -208,28 +219,32 @@
 	mux.Handle("GET /metrics", b.meters.Handler())
 	addr := net.JoinHostPort(b.boot.Load().IP, strconv.Itoa(MetricsPort))
 	srv := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: time.Second}
-	if err := srv.ListenAndServe(); err != nil {
-		b.log.Warn().Err(err).Str("addr", addr).Msg("roles: metrics are not served")
-	}
+	b.ends = append(b.ends, srv.Close)
+	go func() {
+		if err := srv.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			b.log.Warn().Err(err).Str("addr", addr).Msg("roles: metrics are not served")
+		}
+	}()
 }
 
 // serveInner listens for other nodes.
-func (b *base) serveInner(h http.Handler) (*http.Server, error) {
+func (b *base) serveInner(h http.Handler) error {
 	ln, err := net.Listen("tcp", b.boot.Load().Inner)
 	if err != nil {
-		return nil, errors.Wrap(err, "inner address")
+		return errors.Wrap(err, "inner address")
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	b.ends = append(b.ends, srv.Close)
 	go func() {
 		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			b.log.Error().Err(err).Msg("roles: inner address not served any more")
 		}
 	}()
-	return srv, nil
+	return nil
 }
 
-// terminated returns a channel that is closed by the signal to stop.
-func terminated() <-chan struct{} {
+// Terminated returns a channel that is closed by the signal to stop.
+func Terminated() <-chan struct{} {
 	sig := make(chan os.Signal, 1)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
 	done := make(chan struct{})
--- a/internal/stand/topic/topic.go
+++ b/internal/stand/topic/topic.go
@@ -169,8 +169,30 @@
 	return off, nil
 }
 
-// Put writes a key of a keyed topic; a nil value drops the key.
-func (s *Store) Put(topic, key string, value []byte) {
+// Split parses a record of a keyed topic: a length byte, the key, the value.
+func Split(offset int64, rec []byte) (plat.Keyed, error) {
+	if len(rec) == 0 || int(rec[0]) > len(rec)-1 {
+		return plat.Keyed{}, errors.Errorf("record %d is cut short", offset)
+	}
+	n := 1 + int(rec[0])
+	k := plat.Keyed{Key: string(rec[1:n]), Offset: offset}
+	if len(rec) > n {
+		k.Value = rec[n:]
+	}
+	return k, nil
+}
+
+// Put implements [plat.Store]; a nil value drops the key.
+func (s *Store) Put(ctx context.Context, topic, key string, value []byte) error {
+	if err := s.enter(ctx, nil); err != nil {
+		return err
+	}
+	s.Write(topic, key, value)
+	return nil
+}
+
+// Write writes a key as the operator does, whatever the trouble is.
+func (s *Store) Write(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rec := append([]byte{byte(len(key))}, key...)
