--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -32,7 +32,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/peers"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Params are what an agent needs to run. Exactly one of Engine and Plain is
--- a/internal/node/agent/gen.go
+++ b/internal/node/agent/gen.go
@@ -9,7 +9,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/proof"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // maxDoubts bounds how often a job is begun again because its version was not
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -11,7 +11,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/proof"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // job is one attempt at this agent: its state and its answer so far.
--- a/internal/node/agent/trace.go
+++ b/internal/node/agent/trace.go
@@ -6,7 +6,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 func (a *Agent) record(e trace.Event) {
--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -24,7 +24,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Params are what the dispatcher needs to run.
--- a/internal/node/calls/trace.go
+++ b/internal/node/calls/trace.go
@@ -8,7 +8,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Do runs the work to a whole answer or an error. What sink received is a
--- a/internal/node/claims/claims.go
+++ b/internal/node/claims/claims.go
@@ -38,7 +38,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 const (
--- a/internal/node/claims/trace.go
+++ b/internal/node/claims/trace.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // recordEvent writes a record of a stream of claims to the trace, without the
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -45,7 +45,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/node/quar"
 	"github.com/jujuberamp/jujuberamp/internal/node/rounds"
 	"github.com/jujuberamp/jujuberamp/internal/node/swaps"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Params are what an entry needs to run.
--- a/internal/node/entry/round.go
+++ b/internal/node/entry/round.go
@@ -16,7 +16,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Paths of the calls that a round's owner serves.
--- a/internal/node/entry/trace.go
+++ b/internal/node/entry/trace.go
@@ -8,7 +8,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // A report is written to the trace if it differs from the last one written of
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -25,7 +25,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Params are what the follower needs to run.
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -80,7 +80,7 @@
 	return &plat.Answer{Status: rep.status, Header: http.Header{"X-From": {to.ID}}, Body: io.NopCloser(body), Length: -1, Stamp: to.ID, NotRun: rep.notRun}, nil
 }
 
-func newFront(c *qt.C, ctx context.Context, s *script, kind table.Kind, resumable bool) *Front {
+func newFront(ctx context.Context, c *qt.C, s *script, kind table.Kind, resumable bool) *Front {
 	store := topic.New()
 	cfg := table.New(7, table.Limits{}, []*table.Route{{
 		Name: "r", Host: "h", Prefix: "/", Kind: kind, Backends: []table.Backend{{Service: "s", Weight: 1}}, Resumable: resumable,
@@ -149,7 +149,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				s := &script{replies: test.replies}
-				f := newFront(c, ctx, s, test.kind, false)
+				f := newFront(ctx, c, s, test.kind, false)
 				w := httptest.NewRecorder()
 				start := time.Now()
 				err := f.Serve(ctx, &Request{ID: "r1", Method: "POST", Host: "h", Path: "/x", URI: "/x"}, w)
@@ -183,7 +183,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		s := &script{replies: []reply{silent, silent}}
-		f := newFront(c, ctx, s, table.Idempotent, false)
+		f := newFront(ctx, c, s, table.Idempotent, false)
 		client, leave := context.WithCancel(ctx)
 		time.AfterFunc(300*time.Millisecond, leave)
 		err := f.Serve(client, &Request{ID: "r1", Host: "h", Path: "/", URI: "/"}, httptest.NewRecorder())
@@ -203,7 +203,7 @@
 		for range 300 {
 			s.replies = append(s.replies, reply{status: 200, body: "x", after: 500 * time.Millisecond})
 		}
-		f := newFront(c, ctx, s, table.Idempotent, false)
+		f := newFront(ctx, c, s, table.Idempotent, false)
 		for i := range 100 {
 			c.Assert(f.Serve(ctx, &Request{ID: strconv.Itoa(i), Host: "h", Path: "/", URI: "/"}, httptest.NewRecorder()), qt.IsNil)
 		}
@@ -240,7 +240,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				s := &script{replies: test.replies}
-				f := newFront(c, ctx, s, table.Streaming, test.resumable)
+				f := newFront(ctx, c, s, table.Streaming, test.resumable)
 				w := httptest.NewRecorder()
 				aborted := func() (aborted bool) {
 					defer func() { aborted = recover() == http.ErrAbortHandler }()
--- a/internal/node/swaps/swaps.go
+++ b/internal/node/swaps/swaps.go
@@ -23,7 +23,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Params are what the orders need to run.
--- a/internal/prod/cmds/replay.go
+++ b/internal/prod/cmds/replay.go
@@ -14,7 +14,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/edge/decl"
 	"github.com/jujuberamp/jujuberamp/internal/proof/replay"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // errOutcome makes the exit status 1; the report has told the rest.
--- a/internal/prod/cmds/trace.go
+++ b/internal/prod/cmds/trace.go
@@ -6,7 +6,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/prod/setup"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // megabyte is the unit of the setting trace-limit.
--- a/internal/proof/demo/scene.go
+++ b/internal/proof/demo/scene.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 	"github.com/jujuberamp/jujuberamp/internal/stand/engine"
 )
 
--- a/internal/proof/invar/layer_test.go
+++ b/internal/proof/invar/layer_test.go
@@ -23,7 +23,7 @@
 var ranks = map[string]int{
 	"internal/base":         0,
 	"internal/inner/record": 1,
-	"internal/proof/trace":  1,
+	"internal/inner/trace":  1,
 	"internal/decide":       2,
 	"internal/inner":        2,
 	"internal/edge":         3,
--- a/internal/proof/replay/break_test.go
+++ b/internal/proof/replay/break_test.go
@@ -19,7 +19,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // script builds a small trace: two zones with two engines each, two rounds,
--- a/internal/proof/replay/claims.go
+++ b/internal/proof/replay/claims.go
@@ -6,7 +6,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // stream is one stream of claims with what this package knows of it itself.
--- a/internal/proof/replay/prepare.go
+++ b/internal/proof/replay/prepare.go
@@ -6,7 +6,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // facts are what a trace tells beyond the order of its events.
--- a/internal/proof/replay/replay.go
+++ b/internal/proof/replay/replay.go
@@ -28,7 +28,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Options select what a trace is played against.
--- a/internal/proof/replay/rounds.go
+++ b/internal/proof/replay/rounds.go
@@ -8,7 +8,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/base/model"
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // player is one round with its trainer.
--- a/internal/proof/replay/trace_test.go
+++ b/internal/proof/replay/trace_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 func readFile(tb testing.TB, name string) trace.Trace {
--- a/internal/proof/replay/world.go
+++ b/internal/proof/replay/world.go
@@ -13,7 +13,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/limit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
-	"github.com/jujuberamp/jujuberamp/internal/proof/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 	"github.com/jujuberamp/jujuberamp/internal/proof/vtime"
 )
 
