--- a/internal/decide/seats/seats.go
+++ b/internal/decide/seats/seats.go
@@ -64,6 +64,8 @@
 	Cool  bool         // refused or failed just now
 	// Hiccup tells that the engine is slower than usual at this moment.
 	Hiccup bool
+	// Sure tells that all this was heard of just now.
+	Sure bool
 }
 
 // Want is an item that waits.
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -32,7 +32,7 @@
 
 // Every is the longest span between two frames of a run; an agent that sends
 // none for several of it is out of reach.
-const Every = 250 * clock.Milli
+const Every = 150 * clock.Milli
 
 // Run asks for one item.
 type Run struct {
@@ -79,12 +79,13 @@
 	Events  []Event
 	Code    Code
 	Detail  string
-	Running int     // runs at the engine
-	Slots   int     // of the engine
-	Version int64   // loaded, of the run's model
-	Pace    float64 // ms between two events of one stream lately, 0 if not known
-	Hiccup  bool    // the engine is slower than usual at this moment, or loads
-	Loading bool    // the engine loads a version and takes no runs
+	Running int          // runs at the engine
+	Slots   int          // of the engine
+	Version int64        // loaded, of the run's model
+	Pace    float64      // ms between two events of one stream lately, 0 if not known
+	Hiccup  bool         // the engine is slower than usual at this moment, or loads
+	Since   clock.Millis // since the run's last event
+	Loading bool         // the engine loads a version and takes no runs
 }
 
 // Writer writes frames to an answer as they come.
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -30,9 +30,9 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/limit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/peers"
-	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Params are what an agent needs to run. Exactly one of Engine and Plain is
--- a/internal/node/agent/job.go
+++ b/internal/node/agent/job.go
@@ -10,8 +10,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/limit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/proof"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
-	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
 
 // job is one attempt at this agent: its state and its answer so far.
--- a/internal/node/agent/trace.go
+++ b/internal/node/agent/trace.go
@@ -5,8 +5,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
-	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
 
 func (a *Agent) record(e trace.Event) {
--- a/internal/node/calls/calls.go
+++ b/internal/node/calls/calls.go
@@ -23,8 +23,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
-	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
 
 // Params are what the dispatcher needs to run.
--- a/internal/node/claims/claims.go
+++ b/internal/node/claims/claims.go
@@ -36,9 +36,9 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
-	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 const (
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -35,6 +35,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/logcl"
 	"github.com/jujuberamp/jujuberamp/internal/edge/meter"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
 	"github.com/jujuberamp/jujuberamp/internal/node/claims"
@@ -45,7 +46,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/node/quar"
 	"github.com/jujuberamp/jujuberamp/internal/node/rounds"
 	"github.com/jujuberamp/jujuberamp/internal/node/swaps"
-	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Params are what an entry needs to run.
--- a/internal/node/entry/round.go
+++ b/internal/node/entry/round.go
@@ -15,8 +15,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/roster"
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
-	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
 
 // Paths of the calls that a round's owner serves.
--- a/internal/node/entry/trace.go
+++ b/internal/node/entry/trace.go
@@ -7,8 +7,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/round"
-	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
 
 // A report is written to the trace if it differs from the last one written of
--- a/internal/node/follow/follow.go
+++ b/internal/node/follow/follow.go
@@ -24,8 +24,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/ledger"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/record"
-	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
+	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 )
 
 // Params are what the follower needs to run.
--- a/internal/node/logs/writer.go
+++ b/internal/node/logs/writer.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -28,6 +29,14 @@
 // some 10 calls a second from a node.
 const pause = 100 * clock.Milli
 
+const (
+	// repeatAfter is how long an append may have no answer before it is sent
+	// again: the store answers within some 5 ms, a slow one within 300 ms.
+	repeatAfter = 350 * clock.Milli
+	// mostTries go beside each other.
+	mostTries = 3
+)
+
 // Writer appends to partitions, in order for each of them.
 type Writer struct {
 	ctx   context.Context
@@ -172,7 +181,7 @@
 		if len(recs) == 0 {
 			return
 		}
-		off, err := w.store.Append(w.ctx, plat.Append{
+		off, err := w.append(plat.Append{
 			Topic: q.key.topic, Part: q.key.part, Records: recs,
 			Producer: plat.Producer{Name: w.name, Epoch: q.epoch, Seq: q.seq},
 		})
@@ -208,6 +217,46 @@
 	}
 }
 
+// append sends an append, and sends it again beside itself while there is no
+// answer: the store answers a repeat as it did before, and an answer that was
+// lost never comes. An error that is no proof wins over one that is.
+func (w *Writer) append(a plat.Append) (int64, error) {
+	ends := make(chan result, mostTries)
+	open := 0
+	send := func() {
+		open++
+		go func() {
+			off, err := w.store.Append(w.ctx, a)
+			ends <- result{off, err}
+		}()
+	}
+	send()
+	again := time.NewTimer(repeatAfter.Duration())
+	defer again.Stop()
+	var failed error
+	for tries := 1; ; {
+		select {
+		case r := <-ends:
+			open--
+			if r.err == nil {
+				return r.offset, nil
+			}
+			if failed == nil || errors.Is(failed, plat.ErrNotDone) {
+				failed = r.err
+			}
+			if open == 0 {
+				return 0, failed
+			}
+		case <-again.C:
+			if tries < mostTries {
+				tries++
+				send()
+				again.Reset(repeatAfter.Duration())
+			}
+		}
+	}
+}
+
 // expire answers the asks whose callers have gone; nothing was sent of them
 // that could take effect.
 func expire(batch []*ask) []*ask {
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -274,7 +274,7 @@
 	var held []runs.Event
 	send := func(code runs.Code, detail string) bool {
 		f := a.frame(x.Model)
-		f.Events, f.Code, f.Detail = held, code, detail
+		f.Events, f.Code, f.Detail, f.Since = held, code, detail, a.Clock.Now()-last
 		held = nil
 		if code != runs.Going {
 			a.Count("runs", string(code))
--- a/internal/node/swaps/swaps.go
+++ b/internal/node/swaps/swaps.go
@@ -21,9 +21,9 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/match"
 	"github.com/jujuberamp/jujuberamp/internal/decide/swap"
+	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 	"github.com/jujuberamp/jujuberamp/internal/inner/wire"
 	"github.com/jujuberamp/jujuberamp/internal/node/calls"
-	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
 )
 
 // Params are what the orders need to run.
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -37,10 +37,11 @@
 
 // attempt is one run of an item at one engine.
 type attempt struct {
-	server *fleet.Server
-	cancel func()
-	from   int // events that were held when it was asked for
-	events []runs.Event
+	server  *fleet.Server
+	cancel  func()
+	from    int // events that were held when it was asked for
+	events  []runs.Event
+	stalled bool // no event for long
 }
 
 // made returns the number of events that are held.
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -20,8 +20,11 @@
 
 const (
 	// frameFor is how long an agent may send nothing; it sends a frame each
-	// 250 ms, and a link between regions may be slow for a while.
+	// 150 ms, and a link between regions may be slow for a while.
 	frameFor = 1200 * clock.Milli
+	// stallFor is how long a stream may show no event before its item is better
+	// off elsewhere: the slowest engines show one every 150 ms.
+	stallFor = 350 * clock.Milli
 	// storeEach is the pause before a result that could not be stored is
 	// stored again, and scoreEach that before a call is scored again.
 	storeEach = 200 * clock.Milli
@@ -97,6 +100,10 @@
 	}
 	if st.cur == a {
 		a.events = append(a.events, f.Events...)
+		a.stalled = f.Since >= stallFor && !f.Loading
+		if a.stalled {
+			w.Wake()
+		}
 	}
 }
 
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -373,6 +373,7 @@
 		ss = append(ss, &seats.Seat{
 			ID: s.ID, Open: e.open + e.others, Slots: slots, Pace: e.pace, Far: w.far(s.Zone),
 			Hiccup: now < e.hiccup,
+			Sure:   now-e.at <= sureFor,
 			Cool:   now < e.cool || now < e.old[j.model] || e.loading && now-e.at < loadFor,
 		})
 		byID[s.ID] = s
@@ -401,14 +402,19 @@
 			continue
 		}
 		unheard = true
-		if now-e.asked >= fresh {
-			e.asked = now
-			go w.fetch(s, j.model)
-		}
+		w.refresh(s, j.model, now)
 	}
 	return unheard && now-j.begun < askFor
 }
 
+// refresh asks an agent for its state, unless it was asked just now.
+func (w *Worker) refresh(s *fleet.Server, model string, now clock.Millis) {
+	if e := w.engine(s); now-e.asked >= askFor {
+		e.asked = now
+		go w.fetch(s, model)
+	}
+}
+
 // fetch reads an agent's state.
 func (w *Worker) fetch(s *fleet.Server, model string) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchFor.Duration())
@@ -444,10 +450,16 @@
 		if s == nil {
 			continue
 		}
-		to := plan.Move(s, j.items[i].Hint/stride, st.made())
+		at := *s
+		at.Hiccup = at.Hiccup || st.cur.stalled
+		to := plan.Move(&at, j.items[i].Hint/stride, st.made())
 		if to == nil {
 			continue
 		}
+		if !to.Sure {
+			w.refresh(byID[to.ID], j.model, now) // The answer makes the worker look again.
+			continue
+		}
 		to.Open++ // Taken in this look.
 		st.moves++
 		st.stay = now + stayFor
@@ -462,8 +474,10 @@
 	// stayFor is how long an item stays after a move, so that it does not
 	// wander between engines that are both slow.
 	stayFor = 250 * clock.Milli
-	// fresh is how long what an agent said holds; runs send a frame as often.
-	fresh = runs.Every
+	// fresh is how long what an agent said holds for new items, sureFor for a
+	// move, which costs more where the engine is slow as well.
+	fresh   = 250 * clock.Milli
+	sureFor = 100 * clock.Milli
 	// askFor is how long a job waits at its begin to learn which engines are
 	// free: a way to another region and back.
 	askFor = 40 * clock.Milli
--- a/internal/prod/cmds/replay.go
+++ b/internal/prod/cmds/replay.go
@@ -13,8 +13,8 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/edge/decl"
-	"github.com/jujuberamp/jujuberamp/internal/proof/replay"
 	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
+	"github.com/jujuberamp/jujuberamp/internal/proof/replay"
 )
 
 // errOutcome makes the exit status 1; the report has told the rest.
--- a/internal/prod/cmds/trace.go
+++ b/internal/prod/cmds/trace.go
@@ -5,8 +5,8 @@
 	"os"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
-	"github.com/jujuberamp/jujuberamp/internal/prod/setup"
 	"github.com/jujuberamp/jujuberamp/internal/inner/trace"
+	"github.com/jujuberamp/jujuberamp/internal/prod/setup"
 )
 
 // megabyte is the unit of the setting trace-limit.
