Order items of all jobs by their latest start; pass over an engine that does not report

What is left of the cause: jobs of one trainer have different owners, which don't order among each other.

--- a/internal/decide/seats/seats.go
+++ b/internal/decide/seats/seats.go
@@ -1,9 +1,11 @@
 // Package seats decides which item of the open jobs goes next, and to which
 // engine.
 //
-//  1. Items go in the order of their jobs. Within a job, the groups that an
-//     earlier job left incomplete go first, then the longest items, since the
-//     last item of a group decides when it is complete.
+//  1. Items go by the latest start at which they still end when their job is
+//     due, over all jobs: a long item of a later job goes before a short one of
+//     an earlier job, since the last item of a group decides when it is
+//     complete. No start is later than the job itself, so that work which can't
+//     be in time any more does not push other work out.
 //  2. An item goes to the free engine on which it is likely to end first: by
 //     the engine's pace, its load and the distance.
 //  3. A slow engine takes only items that end there soon all the same; longer
@@ -18,7 +20,7 @@
 //
 // # Usage
 //
-//	seats.Sort(wants)
+//	seats.Sort(wants, plan.Pace())
 //	seat := seats.New(all).Best(want)
 package seats
 
@@ -70,27 +72,28 @@
 
 // Want is an item that waits.
 type Want struct {
-	Job   int // place of its job in the order
+	Job   int          // place of its job in the caller's list
+	At    clock.Millis // when its job was accepted
+	Due   clock.Millis // span after which its results are due
 	Item  int
-	First bool   // its group is left from an earlier job
 	Size  int    // estimated events, 0 if not known
 	Made  int    // events that are held already
 	NotAt string // engine that it just left, empty for none
 }
 
+// LatestStart returns when an item has to start at the latest, if an event takes
+// a span in ms (rule 1).
+func (w *Want) LatestStart(pace float64) clock.Millis {
+	return w.At + max(0, w.Due-clock.Millis(pace*float64(w.Size-w.Made)))
+}
+
 // Sort puts wants into the order of rule 1.
-func Sort(ws []Want) {
+func Sort(ws []Want, pace float64) {
 	slices.SortStableFunc(ws, func(a, b Want) int {
-		if a.Job != b.Job {
-			return cmp.Compare(a.Job, b.Job)
-		}
-		if a.First != b.First {
-			if a.First {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.Size-b.Made, a.Size-a.Made)
+		return cmp.Or(
+			cmp.Compare(a.LatestStart(pace), b.LatestStart(pace)),
+			cmp.Compare(b.Size-b.Made, a.Size-a.Made),
+		)
 	})
 }
 
@@ -123,6 +126,9 @@
 	return p.mid
 }
 
+// Pace returns the usual span between two events, in ms.
+func (p *Plan) Pace() float64 { return p.mid }
+
 // Seats returns all seats.
 func (p *Plan) Seats() []*Seat { return p.seats }
 
--- a/internal/node/side/order.go
+++ b/internal/node/side/order.go
@@ -63,6 +63,10 @@
 	now := a.Clock.Now()
 	a.mu.Lock()
 	was := a.heard
+	if down := err != nil; a.down != down {
+		a.down = down
+		a.tell()
+	}
 	if err == nil {
 		a.state, a.heard = st, now
 		if a.loading != st.Busy {
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -85,6 +85,7 @@
 	state   plat.EngineState
 	heard   clock.Millis // of the last report
 	idle    clock.Millis // since when nothing runs, 0 while something does
+	down    bool         // the last report was not answered
 	loading bool         // an order was accepted and its end is not seen yet
 	active  map[*run]struct{}
 	usual   pulse.Usual
@@ -131,6 +132,8 @@
 	switch {
 	case a.leaving:
 		return runs.Leaving, "the agent stops"
+	case a.down:
+		return runs.Full, "the engine does not report"
 	case a.loading:
 		return runs.Full, "the engine loads a version"
 	case a.running >= a.slots():
@@ -157,7 +160,7 @@
 	slots := a.slots()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Hiccup: a.hiccup || a.loading, Loading: a.loading}
+	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Hiccup: a.hiccup || a.loading, Loading: a.loading || a.down}
 	if a.events >= paceLeast {
 		f.Pace = a.spans / a.events
 	}
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -318,37 +318,72 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b *job) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id)) })
+	var works []*planned
+	var wants []seats.Want
+	taken := make(map[string][]*seats.Seat) // the seats of each engine
+	pace := 0.0
 	for _, j := range all {
-		r, service := w.route(j)
-		if r == nil {
+		p := w.prepare(now, view, j)
+		if p == nil {
 			continue
 		}
-		plan, byID := w.plan(now, view, service, j)
-		if w.ask(j, plan, byID, now) {
-			continue // The answers make the worker look again.
+		for _, s := range p.plan.Seats() {
+			taken[s.ID] = append(taken[s.ID], s)
 		}
-		stride := 1
-		if s := w.Conf.Config().Service(service); s != nil {
-			stride = max(1, s.Stride)
+		pace = max(pace, p.plan.Pace())
+		for _, want := range j.wants(now, p.stride) {
+			want.Job, want.At, want.Due = len(works), j.at, p.route.Due
+			wants = append(wants, want)
 		}
-		wants := j.wants(now, stride)
-		seats.Sort(wants)
-		waiting := 0
-		for _, want := range wants {
-			s := plan.Best(want)
-			if s == nil {
-				waiting++
-				continue
-			}
-			s.Open++
-			st := &j.state[want.Item]
-			st.phase, st.cur = running, nil
-			st.cur = w.launch(j, want.Item, r, byID[s.ID])
+		works = append(works, p)
+	}
+	seats.Sort(wants, pace)
+	for _, want := range wants {
+		p := works[want.Job]
+		s := p.plan.Best(want)
+		if s == nil {
+			p.waiting++
+			continue
 		}
-		if waiting == 0 && !r.OneModel {
-			w.move(j, r, plan, byID, now, stride)
+		for _, same := range taken[s.ID] {
+			same.Open++
 		}
+		st := &p.job.state[want.Item]
+		st.phase, st.cur = running, nil
+		st.cur = w.launch(p.job, want.Item, p.route, p.byID[s.ID])
+	}
+	for _, p := range works {
+		if p.waiting == 0 && !p.route.OneModel {
+			w.move(p, now)
+		}
+	}
+}
+
+// planned is a job in one look.
+type planned struct {
+	job     *job
+	route   *table.Route
+	plan    *seats.Plan
+	byID    map[string]*fleet.Server
+	stride  int // tokens of one event
+	waiting int // items that found no seat
+}
+
+// prepare returns the view of a job, nil if it can't go on now.
+func (w *Worker) prepare(now clock.Millis, view *fleet.View, j *job) *planned {
+	r, service := w.route(j)
+	if r == nil {
+		return nil
+	}
+	p := &planned{job: j, route: r, stride: 1}
+	p.plan, p.byID = w.plan(now, view, service, j)
+	if w.ask(j, p.plan, p.byID, now) {
+		return nil // The answers make the worker look again.
+	}
+	if s := w.Conf.Config().Service(service); s != nil {
+		p.stride = max(1, s.Stride)
 	}
+	return p
 }
 
 // plan lists the engines that can run a job's items.
@@ -440,30 +475,31 @@
 }
 
 // move starts the rest of items at faster engines that are free.
-func (w *Worker) move(j *job, r *table.Route, plan *seats.Plan, byID map[string]*fleet.Server, now clock.Millis, stride int) {
+func (w *Worker) move(p *planned, now clock.Millis) {
+	j := p.job
 	for i := range j.state {
 		st := &j.state[i]
 		if st.cur == nil || st.next != nil || st.moves >= mostMoves || now < st.stay {
 			continue
 		}
-		s := plan.Seat(st.cur.server.ID)
+		s := p.plan.Seat(st.cur.server.ID)
 		if s == nil {
 			continue
 		}
 		at := *s
 		at.Hiccup = at.Hiccup || st.cur.stalled
-		to := plan.Move(&at, j.items[i].Hint/stride, st.made())
+		to := p.plan.Move(&at, j.items[i].Hint/p.stride, st.made())
 		if to == nil {
 			continue
 		}
 		if !to.Sure {
-			w.refresh(byID[to.ID], j.model, now) // The answer makes the worker look again.
+			w.refresh(p.byID[to.ID], j.model, now) // The answer makes the worker look again.
 			continue
 		}
 		to.Open++ // Taken in this look.
 		st.moves++
 		st.stay = now + stayFor
-		st.next = w.launch(j, i, r, byID[to.ID])
+		st.next = w.launch(j, i, p.route, p.byID[to.ID])
 	}
 }
 
