--- a/internal/decide/lots/lots.go
+++ b/internal/decide/lots/lots.go
@@ -11,7 +11,10 @@
 //     job, until a later record names another one. It is a choice that saves
 //     work, not a lock: a second owner costs tokens, and rule 2 keeps the
 //     results single.
-//  5. A node is alive while its records arrive. The first record of a new
+//  5. The text that an item has so far may be stored, so that a later owner goes
+//     on after it. Each record holds a text from its start on; the longest
+//     counts.
+//  6. A node is alive while its records arrive. The first record of a new
 //     incarnation ends those before it.
 //
 // # Usage
@@ -93,6 +96,15 @@
 	Size     int // of the text in bytes
 }
 
+// Part is the record of the text that an item has so far.
+type Part struct {
+	Job    string
+	Item   int
+	Events int // that the text has
+	Text   Place
+	Size   int // of the stored record in bytes
+}
+
 // End is the record of a job that its client has ended.
 type End struct{ Job string }
 
@@ -116,7 +128,7 @@
 	Boot string // differs for each start
 }
 
-// Record is one of Accept, Done, End, Take and Beat.
+// Record is one of Accept, Done, Part, End, Take and Beat.
 type Record any
 
 // Result is a listed result.
@@ -137,6 +149,13 @@
 	Results []Result     // in the order of their places
 	Ended   bool
 	place   []int32 // of each item in Results, plus one
+	parts   map[int]Part
+}
+
+// Part returns the longest stored text of an item that is not listed.
+func (j *Job) Part(item int) (Part, bool) {
+	p, ok := j.parts[item]
+	return p, ok && !j.Listed(item)
 }
 
 // Listed reports whether an item has a result.
@@ -213,6 +232,8 @@
 		return j
 	case Done:
 		return x.done(r)
+	case Part:
+		x.part(r)
 	case End:
 		if j := x.jobs[r.Job]; j != nil && !j.Ended {
 			j.Ended = true
@@ -224,7 +245,7 @@
 			return j
 		}
 	case Beat:
-		x.peers[r.Node.Name] = &Peer{Beat: r, Heard: now} // rule 5
+		x.peers[r.Node.Name] = &Peer{Beat: r, Heard: now} // rule 6
 	}
 	return nil
 }
@@ -237,9 +258,22 @@
 	}
 	j.Results = append(j.Results, Result{r.Item, r.Dead, r.Versions, r.Score, r.Text, r.Size})
 	j.place[r.Item] = int32(len(j.Results))
+	delete(j.parts, r.Item)
 	return j
 }
 
+// part applies rule 5.
+func (x *Index) part(r Part) {
+	j := x.jobs[r.Job]
+	if j == nil || !j.Open() || r.Item < 0 || r.Item >= len(j.Items) || r.Events <= j.parts[r.Item].Events {
+		return
+	}
+	if j.parts == nil {
+		j.parts = make(map[int]Part)
+	}
+	j.parts[r.Item] = r
+}
+
 // Alive returns the names of the nodes that were heard of within a span and
 // don't leave, in order.
 func (x *Index) Alive(now, within clock.Millis) []string {
--- a/internal/decide/lots/lots_test.go
+++ b/internal/decide/lots/lots_test.go
@@ -172,3 +172,31 @@
 		})
 	})
 }
+
+func TestPart(t *testing.T) {
+	two := accept("j", nodeA, "x", "y")
+	tests := map[string]struct {
+		recs []Record
+		want int // events of the first item's stored text
+	}{
+		"none":                {[]Record{two}, 0},
+		"longest counts":      {[]Record{two, Part{Job: "j", Events: 40}, Part{Job: "j", Events: 90}, Part{Job: "j", Events: 60}}, 90},
+		"another item":        {[]Record{two, Part{Job: "j", Item: 1, Events: 40}}, 0},
+		"out of range":        {[]Record{two, Part{Job: "j", Item: 2, Events: 40}, Part{Job: "k", Events: 40}}, 0},
+		"listed":              {[]Record{two, Part{Job: "j", Events: 40}, Done{Job: "j"}}, 0},
+		"after it was listed": {[]Record{two, Done{Job: "j"}, Part{Job: "j", Events: 40}}, 0},
+		"after the end":       {[]Record{two, End{Job: "j"}, Part{Job: "j", Events: 40}}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			x := New()
+			apply(x, test.recs...)
+			p, ok := x.Job("j").Part(0)
+			c.Check(ok, qt.Equals, test.want > 0)
+			if ok {
+				c.Check(p.Events, qt.Equals, test.want)
+			}
+		})
+	}
+}
--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
+	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 )
 
 // Topics of the system in the platform's store.
@@ -44,6 +45,7 @@
 	Offset   int64    `json:"offset,omitempty"`
 	Size     int      `json:"size,omitempty"`
 	Item     int      `json:"item,omitempty"`
+	Events   int      `json:"events,omitempty"`
 	Dead     bool     `json:"dead,omitempty"`
 	Versions []int64  `json:"versions,omitempty"`
 	Score    string   `json:"score,omitempty"`
@@ -69,6 +71,8 @@
 			Kind: "done", Job: r.Job, Item: r.Item, Dead: r.Dead, Versions: r.Versions, Score: r.Score,
 			Part: r.Text.Part, Offset: r.Text.Offset, Size: r.Size,
 		}
+	case lots.Part:
+		w = record{Kind: "part", Job: r.Job, Item: r.Item, Events: r.Events, Part: r.Text.Part, Offset: r.Text.Offset, Size: r.Size}
 	case lots.End:
 		w = record{Kind: "end", Job: r.Job}
 	case lots.Take:
@@ -100,6 +104,8 @@
 		return lots.Done{
 			Job: w.Job, Item: w.Item, Dead: w.Dead, Versions: w.Versions, Score: w.Score, Text: place, Size: w.Size,
 		}, nil
+	case "part":
+		return lots.Part{Job: w.Job, Item: w.Item, Events: w.Events, Text: place, Size: w.Size}, nil
 	case "end":
 		return lots.End{Job: w.Job}, nil
 	case "take":
@@ -151,6 +157,34 @@
 	return out, nil
 }
 
+type event struct {
+	Version int64  `json:"version"`
+	Data    string `json:"data"`
+}
+
+// EncodeEvents returns the bytes of a text that is not whole yet.
+func EncodeEvents(evs []runs.Event) ([]byte, error) {
+	ws := make([]event, len(evs))
+	for i, ev := range evs {
+		ws[i] = event{ev.Version, string(ev.Data)}
+	}
+	b, err := json.Marshal(ws)
+	return b, errors.Wrap(err, "events")
+}
+
+// DecodeEvents parses such a text.
+func DecodeEvents(b []byte) ([]runs.Event, error) {
+	var ws []event
+	if err := json.Unmarshal(b, &ws); err != nil {
+		return nil, errors.Wrap(err, "events")
+	}
+	out := make([]runs.Event, len(ws))
+	for i, w := range ws {
+		out[i] = runs.Event{Version: w.Version, Data: []byte(w.Data)}
+	}
+	return out, nil
+}
+
 type demand struct {
 	Models map[string]int64 `json:"models"`
 }
--- a/internal/node/jobs/calls.go
+++ b/internal/node/jobs/calls.go
@@ -12,6 +12,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
+	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/logs"
 )
 
@@ -311,6 +312,38 @@
 	return nil
 }
 
+// Keep stores the text that an item has so far.
+func (b *Board) Keep(ctx context.Context, job string, item int, evs []runs.Event) error {
+	raw, err := index.EncodeEvents(evs)
+	if err != nil {
+		return err
+	}
+	if len(raw) > b.Info.RecordBytes {
+		return errors.Errorf("a text of %d bytes is larger than a record of the store", len(raw))
+	}
+	p := lots.Part{Job: job, Item: item, Events: len(evs), Size: len(raw), Text: lots.Place{Part: b.part(job)}}
+	if p.Text.Offset, err = b.Writer.Append(ctx, index.Bulk, p.Text.Part, raw); err != nil {
+		return err
+	}
+	return b.put(ctx, p)
+}
+
+// Kept reads a stored text.
+func (b *Board) Kept(ctx context.Context, p lots.Part) ([]runs.Event, error) {
+	page, err := b.Store.Read(ctx, index.Bulk, p.Text.Part, p.Text.Offset, p.Size>>10+1, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(page.Records) == 0 {
+		return nil, errors.Errorf("no record at %d of partition %d", p.Text.Offset, p.Text.Part)
+	}
+	evs, err := index.DecodeEvents(page.Records[0])
+	if err == nil && len(evs) != p.Events {
+		err = errors.Errorf("a stored text has %d events, %d are due", len(evs), p.Events)
+	}
+	return evs, err
+}
+
 // Finish appends a result's text and its record.
 func (b *Board) Finish(ctx context.Context, j *lots.Job, d lots.Done, text []byte) error {
 	d.Job = j.Job
--- a/internal/node/jobs/jobs_test.go
+++ b/internal/node/jobs/jobs_test.go
@@ -15,6 +15,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/logs"
 	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
 )
@@ -308,3 +309,26 @@
 		}
 	})
 }
+
+// The text that an item has so far outlives all processes.
+func TestKeptText(t *testing.T) {
+	world(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, b *Board) {
+		c.Assert(a.Submit(ctx, spec("j", 2)), qt.IsNil)
+		c.Assert(a.Sync(ctx), qt.IsNil)
+		evs := []runs.Event{{Version: 3, Data: []byte("x\ny")}, {Version: 4, Data: []byte("z")}}
+		c.Assert(a.Keep(ctx, "j", 1, evs), qt.IsNil)
+		c.Assert(b.Sync(ctx), qt.IsNil)
+		p, ok := job(b, "j").Part(1)
+		c.Assert(ok, qt.IsTrue)
+		got, err := b.Kept(ctx, p)
+		c.Assert(err, qt.IsNil)
+		c.Check(got, qt.DeepEquals, evs)
+		p.Events = 3
+		_, err = b.Kept(ctx, p)
+		c.Check(err, qt.ErrorMatches, ".*2 events, 3 are due.*")
+		c.Check(a.Keep(ctx, "j", 1, []runs.Event{{Data: make([]byte, 1<<17)}}), qt.IsNotNil)
+		s.Trouble(topic.Busy)
+		_, err = b.Kept(ctx, p)
+		c.Check(err, qt.IsNotNil)
+	})
+}
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -33,6 +33,7 @@
 	fails  int          // answers of failure
 	breaks int          // runs that broke off
 	moves  int
+	kept   int // events that are stored
 }
 
 // attempt is one run of an item at one engine.
@@ -66,11 +67,19 @@
 // settle takes the current attempt's events in.
 func (st *item) settle() {
 	if st.cur != nil {
-		st.held = append(st.held[:st.cur.from:st.cur.from], st.cur.events...)
+		st.held = st.events()
 		st.cur = nil
 	}
 }
 
+// events returns what is held, from the start of the text.
+func (st *item) events() []runs.Event {
+	if st.cur == nil {
+		return st.held
+	}
+	return append(st.held[:st.cur.from:st.cur.from], st.cur.events...)
+}
+
 // adopt makes the next attempt the current one. A text goes on after the event
 // for which the attempt was asked, also if more are held by now.
 func (st *item) adopt() {
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -148,6 +148,7 @@
 		case <-w.wake:
 		}
 		w.fit()
+		w.keep(ctx)
 		w.look(ctx)
 		w.assign()
 	}
@@ -263,6 +264,10 @@
 // load reads the items of a job from the store.
 func (w *Worker) load(ctx context.Context, j *lots.Job) {
 	its, err := w.Board.Items(ctx, j)
+	var texts map[int][]runs.Event
+	if err == nil {
+		texts = w.kept(ctx, j.Job)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := w.jobs[j.Job]
@@ -275,7 +280,12 @@
 		return
 	}
 	r.start(w.Clock.Now(), its)
-	w.Log.Info().Str("job", j.Job).Int("items", len(its)).Int("listed", len(j.Results)).Msg("work: job begun from the store")
+	for i, evs := range texts {
+		if st := &r.state[i]; st.phase == waiting && len(evs) > len(st.held) {
+			st.held, st.kept = evs, len(evs)
+		}
+	}
+	w.Log.Info().Str("job", j.Job).Int("items", len(its)).Int("listed", len(j.Results)).Int("texts", len(texts)).Msg("work: job begun from the store")
 	w.Wake()
 }
 
