Let a few engines load at a time, by the order of a log

Change: an agent enters a queue on the log before it orders a load; the newest version counts when its turn comes. The start of a wave by rank is gone.

--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -24,7 +24,7 @@
 const (
 	Topic = "index"
 	Bulk  = "bulk"
-	Fence = "fence" // its offsets are fencing tokens
+	Fence = "fence" // the gate for loads; its offsets are fencing tokens
 	// Plans names the topic that holds, under one key, the demand by which
 	// engines share out the models; the store keeps its newest record.
 	Plans     = "plans"
@@ -185,6 +185,30 @@
 	return out, nil
 }
 
+// Load is the record of an agent that enters the gate for loads, or leaves it.
+type Load struct {
+	Agent  string
+	Leaves bool
+}
+
+type load struct {
+	Agent  string `json:"agent"`
+	Leaves bool   `json:"leaves,omitempty"`
+}
+
+// EncodeLoad returns the bytes of a record of the gate.
+func EncodeLoad(l Load) ([]byte, error) {
+	b, err := json.Marshal(load(l))
+	return b, errors.Wrap(err, "load")
+}
+
+// DecodeLoad parses a record of the gate.
+func DecodeLoad(b []byte) (Load, error) {
+	var w load
+	err := json.Unmarshal(b, &w)
+	return Load(w), errors.Wrap(err, "load")
+}
+
 type demand struct {
 	Models map[string]int64 `json:"models"`
 }
--- a/internal/node/side/order.go
+++ b/internal/node/side/order.go
@@ -18,9 +18,6 @@
 	// settle is how long after a version was named an idle engine waits for
 	// work: a trainer hands in its next job right after it has named one.
 	settle = 300 * clock.Milli
-	// wave is the time between two groups of engines that load at once: one
-	// load takes 0.9 s, and longer while too many engines load.
-	wave = 950 * clock.Milli
 	// waveShare is one in how many engines of a service may load at once
 	// without slowing each other; two may at any size.
 	waveShare = 5
@@ -33,10 +30,10 @@
 //  1. The engine loads versions of the model that it mainly serves.
 //  2. A load stops all runs for about a second, which the longest items can't
 //     spare, so the engines of a model take turns. The first half loads a
-//     version as soon as it is named, a few at a time; the longest items
-//     start on the other half, which loads while nothing runs. Jobs may use
-//     the version before the newest; an engine that is further behind loads
-//     at once.
+//     version as soon as it is named; the longest items start on the other
+//     half, which loads while nothing runs. Jobs may use the version before
+//     the newest; an engine that is further behind loads as soon as it may.
+//     Of all engines only a few load at a time (package gate).
 //  3. An order names the count of orders accepted so far. One that is carried
 //     out late, after another, is refused by that count.
 //  4. An order without an answer is not followed by another before the report
@@ -51,7 +48,7 @@
 	model string          // wanted last
 	want  int64           // its version
 	since clock.Millis    // it is wanted
-	yield clock.Millis    // when the engine began to wait for its runs to move
+	token int64           // of the place in the gate, 0 outside
 	sent  *plat.SwapOrder // without a known effect
 	at    clock.Millis
 	id    string // of the engine that it was sent to
@@ -88,6 +85,7 @@
 	}
 	if c.sent != nil && (c.id != e.ID || st.Orders != c.sent.Expect || st.Versions[c.sent.Model] >= c.sent.Version) {
 		c.sent = nil
+		c.leave(ctx)
 	}
 	if c.sent != nil {
 		if now-c.at >= effectFor { // rule 4
@@ -104,30 +102,56 @@
 	model := shares[e.ID] // rule 1
 	want := a.Conf.Version(model)
 	if model == "" || st.Versions[model] >= want {
+		c.leave(ctx)
 		return
 	}
 	if c.model != model || c.want != want {
 		c.model, c.want, c.since = model, want, now
 	}
 	rank, of := share.Rank(engines, shares, e.ID)
-	t := turn{rank: rank, of: of, together: max(waveLeast, (len(engines)+waveShare-1)/waveShare)}
-	if !t.due(now, want-st.Versions[model], idle, c.since) {
+	if c.token == 0 && !(turn{rank, of}).due(now, want-st.Versions[model], idle, c.since) {
 		return
 	}
-	fence, err := a.Fence(ctx)
-	if err != nil {
-		a.Log.Warn().Err(err).Str("model", model).Int64("version", want).Msg("side: no fencing token, the order waits")
+	if !c.enter(ctx, max(waveLeast, (len(engines)+waveShare-1)/waveShare)) {
 		return
 	}
-	c.sent = &plat.SwapOrder{Model: model, Version: want, Fence: fence, Expect: st.Orders, Owner: a.Node}
+	c.sent = &plat.SwapOrder{Model: model, Version: want, Fence: c.token, Expect: st.Orders, Owner: a.Node}
 	c.send(ctx, e.ID)
 }
 
+// enter reports whether the engine may load now, beside as many others as may.
+func (c *orders) enter(ctx context.Context, together int) bool {
+	a := c.agent
+	var err error
+	if c.token == 0 {
+		if c.token, err = a.Gate.Enter(ctx); err != nil {
+			c.token = 0
+			a.Log.Warn().Err(err).Str("model", c.model).Int64("version", c.want).Msg("side: no fencing token, the order waits")
+			return false
+		}
+	}
+	may, err := a.Gate.May(ctx, c.token, together)
+	if err != nil {
+		a.Log.Warn().Err(err).Int64("token", c.token).Msg("side: the other loads are not known, the order waits")
+	}
+	return may && err == nil
+}
+
+// leave lets the next engine load.
+func (c *orders) leave(ctx context.Context) {
+	if c.token == 0 {
+		return
+	}
+	if err := c.agent.Gate.Leave(ctx); err != nil {
+		c.agent.Log.Warn().Err(err).Msg("side: the end of a load is not told; the others notice by its time")
+	}
+	c.token = 0
+}
+
 // turn is an engine's place among those with its model.
 type turn struct {
-	rank     int
-	of       int
-	together int // engines that may load at once
+	rank int
+	of   int
 }
 
 // due applies rule 2: behind is how many versions the engine lacks, idle since
@@ -137,7 +161,7 @@
 		return true
 	}
 	if t.rank < t.of/2 {
-		return now >= named+clock.Millis(t.rank/t.together)*wave
+		return true
 	}
 	return idle > 0 && now >= named+settle
 }
@@ -158,5 +182,6 @@
 	}
 	if res == plat.SwapHolds || res == plat.SwapConflict || res == plat.SwapRefused {
 		c.sent = nil
+		c.leave(ctx) // The next order needs another token.
 	}
 }
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -66,12 +66,19 @@
 	Sender plat.Sender
 	Events func(*plat.Answer) plat.Events
 	Order  plat.Control
-	Fence  func(context.Context) (int64, error) // a token above all before it
+	Gate   Loads
 	Clock  clock.Clock
 	Log    zerolog.Logger
 	Count  func(name, label string)
 }
 
+// Loads says when the engine may load; see [Gate].
+type Loads interface {
+	Enter(ctx context.Context) (token int64, err error)
+	May(ctx context.Context, token int64, together int) (bool, error)
+	Leave(ctx context.Context) error
+}
+
 // Agent runs items at one engine.
 type Agent struct {
 	Params
--- a/internal/prod/roles/agent.go
+++ b/internal/prod/roles/agent.go
@@ -8,7 +8,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/edge/dial"
-	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/relay"
 	"github.com/jujuberamp/jujuberamp/internal/node/side"
@@ -32,14 +31,11 @@
 	if boot.Engine == "" {
 		return fault.New(fault.BadSetting, "the settings name no engine on this VM; run the agent beside an engine only")
 	}
+	loads := side.NewGate(boot.Node, b.store, b.writer, b.clock, b.log)
 	engines := platform.NewEngines(dial.NewTransport(engineConns, 0))
 	a := side.New(side.Params{
 		Node: boot.Node, Engine: boot.Engine, Conf: b.conf, Sender: engines, Events: platform.ReadEvents, Order: engines,
-		// Offsets rise for all nodes, also across restarts.
-		Fence: func(ctx context.Context) (int64, error) {
-			n, err := b.writer.Append(ctx, index.Fence, 0, []byte(boot.Node))
-			return n + 1, err
-		},
+		Gate:  loads,
 		Clock: b.clock, Log: b.log, Count: b.count,
 	})
 	mux := http.NewServeMux()
@@ -50,7 +46,13 @@
 		return err
 	}
 	go b.conf.Run(ctx, b.store)
-	go a.Control(ctx)
+	go func() {
+		// What an earlier process was in for is over.
+		if err := loads.Leave(ctx); err != nil {
+			b.log.Warn().Err(err).Msg("roles: the start is not told to the gate for loads")
+		}
+		a.Control(ctx)
+	}()
 	go a.Watch(ctx)
 
 	<-stop
