--- a/internal/node/logs/logs_test.go
+++ b/internal/node/logs/logs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,11 +181,11 @@
 	*topic.Store
 	old []plat.Keyed
 	end int64
-	on  bool
+	on  atomic.Bool
 }
 
 func (s *stale) Newest(ctx context.Context, name string) ([]plat.Keyed, int64, error) {
-	if s.on {
+	if s.on.Load() {
 		return s.old, s.end, nil
 	}
 	return s.Store.Newest(ctx, name)
@@ -212,13 +213,13 @@
 		time.Sleep(time.Second)
 		s.Write("newest", "k", []byte("2"))
 		time.Sleep(time.Second)
-		s.on = true
+		s.on.Store(true)
 		s.Expire("newest", 0) // The next read finds its records gone.
 		s.Write("newest", "other", []byte("x"))
 		s.Expire("newest", 0)
 		time.Sleep(time.Second)
 		c.Check(f.get("k"), qt.Equals, "2")
-		s.on = false
+		s.on.Store(false)
 		time.Sleep(time.Second)
 		c.Check(f.get("other"), qt.Equals, "x")
 		c.Check(f.falls, qt.Equals, 0)
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -44,6 +44,13 @@
 	mute bool // reports are not answered
 }
 
+// set changes the script.
+func (e *engine) set(fn func(e *engine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fn(e)
+}
+
 func (e *engine) Send(ctx context.Context, to plat.Target, _ plat.Request) (*plat.Answer, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -53,7 +60,10 @@
 
 // Next implements plat.Events.
 func (e *engine) Next() (plat.Event, error) {
-	time.Sleep(e.gap)
+	e.mu.Lock()
+	gap := e.gap
+	e.mu.Unlock()
+	time.Sleep(gap)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.events) == 0 {
@@ -114,7 +124,7 @@
 }
 
 func (w *world) list(id string) {
-	w.e.id = id
+	w.e.set(func(e *engine) { e.id = id })
 	w.store.Write("servers", id, []byte(id))
 	synctest.Wait()
 }
@@ -219,21 +229,15 @@
 		"never to be done":     {item, func(e *engine) { e.status = 422 }, runs.Rejected, nil},
 		"the engine falls silent": {item, func(e *engine) {
 			e.gap = time.Minute
-			time.AfterFunc(50*time.Millisecond, func() {
-				e.mu.Lock()
-				defer e.mu.Unlock()
-				e.mute = true
-			})
+			time.AfterFunc(600*time.Millisecond, func() { e.set(func(e *engine) { e.mute = true }) })
 		}, runs.Broken, nil},
-		"the engine is down": {item, func(e *engine) {
-			e.mute = true
-			time.Sleep(500 * time.Millisecond)
-		}, runs.Full, nil},
+		"the engine is down": {item, func(e *engine) { e.mute = true }, runs.Full, nil},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			play(t, func(w *world) {
-				test.engine(w.e)
+				w.e.set(test.engine)
+				time.Sleep(500 * time.Millisecond)
 				versions, last := w.run(test.run)
 				w.c.Check(last.Code, qt.Equals, test.code, qt.Commentf("%s", last.Detail))
 				w.c.Check(versions, qt.DeepEquals, test.made)
@@ -245,8 +249,10 @@
 
 func TestAdmission(t *testing.T) {
 	play(t, func(w *world) {
-		w.e.gap = time.Second
-		w.e.events = []plat.Event{ev(1, 1), ev(2, 0), ev(3, 0), ev(4, 0)}
+		w.e.set(func(e *engine) {
+			e.gap = time.Second
+			e.events = []plat.Event{ev(1, 1), ev(2, 0), ev(3, 0), ev(4, 0)}
+		})
 		r := runs.Run{Item: "x", Instance: "i-1", Model: "m", MinVersion: 1}
 		for range 2 {
 			go w.run(r)
@@ -265,8 +271,10 @@
 // The entry that leaves ends the engine's work.
 func TestEntryLeaves(t *testing.T) {
 	play(t, func(w *world) {
-		w.e.gap = time.Second
-		w.e.events = []plat.Event{ev(1, 1), ev(2, 0), ev(3, 0)}
+		w.e.set(func(e *engine) {
+			e.gap = time.Second
+			e.events = []plat.Event{ev(1, 1), ev(2, 0), ev(3, 0)}
+		})
 		ctx, leave := context.WithCancel(w.ctx)
 		own := *w
 		own.ctx = ctx
@@ -291,11 +299,11 @@
 		want   int64 // loaded in the end
 	}{
 		"named":                  {want: 2},
-		"the answer is lost":     {before: func(w *world) { w.e.lose = true }, after: func(w *world) { w.e.lose = false }, want: 2},
-		"it takes effect late":   {before: func(w *world) { w.e.lose, w.e.late = true, 5*time.Second }, after: func(w *world) { w.e.lose = false }, want: 2},
-		"late, after a newer":    {before: func(w *world) { w.e.lose, w.e.late = true, 9*time.Second }, after: func(w *world) { w.e.lose = false; w.name("3") }, want: 3},
-		"engine starts again":    {after: func(w *world) { w.e.orders = 0; w.list("i-2"); w.name("3") }, want: 3},
-		"engine reports nothing": {before: func(w *world) { w.e.mute = true }, after: func(w *world) { w.e.mute = false }, want: 2},
+		"the answer is lost":     {before: func(w *world) { w.e.set(func(e *engine) { e.lose = true }) }, after: func(w *world) { w.e.set(func(e *engine) { e.lose = false }) }, want: 2},
+		"it takes effect late":   {before: func(w *world) { w.e.set(func(e *engine) { e.lose, e.late = true, 5*time.Second }) }, after: func(w *world) { w.e.set(func(e *engine) { e.lose = false }) }, want: 2},
+		"late, after a newer":    {before: func(w *world) { w.e.set(func(e *engine) { e.lose, e.late = true, 9*time.Second }) }, after: func(w *world) { w.e.set(func(e *engine) { e.lose = false }); w.name("3") }, want: 3},
+		"engine starts again":    {after: func(w *world) { w.e.set(func(e *engine) { e.orders = 0 }); w.list("i-2"); w.name("3") }, want: 3},
+		"engine reports nothing": {before: func(w *world) { w.e.set(func(e *engine) { e.mute = true }) }, after: func(w *world) { w.e.set(func(e *engine) { e.mute = false }) }, want: 2},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -309,6 +317,8 @@
 					test.after(w)
 				}
 				time.Sleep(20 * time.Second)
+				w.e.mu.Lock()
+				defer w.e.mu.Unlock()
 				w.c.Check(w.e.version, qt.Equals, test.want)
 				last := int64(0)
 				for _, o := range w.e.sent {
@@ -366,15 +376,17 @@
 				}
 				w.name("3") // two versions behind: the engine loads as soon as it may
 				time.Sleep(time.Second)
-				w.c.Check(w.e.sent, qt.HasLen, 0)
+				w.e.set(func(e *engine) { w.c.Check(e.sent, qt.HasLen, 0) })
 				if leaves {
 					w.c.Assert(x.Leave(w.ctx), qt.IsNil)
 					time.Sleep(300 * time.Millisecond)
 				} else {
 					time.Sleep(3 * time.Second)
 				}
-				w.c.Check(w.e.sent, qt.HasLen, 1)
-				w.c.Check(w.e.version, qt.Equals, int64(3))
+				w.e.set(func(e *engine) {
+					w.c.Check(e.sent, qt.HasLen, 1)
+					w.c.Check(e.version, qt.Equals, int64(3))
+				})
 			})
 		})
 	}
--- a/internal/prod/roles/roles.go
+++ b/internal/prod/roles/roles.go
@@ -109,7 +109,6 @@
 	var dropped atomic.Int64
 	w := diode.NewWriter(out, logLines, logPoll, func(n int) { dropped.Add(int64(n)) })
 	b.ends = append(b.ends, w.Close)
-	zerolog.TimeFieldFormat = "15:04:05.000"
 	b.log = telem.Logger(w, "info", role)
 	if b.meters, err = telem.NewMetrics(); err != nil {
 		return nil, err
--- a/internal/prod/telem/telem.go
+++ b/internal/prod/telem/telem.go
@@ -23,6 +23,9 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 )
 
+// Lines of several processes are compared by their time, so it has milliseconds.
+func init() { zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00" }
+
 // Logger returns the log of one program at a level; an unknown level is info.
 // The parts of a program add their prefix.
 func Logger(w io.Writer, level, program string) zerolog.Logger {
