--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -39,8 +39,7 @@
 	Zone    string
 	Slots   int
 	Leaving bool
-	Born    int64 // start of the incarnation, comparable for equality only
-	Warm    clock.Millis
+	Born    int64            // start of the incarnation, comparable for equality only
 	Loaded  map[string]int64 // version of each model, as of some time ago
 }
 
@@ -67,9 +66,6 @@
 	return nil
 }
 
-// Len returns the number of servers.
-func (v *View) Len() int { return len(v.byID) }
-
 // List is the registry as it is known here.
 type List struct {
 	servers map[string]*Server
--- a/internal/decide/table/table.go
+++ b/internal/decide/table/table.go
@@ -125,6 +125,18 @@
 // Service returns a service by name, nil if there is none.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
+// OneModel reports whether a route to a service wants texts of one version.
+func (c *Config) OneModel(service string) bool {
+	for _, rs := range c.hosts {
+		for _, r := range rs {
+			if r.OneModel && slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Models returns the models of all services, by service.
 func (c *Config) Models() map[string][]string {
 	out := make(map[string][]string)
--- a/internal/decide/table/table_test.go
+++ b/internal/decide/table/table_test.go
@@ -46,6 +46,16 @@
 	c.Check(r.Pick(0.999), qt.Equals, "y")
 }
 
+func TestOneModel(t *testing.T) {
+	c := qt.New(t)
+	cfg := New(1, Limits{}, []*Route{
+		{Host: "h", Prefix: "/a/", Kind: Rollout, OneModel: true, Backends: []Backend{{Service: "x", Weight: 1}}},
+		{Host: "h", Prefix: "/b/", Kind: Rollout, Backends: []Backend{{Service: "y", Weight: 1}}},
+	}, nil)
+	c.Check(cfg.OneModel("x"), qt.IsTrue)
+	c.Check(cfg.OneModel("y"), qt.IsFalse)
+}
+
 func TestRepeatable(t *testing.T) {
 	for name, test := range map[string]struct {
 		r    Route
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -48,7 +48,6 @@
 	Body       []byte
 	After      int   // last event that is held already
 	Version    int64 // of that event
-	Priority   int   // at the engine, 0 is first
 }
 
 // Event is one event of a text.
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -70,7 +70,6 @@
 type Params struct {
 	Conf   *conf.Follower
 	Sender plat.Sender
-	Events func(*plat.Answer) plat.Events
 	Place  pick.Place
 	Clock  clock.Clock
 	Log    zerolog.Logger
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -126,9 +126,6 @@
 	return &Store{direct: direct, peers: peers, http: &http.Client{Transport: rt}, clock: c, log: log}
 }
 
-// Direct reports whether the direct way works, as far as is known.
-func (s *Store) Direct() bool { return s.failed.Load() == 0 }
-
 // passed reports whether an error is a result of the call itself, not of the
 // way to the store.
 func passed(err error) bool {
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -113,5 +113,4 @@
 	cl.Advance(avoid)
 	_, err := s.Append(context.Background(), plat.Append{Topic: "t", Records: [][]byte{{1}}})
 	c.Check(err, qt.IsNil)
-	c.Check(s.Direct(), qt.IsTrue)
 }
--- a/internal/node/side/order.go
+++ b/internal/node/side/order.go
@@ -115,7 +115,7 @@
 	if !c.enter(ctx, max(waveLeast, (len(engines)+waveShare-1)/waveShare)) {
 		return
 	}
-	c.sent = &plat.SwapOrder{Model: model, Version: want, Fence: c.token, Expect: st.Orders, Owner: a.Node}
+	c.sent = &plat.SwapOrder{Model: model, Version: want, Fence: c.token, Expect: st.Orders, Owner: a.Node, Finish: cfg.OneModel(e.Service)}
 	c.send(ctx, e.ID)
 }
 
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -26,14 +26,15 @@
 	cur   *attempt
 	// next runs the rest of the item at a faster engine. It takes the place of
 	// the current attempt with its first event, so that a refusal costs nothing.
-	next   *attempt
-	after  clock.Millis // no start before then
-	stay   clock.Millis // no move before then
-	notAt  string       // engine that it just left
-	fails  int          // answers of failure
-	breaks int          // runs that broke off
-	moves  int
-	kept   int // events that are stored
+	next     *attempt
+	after    clock.Millis // no start before then
+	stay     clock.Millis // no move before then
+	notAt    string       // engine that it just left
+	fails    int          // answers of failure
+	breaks   int          // runs that broke off
+	moves    int
+	refusals int // of engines that were full, loading or too old
+	kept     int // events that are stored
 }
 
 // attempt is one run of an item at one engine.
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -42,7 +42,7 @@
 	w.engine(s).open++
 	run := &runs.Run{
 		Job: j.id, Item: it.ID, Instance: s.ID, Model: j.model, MinVersion: j.min, OneModel: r.OneModel,
-		Host: j.host, Path: it.Path, Header: it.Header, Body: it.Body, After: a.from, Version: st.version(), Priority: r.Priority,
+		Host: j.host, Path: it.Path, Header: it.Header, Body: it.Body, After: a.from, Version: st.version(),
 	}
 	go func() {
 		defer cancel()
@@ -143,8 +143,12 @@
 	if j.ctx.Err() != nil || st.cur != a && st.next != a {
 		return
 	}
-	w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", s.ID).Str("code", string(code)).Str("why", detail).
-		Int("events", st.made()).Int("fails", st.fails).Int("breaks", st.breaks).Bool("move", st.next == a).Msg("work: run ended")
+	if code == runs.Full || code == runs.Old {
+		st.refusals++ // Told with the next line; they are counted as well.
+	} else {
+		w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", s.ID).Str("code", string(code)).Str("why", detail).
+			Int("events", st.made()).Int("refusals", st.refusals).Int("fails", st.fails).Int("breaks", st.breaks).Bool("move", st.next == a).Msg("work: run ended")
+	}
 	if st.next == a { // It never began; the current attempt goes on.
 		st.next = nil
 		st.stay = now + stayFor
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -111,7 +111,7 @@
 	e := &entry{base: b}
 	engines := platform.NewEngines(dial.NewTransport(engineConns, 0))
 	e.front = front.New(front.Params{
-		Conf: b.conf, Sender: engines, Events: platform.ReadEvents, Place: place, Clock: b.clock, Log: b.log,
+		Conf: b.conf, Sender: engines, Place: place, Clock: b.clock, Log: b.log,
 		Count: func(route, outcome string, span clock.Millis) {
 			b.count("requests", outcome)
 			took.Record(ctx, span.Seconds(), metric.WithAttributes(attribute.String("route", route)))
