--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -29,10 +29,10 @@
 	first     = 20.0             // ms for an answer of a server of which nothing is known
 	coolLeast = 150 * clock.Milli
 	coolMost  = 3 * clock.Second
-	// Ways to a server in the same region and in another one and back, in ms:
-	// some 1.5 and 12 one way at both deployments.
-	sameRegion  = 3.0
-	otherRegion = 25.0
+	// Ways to a server in the same region and in another one and back: some 1.5
+	// and 12 ms one way at both deployments.
+	sameRegion  = 3 * clock.Milli
+	otherRegion = 25 * clock.Milli
 )
 
 // Outcome is how a request at a server ended.
@@ -60,7 +60,8 @@
 	Regions map[string]string // by zone
 }
 
-func (p Place) distance(zone string) float64 {
+// Distance returns how long the way to a zone and back takes.
+func (p Place) Distance(zone string) clock.Millis {
 	switch {
 	case zone == p.Zone:
 		return 0
@@ -123,7 +124,7 @@
 			cool = now < st.cool // rule 3
 			open = st.open
 		}
-		t = t*(1+float64(open)/float64(max(1, s.Slots))) + b.place.distance(s.Zone) // rule 1
+		t = t*(1+float64(open)/float64(max(1, s.Slots))) + float64(b.place.Distance(s.Zone)) // rule 1
 		if best == nil || bestCool && !cool || bestCool == cool && t < bestTime {
 			best, bestTime, bestCool = s, t, cool
 		}
--- a/internal/node/conf/conf.go
+++ b/internal/node/conf/conf.go
@@ -92,21 +92,11 @@
 func (f *Follower) Run(ctx context.Context, store plat.Store) {
 	go logs.FollowKeyed(ctx, store, logs.Keyed{
 		Topic: f.dec.OperatorTopic, Split: f.dec.Split,
-		All: func(ks []plat.Keyed) {
-			for _, k := range ks {
-				f.operator(k)
-			}
-		},
-		One: f.operator,
+		All: logs.Each(f.operator), One: f.operator,
 	}, f.log)
 	go logs.FollowKeyed(ctx, store, logs.Keyed{
 		Topic: f.dec.PlansTopic, Split: f.dec.Split,
-		All: func(ks []plat.Keyed) {
-			for _, k := range ks {
-				f.plan(k)
-			}
-		},
-		One: f.plan,
+		All: logs.Each(f.plan), One: f.plan,
 	}, f.log)
 	go clock.Every(ctx, expireEach, f.expire)
 	logs.FollowKeyed(ctx, store, logs.Keyed{Topic: f.dec.ServersTopic, Split: f.dec.Split, All: f.all, One: f.one, State: f.state}, f.log)
--- a/internal/node/front/call.go
+++ b/internal/node/front/call.go
@@ -157,10 +157,7 @@
 	a := &attempt{server: s}
 	outcome := pick.Failed
 	defer func() { c.front.ended(s.ID, began, outcome) }()
-	a.answer, a.err = c.front.Sender.Send(ctx, plat.Target{ID: s.ID, Addr: s.Addr}, plat.Request{
-		ID: c.req.ID, Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: c.req.Header, Body: c.req.Body,
-		Left: c.until - began, Resume: c.req.Resume,
-	})
+	a.answer, a.err = c.send(ctx, s, began, c.req.Resume)
 	if a.err != nil {
 		a.notRun = errors.Is(a.err, plat.ErrNotSent)
 		if ctx.Err() != nil {
@@ -185,6 +182,13 @@
 	return a
 }
 
+func (c *call) send(ctx context.Context, s *fleet.Server, now clock.Millis, resume int) (*plat.Answer, error) {
+	return c.front.Sender.Send(ctx, plat.Target{ID: s.ID, Addr: s.Addr}, plat.Request{
+		ID: c.req.ID, Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: c.req.Header, Body: c.req.Body,
+		Left: c.until - now, Resume: resume,
+	})
+}
+
 // readSome reads a body up to a size; whole tells that it ended before.
 func readSome(r io.Reader, most int) (b []byte, whole bool, err error) {
 	b, err = io.ReadAll(io.LimitReader(r, int64(most)))
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -64,10 +64,7 @@
 func (c *call) begin(ctx context.Context, s *fleet.Server, last int) *attempt {
 	began := c.front.Clock.Now()
 	a := &attempt{server: s}
-	a.answer, a.err = c.front.Sender.Send(ctx, plat.Target{ID: s.ID, Addr: s.Addr}, plat.Request{
-		ID: c.req.ID, Method: c.req.Method, URI: c.req.URI, Host: c.req.Host, Header: c.req.Header, Body: c.req.Body,
-		Left: c.until - began, Resume: last,
-	})
+	a.answer, a.err = c.send(ctx, s, began, last)
 	outcome := pick.Served
 	switch {
 	case a.err != nil:
--- a/internal/node/logs/follow.go
+++ b/internal/node/logs/follow.go
@@ -34,6 +34,15 @@
 	State func(ok bool)
 }
 
+// Each returns a function that gives all records to fn, one after the other.
+func Each(fn func(plat.Keyed)) func([]plat.Keyed) {
+	return func(ks []plat.Keyed) {
+		for _, k := range ks {
+			fn(k)
+		}
+	}
+}
+
 // FollowKeyed follows a keyed topic until the context ends. A key's record is
 // never replaced by one with a lower offset, also when the store answers from
 // a stale copy.
--- /dev/null
+++ b/internal/node/work/assign.go
@@ -0,0 +1,178 @@
+package work
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/seats"
+	"github.com/jujuberamp/jujuberamp/internal/decide/share"
+	"github.com/jujuberamp/jujuberamp/internal/decide/table"
+)
+
+const (
+	// mostMoves bounds how often one item moves: an engine has a slow moment
+	// about once in four seconds, the longest items take eight.
+	mostMoves = 8
+	// stayFor is how long an item stays after a move, so that it does not
+	// wander between engines that are both slow.
+	stayFor = 250 * clock.Milli
+)
+
+// route returns the route of a job and the service that runs its items.
+func (w *Worker) route(j *job) (*table.Route, string) {
+	cfg := w.Conf.Config()
+	if cfg == nil {
+		return nil, ""
+	}
+	r := cfg.Find(j.host, j.path)
+	if r == nil || r.Kind != table.Rollout {
+		return nil, ""
+	}
+	return r, r.Pick(0)
+}
+
+// assign gives waiting items to engines.
+func (w *Worker) assign() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leaving {
+		return
+	}
+	now := w.Clock.Now()
+	view := w.Conf.Servers()
+	w.forget(view)
+	all := make([]*job, 0, len(w.jobs))
+	for _, j := range w.jobs {
+		if j.items != nil {
+			all = append(all, j)
+		}
+	}
+	slices.SortFunc(all, func(a, b *job) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id)) })
+	var works []*planned
+	var wants []seats.Want
+	taken := make(map[string][]*seats.Seat) // the seats of each engine
+	pace := 0.0
+	for _, j := range all {
+		p := w.prepare(now, view, j)
+		if p == nil {
+			continue
+		}
+		for _, s := range p.plan.Seats() {
+			taken[s.ID] = append(taken[s.ID], s)
+		}
+		pace = max(pace, p.plan.Pace())
+		for _, want := range j.wants(now, p.stride) {
+			want.Job, want.At, want.Due = len(works), j.at, p.route.Due
+			wants = append(wants, want)
+		}
+		works = append(works, p)
+	}
+	seats.Sort(wants, pace)
+	for _, want := range wants {
+		p := works[want.Job]
+		s := p.plan.Best(want)
+		if s == nil {
+			p.waiting++
+			continue
+		}
+		for _, same := range taken[s.ID] {
+			same.Open++
+		}
+		st := &p.job.state[want.Item]
+		st.phase, st.cur = running, nil
+		st.cur = w.launch(p.job, want.Item, p.route, p.byID[s.ID])
+	}
+	for _, p := range works {
+		if p.waiting == 0 && !p.route.OneModel {
+			w.move(p, now)
+		}
+	}
+}
+
+// planned is a job in one look.
+type planned struct {
+	job     *job
+	route   *table.Route
+	plan    *seats.Plan
+	byID    map[string]*fleet.Server
+	stride  int // tokens of one event
+	waiting int // items that found no seat
+}
+
+// prepare returns the view of a job, nil if it can't go on now.
+func (w *Worker) prepare(now clock.Millis, view *fleet.View, j *job) *planned {
+	r, service := w.route(j)
+	if r == nil {
+		return nil
+	}
+	p := &planned{job: j, route: r, stride: 1}
+	p.plan, p.byID = w.plan(now, view, service, j)
+	if w.ask(j, p.plan, p.byID, now) {
+		return nil // The answers make the worker look again.
+	}
+	if s := w.Conf.Config().Service(service); s != nil {
+		p.stride = max(1, s.Stride)
+	}
+	return p
+}
+
+// plan lists the engines that can run a job's items.
+func (w *Worker) plan(now clock.Millis, view *fleet.View, service string, j *job) (*seats.Plan, map[string]*fleet.Server) {
+	engines := view.Of(service)
+	var models []string
+	if s := w.Conf.Config().Service(service); s != nil {
+		models = s.Models
+	}
+	shares := share.Out(engines, models, w.Conf.Demand())
+	byID := make(map[string]*fleet.Server)
+	var ss []*seats.Seat
+	for _, s := range engines {
+		if s.Leaving || shares[s.ID] != j.model && s.Loaded[j.model] < j.min {
+			continue
+		}
+		e := w.engine(s)
+		slots := e.slots
+		if slots == 0 {
+			slots = s.Slots
+		}
+		ss = append(ss, &seats.Seat{
+			ID: s.ID, Open: e.open + e.others, Slots: slots, Pace: e.pace, Far: w.Place.Distance(s.Zone),
+			Hiccup: now < e.hiccup,
+			Sure:   now-e.at <= sureFor,
+			Cool:   now < e.cool || now < e.old[j.model] || e.loading && now-e.at < loadFor,
+		})
+		byID[s.ID] = s
+	}
+	return seats.New(ss), byID
+}
+
+// move starts the rest of items at faster engines that are free.
+func (w *Worker) move(p *planned, now clock.Millis) {
+	j := p.job
+	for i := range j.state {
+		st := &j.state[i]
+		if st.cur == nil || st.next != nil || st.moves >= mostMoves || now < st.stay {
+			continue
+		}
+		s := p.plan.Seat(st.cur.server.ID)
+		if s == nil {
+			continue
+		}
+		at := *s
+		at.Hiccup = at.Hiccup || st.cur.stalled
+		to := p.plan.Move(&at, j.items[i].Hint/p.stride, st.made())
+		if to == nil {
+			continue
+		}
+		if !to.Sure {
+			w.refresh(p.byID[to.ID], j.model, now) // The answer makes the worker look again.
+			continue
+		}
+		to.Open++ // Taken in this look.
+		st.moves++
+		st.stay = now + stayFor
+		st.next = w.launch(j, i, p.route, p.byID[to.ID])
+	}
+}
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -19,6 +19,10 @@
 )
 
 const (
+	// breakFirst is the pause before an item whose run broke off goes again;
+	// it doubles, so that an item which crashes engines crashes few.
+	breakFirst = 50 * clock.Milli
+	breakMost  = 4 * clock.Second
 	// frameFor is how long an agent may send nothing; it sends a frame each
 	// 150 ms, and a link between regions may be slow for a while.
 	frameFor = 1200 * clock.Milli
@@ -107,25 +111,6 @@
 	}
 }
 
-// heard takes in what an agent says of its engine.
-func (w *Worker) heard(s *fleet.Server, f *runs.Frame) {
-	e := w.engine(s)
-	now := w.Clock.Now()
-	w.reached, w.lost = now, 0
-	e.others, e.slots, e.at = max(0, f.Running-e.open), f.Slots, now
-	if f.Pace > 0 {
-		e.pace = f.Pace
-	}
-	if f.Hiccup != (now < e.hiccup) {
-		w.Wake()
-	}
-	e.hiccup = 0
-	if f.Hiccup {
-		e.hiccup = now + hiccupFor
-	}
-	e.loading = f.Loading
-}
-
 // ended decides what becomes of an item after a run.
 func (w *Worker) ended(j *job, i int, r *table.Route, a *attempt, code runs.Code, detail string) {
 	w.Count("items", string(code))
