Work out shares once a look, read the settings once, serve HTTP in one way

Found when reading the whole change: the shares of a service were worked out for each of its jobs in each look; the settings file was read twice at the start; three listeners were set up by the same lines; a job's record was kept for its identity alone.

--- a/internal/node/jobs/calls.go
+++ b/internal/node/jobs/calls.go
@@ -345,10 +345,10 @@
 }
 
 // Finish appends a result's text and its record.
-func (b *Board) Finish(ctx context.Context, j *lots.Job, d lots.Done, text []byte) error {
-	d.Job = j.Job
+func (b *Board) Finish(ctx context.Context, job string, d lots.Done, text []byte) error {
+	d.Job = job
 	if !d.Dead {
-		d.Text.Part = b.part(j.Job)
+		d.Text.Part = b.part(job)
 		d.Size = len(text)
 		var err error
 		if d.Text.Offset, err = b.Writer.Append(ctx, index.Bulk, d.Text.Part, text); err != nil {
--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -52,10 +52,11 @@
 	slices.SortFunc(all, func(a, b *job) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id)) })
 	var works []*planned
 	var wants []seats.Want
-	taken := make(map[string][]*seats.Seat) // the seats of each engine
+	taken := make(map[string][]*seats.Seat)      // the seats of each engine
+	shares := make(map[string]map[string]string) // of each service
 	pace := 0.0
 	for _, j := range all {
-		p := w.prepare(now, view, j)
+		p := w.prepare(now, view, j, shares)
 		if p == nil {
 			continue
 		}
@@ -101,31 +102,31 @@
 	waiting int // items that found no seat
 }
 
-// prepare returns the view of a job, nil if it can't go on now.
-func (w *Worker) prepare(now clock.Millis, view *fleet.View, j *job) *planned {
+// prepare returns the view of a job, nil if it can't go on now. The shares of a
+// service are worked out for the first of its jobs.
+func (w *Worker) prepare(now clock.Millis, view *fleet.View, j *job, shares map[string]map[string]string) *planned {
 	r, service := w.route(j)
 	if r == nil {
 		return nil
 	}
 	p := &planned{job: j, route: r, stride: 1}
-	p.plan, p.byID = w.plan(now, view, service, j)
+	var models []string
+	if s := w.Conf.Config().Service(service); s != nil {
+		models, p.stride = s.Models, max(1, s.Stride)
+	}
+	engines := view.Of(service)
+	if shares[service] == nil {
+		shares[service] = share.Out(engines, models, w.Conf.Demand())
+	}
+	p.plan, p.byID = w.plan(now, engines, shares[service], j)
 	if w.ask(j, p.plan, p.byID, now) {
 		return nil // The answers make the worker look again.
 	}
-	if s := w.Conf.Config().Service(service); s != nil {
-		p.stride = max(1, s.Stride)
-	}
 	return p
 }
 
 // plan lists the engines that can run a job's items.
-func (w *Worker) plan(now clock.Millis, view *fleet.View, service string, j *job) (*seats.Plan, map[string]*fleet.Server) {
-	engines := view.Of(service)
-	var models []string
-	if s := w.Conf.Config().Service(service); s != nil {
-		models = s.Models
-	}
-	shares := share.Out(engines, models, w.Conf.Demand())
+func (w *Worker) plan(now clock.Millis, engines []*fleet.Server, shares map[string]string, j *job) (*seats.Plan, map[string]*fleet.Server) {
 	byID := make(map[string]*fleet.Server)
 	var ss []*seats.Seat
 	for _, s := range engines {
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -110,7 +110,6 @@
 	min    int64
 	at     clock.Millis // of its acceptance, as far as is known here
 	begun  clock.Millis // when its items were at hand
-	record lots.Job     // without its state
 	items  []lots.Item
 	state  []item
 }
@@ -119,7 +118,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &job{
 		ctx: ctx, cancel: cancel, id: j.Job, host: j.Host, path: j.Path, model: j.Model, min: j.MinVersion, at: j.At,
-		record: *j, state: make([]item, len(j.Items)),
+		state: make([]item, len(j.Items)),
 	}
 	r.update(j)
 	return r
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -250,7 +250,7 @@
 // store appends a result until it is listed or the job is left.
 func (w *Worker) store(j *job, d lots.Done, text []byte) {
 	for {
-		err := w.Board.Finish(j.ctx, &j.record, d, text)
+		err := w.Board.Finish(j.ctx, j.id, d, text)
 		if err == nil {
 			return
 		}
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -191,10 +190,6 @@
 
 // probe serves the readiness probe.
 func (e *entry) probe(addr string, leaving *atomic.Bool) error {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return errors.Wrap(err, "address of the readiness probe")
-	}
 	mux := http.NewServeMux()
 	var was atomic.Bool
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -206,14 +201,7 @@
 			http.Error(w, why, http.StatusServiceUnavailable)
 		}
 	})
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	e.ends = append(e.ends, s.Close)
-	go func() {
-		if err := s.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			e.log.Error().Err(err).Msg("roles: readiness probe not served any more")
-		}
-	}()
-	return nil
+	return e.serve("readiness probe", addr, mux)
 }
 
 func (e *entry) unready(leaving *atomic.Bool) string {
--- a/internal/prod/roles/roles.go
+++ b/internal/prod/roles/roles.go
@@ -91,14 +91,10 @@
 
 func start(ctx context.Context, role, path string, out io.Writer) (*base, error) {
 	debug.SetGCPercent(heapPercent)
-	boot, err := platform.ReadBoot(path)
+	boot, raw, err := platform.ReadBoot(path)
 	if err != nil {
 		return nil, err
 	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "settings file")
-	}
 	b := &base{role: role, path: path, raw: raw, clock: clock.NewSystem()}
 	b.boot.Store(boot)
 	id := make([]byte, 6)
@@ -213,35 +209,36 @@
 	}
 }
 
+// metrics serves the metrics; a process goes on without them.
 func (b *base) metrics() {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", b.meters.Handler())
-	addr := net.JoinHostPort(b.boot.Load().IP, strconv.Itoa(MetricsPort))
-	srv := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: time.Second}
-	b.ends = append(b.ends, srv.Close)
-	go func() {
-		if err := srv.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			b.log.Warn().Err(err).Str("addr", addr).Msg("roles: metrics are not served")
-		}
-	}()
+	if err := b.serve("metrics", net.JoinHostPort(b.boot.Load().IP, strconv.Itoa(MetricsPort)), mux); err != nil {
+		b.log.Warn().Err(err).Msg("roles: metrics are not served")
+	}
 }
 
-// serveInner listens for other nodes.
-func (b *base) serveInner(h http.Handler) error {
-	ln, err := net.Listen("tcp", b.boot.Load().Inner)
+// serve serves HTTP on an address until the process ends.
+func (b *base) serve(what, addr string, h http.Handler) error {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return errors.Wrap(err, "inner address")
+		return errors.Wrap(err, what)
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	b.ends = append(b.ends, srv.Close)
 	go func() {
 		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			b.log.Error().Err(err).Msg("roles: inner address not served any more")
+			b.log.Error().Err(err).Str("addr", addr).Msg("roles: " + what + " not served any more")
 		}
 	}()
 	return nil
 }
 
+// serveInner listens for other nodes.
+func (b *base) serveInner(h http.Handler) error {
+	return b.serve("inner address", b.boot.Load().Inner, h)
+}
+
 // Terminated returns a channel that is closed by the signal to stop.
 func Terminated() <-chan struct{} {
 	sig := make(chan os.Signal, 1)
