--- a/internal/prod/roles/roles.go
+++ b/internal/prod/roles/roles.go
@@ -91,6 +91,8 @@
 
 func start(ctx context.Context, role, path string, out io.Writer) (*base, error) {
 	debug.SetGCPercent(heapPercent)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // One that comes before it is handled would end the process.
 	boot, raw, err := platform.ReadBoot(path)
 	if err != nil {
 		return nil, err
@@ -126,7 +128,7 @@
 		Server: platform.DecodeServer,
 	}, b.clock, b.log)
 	b.writer = logs.NewWriter(ctx, b.store, b.self.Name+"/"+b.self.Boot, boot.Store.CallBytes, b.log)
-	go b.reload(ctx)
+	go b.reload(ctx, hup)
 	b.metrics()
 	b.log.Info().Str("node", boot.Node).Str("incarnation", b.self.Boot).Str("zone", boot.Zone).Str("inner", boot.Inner).
 		Str("store", boot.Store.Address).Msg("roles: started")
@@ -177,10 +179,7 @@
 }
 
 // reload reads the settings again on SIGHUP and when the file has changed.
-func (b *base) reload(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (b *base) reload(ctx context.Context, hup <-chan os.Signal) {
 	tick := time.NewTicker(settingsEach.Duration())
 	defer tick.Stop()
 	for {
@@ -239,14 +238,16 @@
 	return b.serve("inner address", b.boot.Load().Inner, h)
 }
 
-// Terminated returns a channel that is closed by the signal to stop.
+// Terminated returns a channel that is closed by the signal to stop. Further
+// SIGTERMs change nothing, since whoever repeats one must not cut what is in
+// progress; a second SIGINT ends the process at once.
 func Terminated() <-chan struct{} {
 	sig := make(chan os.Signal, 1)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
 	done := make(chan struct{})
 	go func() {
 		<-sig
-		signal.Stop(sig) // A second signal ends the process at once.
+		signal.Reset(syscall.SIGINT)
 		close(done)
 	}()
 	return done
