Contain requests that crash servers

A plain request that crashed its servers could crash three more at each of a client's attempts and at each entry; nothing counted it. Items backed off to 4 s without a bound on the engines.

Entries now tell each other of servers that ended under a request, and refuse one that three crashes point at; items are paced from three crashes on and held after six. A break counts only if that start of the server is gone from the registry soon after: without this, resets of connections would hold scoring calls back (weighed, not built).

--- a/internal/decide/crash/crash.go
+++ b/internal/decide/crash/crash.go
@@ -52,6 +52,13 @@
 	return Policy{Limit: 3, Window: clock.Hour, Crashes: 256, Requests: 512}
 }
 
+// Shared returns the policy for breaks that nodes tell each other through the
+// store: a request that comes again does so within seconds, and a server that
+// was only unreachable must not count for an hour.
+func Shared() Policy {
+	return Policy{Limit: 3, Window: 2 * clock.Minute, Crashes: 256, Requests: 64}
+}
+
 // ID names a request by what may crash a server. It is the same for every
 // caller, key and entry, so that sending again under another key is no way
 // round a quarantine.
--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -23,6 +23,8 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 )
@@ -43,6 +45,9 @@
 	Loaded  map[string]int64 // version of each model, as of some time ago
 }
 
+// Incarnation names one start of the server.
+func (s *Server) Incarnation() string { return s.ID + "/" + strconv.FormatInt(s.Born, 10) }
+
 // View is an unchanging list of the servers.
 type View struct {
 	byService map[string][]*Server
@@ -56,6 +61,13 @@
 // ByID returns a server, nil if it is not listed.
 func (v *View) ByID(id string) *Server { return v.byID[id] }
 
+// Lives reports whether an incarnation is listed.
+func (v *View) Lives(incarnation string) bool {
+	id, _, _ := strings.Cut(incarnation, "/")
+	s := v.ByID(id)
+	return s != nil && s.Incarnation() == incarnation
+}
+
 // At returns the server with an address, nil if none is listed.
 func (v *View) At(addr string) *Server {
 	for _, s := range v.byID {
--- a/internal/decide/lots/lots.go
+++ b/internal/decide/lots/lots.go
@@ -128,7 +128,14 @@
 	Boot string // differs for each start
 }
 
-// Record is one of Accept, Done, Part, End, Take and Beat.
+// Crash is the record of a server that broke requests off without any part of
+// an answer. It changes no job.
+type Crash struct {
+	Server   string
+	Requests []string // as package crash names them
+}
+
+// Record is one of Accept, Done, Part, End, Take, Beat and Crash.
 type Record any
 
 // Result is a listed result.
--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -55,6 +55,8 @@
 	Zone     string   `json:"zone,omitempty"`
 	Leaving  bool     `json:"leaving,omitempty"`
 	Work     int64    `json:"work,omitempty"`
+	Server   string   `json:"server,omitempty"`
+	Requests []string `json:"requests,omitempty"`
 }
 
 // Encode returns the bytes of a record.
@@ -79,6 +81,8 @@
 		w = record{Kind: "take", Job: r.Job, Node: r.Node.Name, Boot: r.Node.Boot}
 	case lots.Beat:
 		w = record{Kind: "beat", Node: r.Node.Name, Boot: r.Node.Boot, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving}
+	case lots.Crash:
+		w = record{Kind: "crash", Server: r.Server, Requests: r.Requests}
 	default:
 		return nil, errors.Errorf("record of type %T has no encoding", rec)
 	}
@@ -112,6 +116,8 @@
 		return lots.Take{Job: w.Job, Node: node}, nil
 	case "beat":
 		return lots.Beat{Node: node, Addr: w.Addr, Zone: w.Zone, Leaving: w.Leaving}, nil
+	case "crash":
+		return lots.Crash{Server: w.Server, Requests: w.Requests}, nil
 	}
 	return nil, errors.Errorf("index record of unknown kind %q", w.Kind)
 }
--- a/internal/node/front/call.go
+++ b/internal/node/front/call.go
@@ -23,6 +23,7 @@
 type call struct {
 	front    *Front
 	req      *Request
+	id       string // by which package crash knows the request
 	route    *table.Route
 	service  string
 	start    clock.Millis
@@ -160,11 +161,15 @@
 	a.answer, a.err = c.send(ctx, s, began, c.req.Resume)
 	if a.err != nil {
 		a.notRun = errors.Is(a.err, plat.ErrNotSent)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			outcome = pick.Left
+		case !a.notRun && !errors.Is(a.err, plat.ErrOtherReply):
+			c.front.Ward.Broke(s.Incarnation(), c.id) // rule 5
 		}
 		return a
 	}
+	c.front.Ward.Answered(c.id)
 	a.notRun = a.answer.NotRun
 	a.full = a.notRun && !a.answer.Wrong
 	a.body, a.whole, a.err = readSome(a.answer.Body, buffered)
@@ -228,7 +233,7 @@
 	}
 }
 
-// giveUp applies rule 5.
+// giveUp applies rule 6.
 func (c *call) giveUp(ctx context.Context, w http.ResponseWriter) (string, error) {
 	switch {
 	case c.failure != nil:
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -8,7 +8,9 @@
 //  4. An answer is passed on once it is whole, or, if it is long, as it comes;
 //     one that breaks off then breaks the client's connection, so that it
 //     never looks whole.
-//  5. When nothing is left to try, the client is told so at once. "Not run" is
+//  5. A request that broke off at several servers without any part of an answer
+//     is refused at once, at every entry.
+//  6. When nothing is left to try, the client is told so at once. "Not run" is
 //     said only where it is proven for each server.
 //
 // # Usage
@@ -28,6 +30,8 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
 	"github.com/jujuberamp/jujuberamp/internal/decide/table"
@@ -66,10 +70,18 @@
 	Resume int          // last event that the client has, 0 for none
 }
 
+// Ward knows the requests that crash servers.
+type Ward interface {
+	Refuse(id string) error
+	Broke(server, id string)
+	Answered(id string)
+}
+
 // Params are what a front needs.
 type Params struct {
 	Conf   *conf.Follower
 	Sender plat.Sender
+	Ward   Ward
 	Place  pick.Place
 	Clock  clock.Clock
 	Log    zerolog.Logger
@@ -154,6 +166,12 @@
 		f.Log.Info().Str("request", r.ID).Str("host", r.Host).Str("path", r.Path).Err(err).Msg("front: no route")
 		return err
 	}
+	id := crash.ID(ident.Class(r.Host+r.URI), r.Body)
+	if err := f.Ward.Refuse(id); err != nil { // rule 5
+		f.Count(route.Name, "quarantined", 0)
+		f.Log.Warn().Str("request", r.ID).Str("route", route.Name).Err(err).Msg("front: request refused, it crashes servers")
+		return err
+	}
 	start := f.Clock.Now()
 	until := start + defaultLeft
 	if r.Until > 0 {
@@ -165,7 +183,7 @@
 	ctx, cancel := context.WithTimeout(ctx, (until - start).Duration())
 	defer cancel()
 	f.earn()
-	c := &call{front: f, req: r, route: route, service: route.Pick(rand.Float64()), start: start, until: until, tried: make(map[string]bool)}
+	c := &call{front: f, req: r, id: id, route: route, service: route.Pick(rand.Float64()), start: start, until: until, tried: make(map[string]bool)}
 	outcome, err := c.run(ctx, w)
 	took := f.Clock.Now() - start
 	f.Count(route.Name, outcome, took)
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -46,6 +46,33 @@
 	stopped int // sends that were cancelled
 }
 
+// ward notes what it is told of and refuses what it is told to.
+type ward struct {
+	mu       sync.Mutex
+	refuse   bool
+	broke    []string
+	answered int
+}
+
+func (w *ward) Refuse(string) error {
+	if w.refuse {
+		return fault.New(fault.Quarantined, "it crashes servers")
+	}
+	return nil
+}
+
+func (w *ward) Broke(server, _ string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.broke = append(w.broke, server)
+}
+
+func (w *ward) Answered(string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered++
+}
+
 type cutBody struct{ io.Reader }
 
 func (c cutBody) Read(p []byte) (int, error) {
@@ -100,7 +127,7 @@
 	go f.Run(ctx, store)
 	synctest.Wait()
 	c.Assert(f.Config(), qt.IsNotNil)
-	return New(Params{Conf: f, Sender: s, Place: pick.Place{}, Clock: clock.NewSystem(), Log: zerolog.Nop()})
+	return New(Params{Conf: f, Sender: s, Ward: &ward{}, Place: pick.Place{}, Clock: clock.NewSystem(), Log: zerolog.Nop()})
 }
 
 func ok(body string) reply { return reply{status: 200, body: body} }
@@ -176,6 +203,47 @@
 	}
 }
 
+// A request that crashes servers is refused before any is asked; what counts as
+// a sign of it is a connection that ended without any part of an answer.
+func TestCrashingRequest(t *testing.T) {
+	tests := map[string]struct {
+		replies  []reply
+		broke    int
+		answered int
+	}{
+		"reset":                      {[]reply{broken, broken, broken}, 3, 0},
+		"reset, then answered":       {[]reply{broken, ok("x")}, 1, 1},
+		"failed":                     {[]reply{failed, failed, failed}, 0, 3},
+		"an answer that breaks off":  {[]reply{cut, ok("x")}, 0, 2},
+		"refused and not sent":       {[]reply{refused, unsent, unsent}, 0, 1},
+		"the answer of another":      {[]reply{{err: plat.ErrOtherReply}, ok("x")}, 0, 1},
+		"silent until its time ends": {[]reply{silent, silent, silent}, 0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				s := &script{replies: test.replies}
+				f := newFront(ctx, c, s, table.Idempotent, false)
+				w := &ward{}
+				f.Ward = w
+				req := &Request{ID: "r1", Host: "h", Path: "/", URI: "/"}
+				_ = f.Serve(ctx, req, httptest.NewRecorder()) // How it ends is TestServe's matter.
+				synctest.Wait()
+				c.Check(w.broke, qt.HasLen, test.broke)
+				c.Check(w.answered, qt.Equals, test.answered)
+				w.refuse = true
+				sends := len(s.sent)
+				err := f.Serve(ctx, req, httptest.NewRecorder())
+				c.Check(fault.Is(err, fault.Quarantined), qt.IsTrue)
+				c.Check(s.sent, qt.HasLen, sends)
+			})
+		})
+	}
+}
+
 // A client that leaves stops the servers' work at once.
 func TestClientLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/jobs/board.go
+++ b/internal/node/jobs/board.go
@@ -23,6 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
@@ -60,6 +61,8 @@
 	Writer *logs.Writer
 	Clock  clock.Clock
 	Log    zerolog.Logger
+	// Crash is told of the crashes that any node has seen.
+	Crash func(crash.Crash)
 }
 
 // Board is a node's view of all jobs.
@@ -77,6 +80,9 @@
 
 // New returns a board that knows nothing yet.
 func New(p Params) *Board {
+	if p.Crash == nil {
+		p.Crash = func(crash.Crash) {}
+	}
 	return &Board{Params: p, ix: lots.New(), changed: make(chan struct{})}
 }
 
@@ -140,6 +146,9 @@
 			b.ix.Skip(from + int64(i) + 1)
 			continue
 		}
+		if c, ok := r.(lots.Crash); ok && from+int64(i) >= b.ix.Next() {
+			b.Crash(crash.Crash{ID: c.Server, Requests: c.Requests})
+		}
 		if j := b.ix.Apply(now, from+int64(i), r); j != nil {
 			b.logChange(r, j, from+int64(i))
 		}
@@ -255,6 +264,11 @@
 	return b.put(ctx, lots.Take{Job: job, Node: b.Self})
 }
 
+// TellCrash tells the other nodes of a server that broke requests off.
+func (b *Board) TellCrash(ctx context.Context, c crash.Crash) error {
+	return b.put(ctx, lots.Crash{Server: c.ID, Requests: c.Requests})
+}
+
 // PublishDemand writes the demand by which engines share out the models.
 func (b *Board) PublishDemand(ctx context.Context, d map[string]int64) error {
 	raw, err := index.EncodeDemand(d)
--- a/internal/node/jobs/jobs_test.go
+++ b/internal/node/jobs/jobs_test.go
@@ -13,8 +13,10 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/logs"
 	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
@@ -332,3 +334,23 @@
 		c.Check(err, qt.IsNotNil)
 	})
 }
+
+// A crash that one node tells reaches the others once, whatever else the index
+// holds, and changes no job.
+func TestCrashIsTold(t *testing.T) {
+	world(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, b *Board) {
+		var heard []crash.Crash
+		b.mu.Lock()
+		b.Crash = func(x crash.Crash) { heard = append(heard, x) }
+		b.mu.Unlock()
+		c.Assert(a.Submit(ctx, spec("j", 2)), qt.IsNil)
+		told := crash.Crash{ID: "i-1/7", Requests: []string{"r1", "r2"}}
+		c.Assert(a.TellCrash(ctx, told), qt.IsNil)
+		_, err := s.Append(ctx, plat.Append{Topic: index.Topic, Records: [][]byte{[]byte(`{"kind":"unknown"}`)}})
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		c.Assert(b.Sync(ctx), qt.IsNil)
+		c.Check(heard, qt.DeepEquals, []crash.Crash{told})
+		c.Check(job(b, "j").Open(), qt.IsTrue)
+	})
+}
--- a/internal/node/quar/quar.go
+++ b/internal/node/quar/quar.go
@@ -80,11 +80,51 @@
 		known, refused = q.look(id)
 	}
 	if refused {
-		return true, fault.New(fault.Quarantined, "request "+id+" crashed several backend servers")
+		return true, quarantined(id)
 	}
 	return crashes > 0 || known > 0, nil
 }
 
+func quarantined(id string) error {
+	return fault.New(fault.Quarantined, "request "+id+" crashed several backend servers")
+}
+
+// Refuse returns why a request must not run, nil if it may.
+func (q *Quarantine) Refuse(id string) error {
+	if !q.busy.Load() {
+		return nil
+	}
+	if _, refused := q.look(id); refused {
+		return quarantined(id)
+	}
+	return nil
+}
+
+// Count returns in how many crashes a request was.
+func (q *Quarantine) Count(id string) int {
+	if !q.busy.Load() {
+		return 0
+	}
+	n, _ := q.look(id)
+	return n
+}
+
+// Answered clears a request of the crashes so far.
+func (q *Quarantine) Answered(id string) {
+	if q.busy.Load() {
+		q.do(func(t *crash.Table, _ clock.Millis) { t.Clear(id) })
+	}
+}
+
+// Heard takes in a crash that any node saw.
+func (q *Quarantine) Heard(c crash.Crash) {
+	q.do(func(t *crash.Table, now clock.Millis) {
+		if t.Crash(now, c) {
+			q.p.Log.Warn().Str("crash", c.ID).Strs("requests", c.Requests).Msg("quar: a server broke off requests without an answer")
+		}
+	})
+}
+
 // look returns in how many crashes a request was, and whether it is refused.
 func (q *Quarantine) look(id string) (crashes int, refused bool) {
 	q.do(func(t *crash.Table, _ clock.Millis) { crashes, refused = t.Count(id), t.IsQuarantined(id) })
@@ -92,9 +132,7 @@
 }
 
 // Served implements [calls.Params].
-func (q *Quarantine) Served(w calls.Work) {
-	q.do(func(t *crash.Table, _ clock.Millis) { t.Clear(crash.ID(w.Class.Name(), w.Body)) })
-}
+func (q *Quarantine) Served(w calls.Work) { q.Answered(crash.ID(w.Class.Name(), w.Body)) }
 
 // Learn takes in crashes and lifts from an agent or another entry. What is new
 // is told on at once.
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/decide/seats"
@@ -15,7 +17,8 @@
 const (
 	waiting phase = iota
 	running
-	scoring // or being stored
+	scoring  // or being stored
+	heldBack // not run any more, it crashes engines
 	listed
 )
 
@@ -136,6 +139,12 @@
 
 func (j *job) start(now clock.Millis, its []lots.Item) { j.items, j.begun = its, now }
 
+// crashID returns the name by which package crash knows an item.
+func (j *job) crashID(i int) string {
+	it := &j.items[i]
+	return crash.ID(ident.Class(j.host+it.Path), it.Body)
+}
+
 func (j *job) busy() int {
 	n := 0
 	for i := range j.state {
--- a/internal/node/work/job_test.go
+++ b/internal/node/work/job_test.go
@@ -4,13 +4,63 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
+	"github.com/jujuberamp/jujuberamp/internal/decide/table"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 )
 
+// ward counts crashes as if each break were one.
+type ward struct{ broke int }
+
+func (w *ward) Broke(string, string) { w.broke++ }
+func (w *ward) Answered(string)      { w.broke = 0 }
+func (w *ward) Count(string) int     { return w.broke }
+
+// An item that crashes each engine which begins it reaches few of them; one
+// whose runs get somewhere is no such item, however often they break off.
+func TestItemThatCrashesEngines(t *testing.T) {
+	tests := map[string]struct {
+		code   runs.Code
+		events int // of each run
+		starts int // in the 40 s that a job lives: seven pauses double, the others take 4 s
+	}{
+		"crashes each engine":    {runs.Broken, 0, mostCrashes},
+		"breaks off on its way":  {runs.Broken, 1, 16},
+		"the agents are silent":  {lost, 0, 16},
+		"the engines are loaded": {runs.Full, 0, 400},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := New(Params{Ward: &ward{}, Clock: clock.NewSystem(), Log: zerolog.Nop()})
+				j := &job{ctx: t.Context(), items: make([]lots.Item, 1), state: make([]item, 1)}
+				s := &fleet.Server{ID: "i"}
+				starts := 0
+				for range 400 {
+					if len(j.wants(w.Clock.Now(), 1)) > 0 {
+						starts++
+						st := &j.state[0]
+						st.phase, st.cur = running, &attempt{server: s, cancel: func() {}, from: st.made(), events: texts("e", test.events)}
+						w.ended(j, 0, &table.Route{Attempts: 3}, st.cur, test.code, "")
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				c.Check(starts <= test.starts, qt.IsTrue, qt.Commentf("%d starts", starts))
+				c.Check(starts >= min(mostCrashes, test.starts), qt.IsTrue, qt.Commentf("%d starts", starts))
+			})
+		})
+	}
+}
+
 func texts(prefix string, n int) []runs.Event {
 	var out []runs.Event
 	for i := range n {
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -20,9 +20,15 @@
 
 const (
 	// breakFirst is the pause before an item whose run broke off goes again;
-	// it doubles, so that an item which crashes engines crashes few.
+	// it doubles, up to breakMost.
 	breakFirst = 50 * clock.Milli
 	breakMost  = 4 * clock.Second
+	// An item that several engines broke off before its first event may crash
+	// them. From slowCrashes on it goes again only each breakMost, from
+	// mostCrashes on not any more: trouble that hits an engine by chance can't
+	// be told from it sooner.
+	slowCrashes = 3
+	mostCrashes = 6
 	// frameFor is how long an agent may send nothing; it sends a frame each
 	// 150 ms, and a link between regions may be slow for a while.
 	frameFor = 1200 * clock.Milli
@@ -154,6 +160,7 @@
 	}
 	switch code {
 	case runs.Done:
+		w.Ward.Answered(j.crashID(i))
 		st.phase = scoring
 		go w.finish(j, i, st.held)
 		st.held = nil
@@ -176,6 +183,24 @@
 		st.notAt = s.ID
 		e.cool = now + coolFor
 		st.after = now + min(breakMost, breakFirst<<min(st.breaks-1, 10))
+		if code == runs.Broken && len(a.events) == 0 {
+			w.crashed(j, i, s, now)
+		}
+	}
+}
+
+// crashed counts an engine that broke an item off before its first event; the
+// caller holds the lock.
+func (w *Worker) crashed(j *job, i int, s *fleet.Server, now clock.Millis) {
+	st := &j.state[i]
+	id := j.crashID(i)
+	w.Ward.Broke(s.Incarnation(), id)
+	switch n := w.Ward.Count(id); {
+	case n >= mostCrashes:
+		st.phase = heldBack
+		w.Log.Warn().Str("job", j.id).Str("item", j.items[i].ID).Int("crashes", n).Msg("work: item held back, it crashes engines")
+	case n >= slowCrashes:
+		st.after = max(st.after, now+breakMost)
 	}
 }
 
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -30,11 +30,19 @@
 	coolFor = 150 * clock.Milli
 )
 
+// Ward knows the items that crash engines.
+type Ward interface {
+	Broke(server, id string)
+	Answered(id string)
+	Count(id string) int
+}
+
 // Params are what a worker needs.
 type Params struct {
 	Self  lots.Node
 	Board *jobs.Board
 	Front *front.Front
+	Ward  Ward
 	Conf  *conf.Follower
 	Place pick.Place
 	Port  int // of the agents
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
 	"github.com/jujuberamp/jujuberamp/internal/decide/table"
@@ -20,6 +21,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/node/front"
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
+	"github.com/jujuberamp/jujuberamp/internal/node/quar"
 	"github.com/jujuberamp/jujuberamp/internal/node/relay"
 	"github.com/jujuberamp/jujuberamp/internal/node/work"
 	"github.com/jujuberamp/jujuberamp/platform"
@@ -109,8 +111,11 @@
 	place := pick.Place{Zone: boot.Zone, Regions: boot.Regions}
 	e := &entry{base: b}
 	engines := platform.NewEngines(dial.NewTransport(engineConns, 0))
+	ward := quar.NewTeller(quar.New(quar.Params{Policy: crash.Shared(), Clock: b.clock, Log: b.log}), func(server string) bool {
+		return b.conf.Servers().Lives(server)
+	}, func(ctx context.Context, c crash.Crash) error { return e.board.TellCrash(ctx, c) })
 	e.front = front.New(front.Params{
-		Conf: b.conf, Sender: engines, Place: place, Clock: b.clock, Log: b.log,
+		Conf: b.conf, Sender: engines, Ward: ward, Place: place, Clock: b.clock, Log: b.log,
 		Count: func(route, outcome string, span clock.Millis) {
 			b.count("requests", outcome)
 			took.Record(ctx, span.Seconds(), metric.WithAttributes(attribute.String("route", route)))
@@ -118,11 +123,11 @@
 	})
 	e.board = jobs.New(jobs.Params{
 		Self: b.self, Addr: boot.Inner, Zone: boot.Zone, Info: boot.Store, Status: boot.Status, Plans: platform.Keyed(index.Plans),
-		Store: b.store, Writer: b.writer, Clock: b.clock, Log: b.log,
+		Store: b.store, Writer: b.writer, Clock: b.clock, Log: b.log, Crash: ward.Heard,
 	})
 	b.peers = func() []string { return append(b.around(), e.board.Peers()...) }
 	e.work = work.New(work.Params{
-		Self: b.self, Board: e.board, Front: e.front, Conf: b.conf, Place: place, Port: boot.InnerPort,
+		Self: b.self, Board: e.board, Front: e.front, Ward: ward, Conf: b.conf, Place: place, Port: boot.InnerPort,
 		HTTP: b.inner, Clock: b.clock, Log: b.log, Count: b.count,
 	})
 	srv := listen.New(platform.Ingress(e, b.log), b.log)
@@ -150,6 +155,7 @@
 	}()
 	go b.conf.Run(ctx, b.store)
 	go e.board.Run(ctx)
+	go ward.Run(ctx)
 	workCtx, endWork := context.WithCancel(ctx)
 	defer endWork()
 	go e.work.Run(workCtx)
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -57,6 +57,7 @@
 			"internal/node/work TestVersionOfTheLastEvent",
 			"platform TestNamedVersion",
 			"platform TestReadEvents",
+			"platform/soak TestSoak",
 		},
 	},
 	{
@@ -93,6 +94,7 @@
 			"internal/proof/replay TestRecordedTraces",
 			"platform TestJob",
 			"platform TestJobOutlivesItsOwner",
+			"platform/soak TestSoak",
 		},
 	},
 	{
@@ -113,6 +115,7 @@
 			"platform TestReadEvents",
 			"platform TestSend",
 			"platform TestWriteList",
+			"platform/soak TestSoak",
 		},
 	},
 	{
@@ -130,6 +133,7 @@
 			"internal/node/jobs TestUnknownJob",
 			"internal/node/logs TestGivenUp",
 			"internal/node/relay TestRelay",
+			"platform/soak TestSoak",
 		},
 	},
 	{
@@ -141,6 +145,7 @@
 			"internal/decide/claim TestState",
 			"internal/node/claims TestAtMostOnce",
 			"internal/node/front TestServe",
+			"platform/soak TestSoak",
 		},
 	},
 	{
@@ -163,8 +168,10 @@
 		Tests: []string{
 			"internal/node/claims TestShutdownMoves",
 			"internal/node/claims TestShutdownWaits",
+			"internal/prod/roles TestTerminatedTwice",
 			"internal/proof/procs TestProcesses",
 			"platform TestJobOutlivesItsOwner",
+			"platform/soak TestSoak",
 		},
 	},
 	{
@@ -185,6 +192,7 @@
 			"internal/prod/cmds TestApplyRace",
 			"internal/proof/replay TestBrokenDecisionShows",
 			"platform TestPlainRequest",
+			"platform/soak TestSoak",
 		},
 	},
 }
