Items leave slow engines for ones that show their pace; only last items move

Long items moved onto engines that were slow themselves (an item of 127 events, seven moves, 4.2 s lost): an engine that runs nothing shows no pace, each visitor left it after one or two events, too few for its pace to be told, and so the next one came.

Ruled out: connections lost by refusals or resets (23 refusals).

Changes: an engine that its streams left as slow counts as slow for 600 ms; the time since the last event of a run that leaves counts for the pace, which is told from two such visits on and forgotten after 3 s idle; a move prefers an engine whose streams show the usual pace; only items that lack 0.7 of the events of the job's longest move off a slow moment.

Tests: TestSlowEngineThatItemsLeave, TestMoveToWhatShowsItsPace, TestMove, TestLook, TestLookAfterASlowMoment.

--- a/internal/decide/pulse/pulse.go
+++ b/internal/decide/pulse/pulse.go
@@ -11,12 +11,17 @@
 //     last one took as long and came just now.
 //  3. The engine is slow at this moment if at least half of its streams are
 //     late. A single stream may be late by itself.
+//  4. It counts as slow until the next event of a stream is due; an engine that
+//     all streams have left shows nothing any more, so it counts as slow for as
+//     long as such a moment lasts. Otherwise the next text would go there.
+//  5. An engine is known to be steady only while a stream shows it. One that
+//     runs nothing may be slow at this moment.
 //
 // # Usage
 //
 //	stream.Event(now, span, true)
-//	usual.Add(span)
-//	slow := usual.Hiccup(now, streams)
+//	engine.Add(span)
+//	moment := engine.Look(now, streams)
 package pulse
 
 import "github.com/jujuberamp/jujuberamp/internal/base/clock"
@@ -31,8 +36,48 @@
 	lateBy = 1.6
 	// fewest events before anything counts as usual.
 	fewest = 12
+	// slowFor is how long an engine counts as slow after it was seen so: the
+	// next event of a stream is due by then.
+	slowFor = 100 * clock.Milli
+	// leftFor is the same for an engine without streams: what slows engines at
+	// both deployments lasts some 600 ms.
+	leftFor = 600 * clock.Milli
 )
 
+// Moment is how an engine is at a moment.
+type Moment uint8
+
+// The moments.
+const (
+	Unclear Moment = iota // no stream shows it
+	Steady                // as fast as usual
+	Slow                  // slower than usual
+)
+
+// Engine judges one engine from its streams.
+type Engine struct {
+	Usual
+	slowAt clock.Millis // when it was last seen slow, 0 for never
+}
+
+// Look returns how the engine is now; it applies rules 4 and 5.
+func (e *Engine) Look(now clock.Millis, streams []*Stream) Moment {
+	if e.Hiccup(now, streams) {
+		e.slowAt = now
+		return Slow
+	}
+	since := now - e.slowAt
+	if e.slowAt > 0 && (since < slowFor || len(streams) == 0 && since < leftFor) {
+		return Slow
+	}
+	for _, s := range streams {
+		if s.known && s.span > 0 && s.span <= lateBy*e.span && float64(now-s.at) <= lateBy*e.span {
+			return Steady
+		}
+	}
+	return Unclear
+}
+
 // Usual is the usual span between two events of a stream.
 type Usual struct {
 	span  float64 // ms
@@ -71,6 +116,15 @@
 	}
 }
 
+// Late returns the time since the stream's last event, if that says something
+// of the engine's pace, and 0 otherwise.
+func (s *Stream) Late(now clock.Millis) clock.Millis {
+	if !s.known {
+		return 0
+	}
+	return now - s.at
+}
+
 // Hiccup reports whether the engine is slower than usual at this moment.
 func (u *Usual) Hiccup(now clock.Millis, streams []*Stream) bool {
 	if u.count < fewest {
--- a/internal/decide/pulse/pulse_test.go
+++ b/internal/decide/pulse/pulse_test.go
@@ -73,3 +73,59 @@
 	c.Check(u.Hiccup(1000, []*Stream{{}, {}}), qt.IsFalse)
 	c.Check(u.Hiccup(1000, nil), qt.IsFalse)
 }
+
+// engine returns an engine whose streams have had their usual pace of 48 ms for
+// a while, and one of them.
+func engine() (*Engine, *Stream) {
+	e, s := &Engine{}, &Stream{}
+	for at := clock.Millis(48); at <= 48*fewest; at += 48 {
+		s.Event(at, 48, true)
+		e.Add(48)
+	}
+	return e, s
+}
+
+func TestLook(t *testing.T) {
+	const begin = 48 * fewest
+	tests := map[string]struct {
+		slow clock.Millis // the stream shows nothing for so long
+		left bool         // then it leaves
+		at   clock.Millis // after that
+		want Moment
+	}{
+		"steady":                             {0, false, 10, Steady},
+		"slow":                               {100, false, 0, Slow},
+		"slow until the next event is due":   {100, true, 20, Slow},
+		"left as slow":                       {100, true, 500, Slow},
+		"left as slow, the moment is over":   {100, true, 700, Unclear},
+		"left in its usual pace":             {0, true, 20, Unclear},
+		"long left in its usual pace":        {0, true, 5000, Unclear},
+		"slow, and the stream is still late": {100, false, 300, Slow},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			e, s := engine()
+			streams := []*Stream{s}
+			now := clock.Millis(begin)
+			for end := now + test.slow; now <= end; now += 20 {
+				e.Look(now, streams)
+			}
+			if test.left {
+				streams = nil
+			}
+			c.Check(e.Look(now+test.at, streams), qt.Equals, test.want)
+		})
+	}
+}
+
+// A stream that shows its usual pace again ends a slow moment at once.
+func TestLookAfterASlowMoment(t *testing.T) {
+	c := qt.New(t)
+	e, s := engine()
+	now := clock.Millis(48 * fewest)
+	c.Check(e.Look(now+100, []*Stream{s}), qt.Equals, Slow)
+	s.Event(now+120, 120, true)
+	s.Event(now+168, 48, true)
+	c.Check(e.Look(now+220, []*Stream{s}), qt.Equals, Steady)
+}
--- a/internal/decide/seats/seats.go
+++ b/internal/decide/seats/seats.go
@@ -14,6 +14,11 @@
 //     at this moment, moves to a faster one that is free when nothing waits
 //     and the move saves enough. Its text is read in again there, which takes
 //     much less than a slow moment.
+//  5. Only items that may be the last of their job move: each move costs a
+//     connection and some reading, and the others end before the last one all
+//     the same.
+//  6. An engine that shows no pace now may be slow at this moment, so one that
+//     shows that it is not goes before it.
 //
 // An engine is slow by comparison with the median of those with a known pace,
 // so that a change which slows all makes none slow.
@@ -44,6 +49,13 @@
 	// and hop what a move costs: reading in, and the event that is lost.
 	hiccup = 300 * clock.Milli
 	hop    = 80 * clock.Milli
+	// doubt is what an engine that shows no pace is expected to cost: one in
+	// six is in a slow moment at both deployments.
+	doubt = 50 * clock.Milli
+	// lastShare of the events that the longest item of a job lacks is the least
+	// at which another may become the last: two slow moments and a load of
+	// weights stretch the longest by a third.
+	lastShare = 0.7
 	// loadCost is how much longer an event takes for each further run in
 	// progress, as a share; step times grow little with the batch.
 	loadCost = 0.03
@@ -66,6 +78,8 @@
 	Cool  bool         // refused or failed just now
 	// Hiccup tells that the engine is slower than usual at this moment.
 	Hiccup bool
+	// Steady tells that its streams show at this moment that it is not.
+	Steady bool
 	// Sure tells that all this was heard of just now.
 	Sure bool
 }
@@ -145,21 +159,25 @@
 // Slow reports whether a seat is slow.
 func (p *Plan) Slow(s *Seat) bool { return p.pace(s) > slowBy*p.mid }
 
-func (p *Plan) left(size, made int) float64 {
+// Left returns how many events an item is expected to make yet.
+func Left(size, made int) float64 {
 	return max(float64(size-made), more*float64(made), least)
 }
 
 func (p *Plan) time(s *Seat, left float64) clock.Millis {
 	t := clock.Millis(left*p.pace(s)*(1+loadCost*float64(s.Open))) + s.Far
-	if s.Hiccup {
-		t += min(hiccup, t) // Short work meets less of it.
+	switch { // Short work meets less of a slow moment.
+	case s.Hiccup:
+		t += min(hiccup, t)
+	case !s.Steady: // rule 6
+		t += min(doubt, t)
 	}
 	return t
 }
 
 // Best returns the seat for an item, nil if it should wait.
 func (p *Plan) Best(w Want) *Seat {
-	left := p.left(w.Size, w.Made)
+	left := Left(w.Size, w.Made)
 	var best *Seat
 	var bestTime clock.Millis
 	fast := false // an engine that is not slow exists, free or not
@@ -182,12 +200,13 @@
 }
 
 // Move returns the seat to which an item that runs at a seat should move, nil
-// if it should stay (rule 4).
-func (p *Plan) Move(at *Seat, size, made int) *Seat {
-	if !p.Slow(at) && !at.Hiccup {
+// if it should stay (rules 4 and 5). Last is how many events the longest item of
+// its job lacks.
+func (p *Plan) Move(at *Seat, size, made int, last float64) *Seat {
+	left := Left(size, made)
+	if !p.Slow(at) && (!at.Hiccup || left < lastShare*last) {
 		return nil
 	}
-	left := p.left(size, made)
 	to := p.Best(Want{Size: size, Made: made, NotAt: at.ID})
 	if to == nil || to == at || to.Hiccup || p.Slow(to) {
 		return nil
--- a/internal/decide/seats/seats_test.go
+++ b/internal/decide/seats/seats_test.go
@@ -67,12 +67,38 @@
 	c.Check(got, qt.DeepEquals, []int{1, 5, 3, 0, 2, 4})
 }
 
+// The pattern of the grown deployments: a third of the slots is taken, so many
+// engines run nothing, and one in six is in a slow moment unseen. A long item
+// that leaves a slow engine goes where streams show that all is well.
+func TestMoveToWhatShowsItsPace(t *testing.T) {
+	at := Seat{ID: "at", Slots: 6, Open: 1, Pace: 48, Hiccup: true}
+	idle, steady := Seat{ID: "idle", Slots: 6, Pace: 48}, Seat{ID: "steady", Slots: 6, Open: 1, Pace: 48, Steady: true}
+	tests := map[string]struct {
+		idle, steady Seat
+		want         string
+	}{
+		"steady before idle":               {idle, steady, "steady"},
+		"idle if no other is free":         {idle, func() Seat { s := steady; s.Open = s.Slots; return s }(), "idle"},
+		"not to one that was left as slow": {func() Seat { s := idle; s.Hiccup = true; return s }(), steady, "steady"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := New([]*Seat{&at, &test.idle, &test.steady})
+			to := p.Move(&at, 30, 10, 20)
+			c.Assert(to, qt.IsNotNil)
+			c.Check(to.ID, qt.Equals, test.want)
+		})
+	}
+}
+
 func TestMove(t *testing.T) {
 	fast, slow := Seat{ID: "fast", Slots: 8, Pace: 40}, Seat{ID: "slow", Slots: 8, Pace: 120}
 	tests := map[string]struct {
 		at         Seat
 		size, made int
 		fastOpen   int
+		last       float64 // events that the longest item of the job lacks
 		want       bool
 	}{
 		"long item off a slow engine": {at: slow, size: 100, made: 10, want: true},
@@ -82,16 +108,20 @@
 		"not off a usual engine":      {at: fast, size: 100, made: 10},
 		"off a usual engine's hiccup": {at: Seat{ID: "fast", Slots: 8, Pace: 40, Hiccup: true}, size: 100, made: 10, want: true},
 		"too short for a hiccup":      {at: Seat{ID: "fast", Slots: 8, Pace: 40, Hiccup: true}, size: 10, made: 9},
+		"may be the last of its job":  {at: Seat{ID: "fast", Slots: 8, Pace: 40, Hiccup: true}, size: 100, made: 10, last: 120, want: true},
+		"ends before the last anyway": {at: Seat{ID: "fast", Slots: 8, Pace: 40, Hiccup: true}, size: 100, made: 60, last: 120},
+		"off a slow one in any case":  {at: slow, size: 100, made: 60, last: 120, want: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			at, f := test.at, fast
+			at.Open = 1 // the item itself
 			f.ID, f.Open = "other", test.fastOpen
 			third := f
 			third.ID, third.Open = "third", f.Slots
 			p := New([]*Seat{&at, &f, &third})
-			c.Check(p.Move(&at, test.size, test.made) != nil, qt.Equals, test.want)
+			c.Check(p.Move(&at, test.size, test.made, test.last) != nil, qt.Equals, test.want)
 		})
 	}
 }
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -83,6 +83,7 @@
 	Version int64        // loaded, of the run's model
 	Pace    float64      // ms between two events of one stream lately, 0 if not known
 	Hiccup  bool         // the engine is slower than usual at this moment, or loads
+	Steady  bool         // its streams show that it is not
 	Since   clock.Millis // since the run's last event
 	Loading bool         // the engine loads a version and takes no runs
 }
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -46,14 +46,18 @@
 	// watchEach is how often the streams are looked at for a slow moment: half
 	// of the usual span between two events.
 	watchEach = 20 * clock.Milli
-	// slowFor is how long an engine counts as slow after it was seen so: the
-	// next event of a stream is due by then.
-	slowFor = 100 * clock.Milli
 	// paceFor is the memory of the pace: longer than the moments in which
 	// unseen neighbours slow an engine, shorter than a long item.
 	paceFor = 1500 * clock.Milli
-	// paceLeast is the number of events from which the pace is told.
+	// paceLeast is the number of events from which the pace is told, paceSpan
+	// the time in ms from which it is told with fewer: two visits of items that
+	// leave a slow engine.
 	paceLeast = 10.0
+	paceSpan  = 400.0
+	// paceKeep is how long the pace of an engine that runs nothing is told:
+	// shorter than the disturbances that slow an engine at both deployments,
+	// so that one which has recovered is tried again.
+	paceKeep = 3 * clock.Second
 	// defaultSlots is used before the engine's entry in the registry is known.
 	defaultSlots = 4
 )
@@ -95,9 +99,8 @@
 	down    bool         // the last report was not answered
 	loading bool         // an order was accepted and its end is not seen yet
 	active  map[*run]struct{}
-	usual   pulse.Usual
-	hiccup  bool
-	slowAt  clock.Millis // when the engine was last seen slow
+	pulse   pulse.Engine
+	moment  pulse.Moment
 }
 
 // New returns an agent.
@@ -167,8 +170,9 @@
 	slots := a.slots()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Hiccup: a.hiccup || a.loading, Loading: a.loading || a.down}
-	if a.events >= paceLeast {
+	f := &runs.Frame{Running: a.running, Slots: slots, Version: a.state.Versions[model], Hiccup: a.moment == pulse.Slow || a.loading, Steady: a.moment == pulse.Steady && !a.loading, Loading: a.loading || a.down}
+	known := a.events >= paceLeast || a.events >= 1 && a.spans >= paceSpan
+	if known && (a.running > 0 || a.Clock.Now()-a.pacedAt <= paceKeep) {
 		f.Pace = a.spans / a.events
 	}
 	return f
@@ -380,10 +384,18 @@
 	a.active[x] = struct{}{}
 }
 
+// exit notes the end of a run. The time since its last event counts for the
+// engine's pace if it is longer than usual: the runs that leave a slow engine
+// are those that tell of it.
 func (a *Agent) exit(x *run) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.active, x)
+	now := a.Clock.Now()
+	if late := float64(x.stream.Late(now)); !a.loading && late > a.pulse.Span() {
+		a.fade(now)
+		a.spans += late
+	}
 }
 
 // paced takes in the span between two events of a stream. What passes while a
@@ -395,9 +407,15 @@
 	if !known || a.loading {
 		return
 	}
-	a.usual.Add(span)
-	fade := math.Exp(-float64(now-a.pacedAt) / float64(paceFor))
-	a.spans, a.events, a.pacedAt = a.spans*fade+span, a.events*fade+1, now
+	a.pulse.Add(span)
+	a.fade(now)
+	a.spans, a.events = a.spans+span, a.events+1
+}
+
+// fade lets what was seen before count for less; the caller holds the lock.
+func (a *Agent) fade(now clock.Millis) {
+	f := math.Exp(-float64(now-a.pacedAt) / float64(paceFor))
+	a.spans, a.events, a.pacedAt = a.spans*f, a.events*f, now
 }
 
 // Watch looks for moments in which the engine is slower than usual and tells
@@ -413,14 +431,10 @@
 	for x := range a.active {
 		streams = append(streams, &x.stream)
 	}
-	now := a.Clock.Now()
-	if a.usual.Hiccup(now, streams) {
-		a.slowAt = now
-	}
-	hiccup := a.slowAt > 0 && now-a.slowAt < slowFor
-	if hiccup != a.hiccup {
-		a.hiccup = hiccup
-		a.Log.Info().Bool("slow", hiccup).Int("running", a.running).Float64("usual-ms", a.usual.Span()).Bool("loading", a.loading).Msg("side: the engine's pace changed")
+	was := a.moment
+	a.moment = a.pulse.Look(a.Clock.Now(), streams)
+	if slow := a.moment == pulse.Slow; slow != (was == pulse.Slow) {
+		a.Log.Info().Bool("slow", slow).Int("running", a.running).Float64("usual-ms", a.pulse.Span()).Bool("loading", a.loading).Msg("side: the engine's pace changed")
 		a.tell()
 	}
 }
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -290,6 +290,45 @@
 	})
 }
 
+// The pattern of a day on which one engine in five is four times slower: each
+// long item that comes leaves after a few events. What it saw stays: the engine
+// counts as in a slow moment for a while, and after some such visits as slow, so
+// that the next items don't try it again.
+func TestSlowEngineThatItemsLeave(t *testing.T) {
+	play(t, func(w *world) {
+		visit := func(gap time.Duration, leave time.Duration) {
+			stream := &engine{gap: gap} // A reader of the one before may still wait for an event.
+			for n := range 100 {
+				stream.events = append(stream.events, ev(n+1, 1))
+			}
+			w.a.Events = func(*plat.Answer) plat.Events { return stream }
+			ctx, cancel := context.WithTimeout(w.ctx, leave)
+			defer cancel()
+			var body strings.Builder
+			w.c.Assert(gob.NewEncoder(&body).Encode(&runs.Run{Item: "x", Instance: "i-1", Model: "m"}), qt.IsNil)
+			w.a.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, runs.Path, strings.NewReader(body.String())))
+			synctest.Wait()
+		}
+		visit(48*time.Millisecond, 2*time.Second)
+		w.c.Check(w.a.frame("m").Hiccup, qt.IsFalse)
+		time.Sleep(10 * time.Second)
+		visit(192*time.Millisecond, 450*time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		w.c.Check(w.a.frame("m").Hiccup, qt.IsTrue)
+		time.Sleep(500 * time.Millisecond)
+		w.c.Check(w.a.frame("m").Hiccup, qt.IsFalse)
+		for range 3 {
+			visit(192*time.Millisecond, 450*time.Millisecond)
+			time.Sleep(700 * time.Millisecond)
+		}
+		pace := w.a.frame("m").Pace
+		w.c.Check(pace > 1.6*48, qt.IsTrue, qt.Commentf("pace %.0f ms", pace))
+		time.Sleep(paceKeep.Duration())
+		w.c.Check(w.a.frame("m").Pace, qt.Equals, 0.0) // It may have recovered.
+		time.Sleep(time.Minute)
+	})
+}
+
 // Orders come from one holder, with tokens that never fall, and one that takes
 // effect late brings back no older version.
 func TestOrders(t *testing.T) {
--- a/internal/node/work/agents.go
+++ b/internal/node/work/agents.go
@@ -42,6 +42,7 @@
 	at      clock.Millis // when its agent was heard of last
 	asked   clock.Millis // when its agent was asked for its state last
 	hiccup  clock.Millis // until when it counts as slower than usual
+	steady  bool         // its streams showed that it was not
 	loading bool
 	cool    clock.Millis
 	old     map[string]clock.Millis // models of which it has no usable version until then
@@ -62,9 +63,7 @@
 	now := w.Clock.Now()
 	w.reached, w.lost = now, 0
 	e.others, e.slots, e.at = max(0, f.Running-e.open), f.Slots, now
-	if f.Pace > 0 {
-		e.pace = f.Pace
-	}
+	e.pace = f.Pace
 	if f.Hiccup != (now < e.hiccup) {
 		w.Wake()
 	}
@@ -72,7 +71,7 @@
 	if f.Hiccup {
 		e.hiccup = now + hiccupFor
 	}
-	e.loading = f.Loading
+	e.steady, e.loading = f.Steady, f.Loading
 }
 
 // ask asks the agents of which nothing was heard lately for their state. It
--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -102,6 +102,17 @@
 	waiting int // items that found no seat
 }
 
+// last returns the events that the longest item of the job still lacks.
+func (p *planned) last() float64 {
+	out := 0.0
+	for i := range p.job.state {
+		if st := &p.job.state[i]; st.phase == waiting || st.phase == running {
+			out = max(out, seats.Left(p.job.items[i].Hint/p.stride, st.made()))
+		}
+	}
+	return out
+}
+
 // prepare returns the view of a job, nil if it can't go on now. The shares of a
 // service are worked out for the first of its jobs.
 func (w *Worker) prepare(now clock.Millis, view *fleet.View, j *job, shares map[string]map[string]string) *planned {
@@ -141,6 +152,7 @@
 		ss = append(ss, &seats.Seat{
 			ID: s.ID, Open: e.open + e.others, Slots: slots, Pace: e.pace, Far: w.Place.Distance(s.Zone),
 			Hiccup: now < e.hiccup,
+			Steady: e.steady && now-e.at <= sureFor,
 			Sure:   now-e.at <= sureFor,
 			Cool:   now < e.cool || now < e.old[j.model] || e.loading && now-e.at < loadFor,
 		})
@@ -152,6 +164,7 @@
 // move starts the rest of items at faster engines that are free.
 func (w *Worker) move(p *planned, now clock.Millis) {
 	j := p.job
+	last := p.last()
 	for i := range j.state {
 		st := &j.state[i]
 		if st.cur == nil || st.next != nil || st.moves >= mostMoves || now < st.stay {
@@ -163,7 +176,7 @@
 		}
 		at := *s
 		at.Hiccup = at.Hiccup || st.cur.stalled
-		to := p.plan.Move(&at, j.items[i].Hint/p.stride, st.made())
+		to := p.plan.Move(&at, j.items[i].Hint/p.stride, st.made(), last)
 		if to == nil {
 			continue
 		}
