Settings that were decoded and unused: retention ends jobs, the rest goes

Jobs that a trainer neither ended nor could complete stayed open for ever, in memory and at the engines: Route.Retention was decoded and not used. What is left of such a job is now given up when the time of its route is over.

Gone, since nothing used them: Store.Trim (the store's own retention does it), Route.Priority, Service.MaxConns.

Also: a job whose items exceed one append is refused as too large with the remedy, before as if the store were away; the log is bounded by a rate; a store that keeps records for less time than results are promised is an error in the log at the start.

--- a/internal/decide/table/table.go
+++ b/internal/decide/table/table.go
@@ -45,10 +45,9 @@
 	Timeout   clock.Millis // longest time to an answer, 0 for none
 	Target    clock.Millis // latency objective
 	Due       clock.Millis // for all results of a job
-	Retention clock.Millis // after which an item of a job may be given up
+	Retention clock.Millis // after which an item of a job is given up, 0 for never
 
 	Attempts  int // backend servers that may be tried
-	Priority  int // 0 is the most urgent
 	Resumable bool
 	OneModel  bool // all events of an item must come from one version
 }
@@ -76,11 +75,10 @@
 
 // Service is a set of backend servers of one kind.
 type Service struct {
-	Name     string
-	MaxConns int      // that one server accepts from all callers
-	Slots    int      // of one engine, 0 for plain services
-	Stride   int      // tokens of one event of a stream
-	Models   []string // that its engines can load, none for plain services
+	Name   string
+	Slots  int      // of one engine, 0 for plain services
+	Stride int      // tokens of one event of a stream
+	Models []string // that its engines can load, none for plain services
 }
 
 // Limits bound what a client may send.
--- a/internal/edge/plat/store.go
+++ b/internal/edge/plat/store.go
@@ -52,8 +52,6 @@
 	Newest(ctx context.Context, topic string) ([]Keyed, int64, error)
 	// Put writes the newest record of a key of a topic that keeps those.
 	Put(ctx context.Context, topic, key string, value []byte) error
-	// Trim deletes the records before an offset.
-	Trim(ctx context.Context, topic string, part int, before int64) error
 }
 
 // ErrNotDone proves that the store has done nothing.
--- a/internal/node/jobs/calls.go
+++ b/internal/node/jobs/calls.go
@@ -22,6 +22,8 @@
 	// listBytes bounds the texts of one list of results; the platform allows
 	// 1 MB with the marks that JSON adds.
 	listBytes = 640 << 10
+	// recordHead is what the store adds to each record of an append, in bytes.
+	recordHead = 4
 	// readers read texts of one list side by side: a hundred texts are read
 	// within some 200 ms also from another region.
 	readers = 16
@@ -60,6 +62,7 @@
 		return nil
 	}
 	recs := make([][]byte, 0, len(s.Items))
+	size := 0
 	ids := make([]string, 0, len(s.Items))
 	work := int64(0)
 	for i := range s.Items {
@@ -70,6 +73,9 @@
 		if len(raw) > b.Info.RecordBytes {
 			return fault.New(fault.TooLarge, "item "+s.Items[i].ID+" is larger than a record of the store")
 		}
+		if size += len(raw) + recordHead; size > b.Info.CallBytes {
+			return fault.New(fault.TooLarge, "the items of job "+s.ID+" are larger than one append to the store; split the job")
+		}
 		recs = append(recs, raw)
 		ids = append(ids, s.Items[i].ID)
 		work += int64(s.Items[i].Hint)
--- a/internal/node/jobs/jobs_test.go
+++ b/internal/node/jobs/jobs_test.go
@@ -176,12 +176,25 @@
 	})
 }
 
-func TestTooLargeItem(t *testing.T) {
-	world(t, func(c *qt.C, ctx context.Context, _ *topic.Store, a, _ *Board) {
-		s := spec("j", 1)
-		s.Items[0].Body = make([]byte, 1<<17)
-		c.Check(fault.Is(a.Submit(ctx, s), fault.TooLarge), qt.IsTrue)
-	})
+// A job that does not fit the store is refused with what to do, not as if the
+// store were away.
+func TestTooLarge(t *testing.T) {
+	tests := map[string]struct{ items, bytes int }{
+		"an item above a record": {1, 1 << 17},
+		"items above an append":  {40, 30 << 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			world(t, func(c *qt.C, ctx context.Context, _ *topic.Store, a, _ *Board) {
+				s := spec("j", test.items)
+				for i := range s.Items {
+					s.Items[i].Body = make([]byte, test.bytes)
+				}
+				c.Check(fault.Is(a.Submit(ctx, s), fault.TooLarge), qt.IsTrue)
+				c.Check(job(a, "j"), qt.IsNil)
+			})
+		})
+	}
 }
 
 // busy is a store to whose index another node adds a record during each read.
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -249,8 +249,3 @@
 func (s *Store) Put(ctx context.Context, topic, key string, value []byte) error {
 	return s.run(ctx, &call{Topic: topic, Key: key, Value: value}).err()
 }
-
-// Trim implements [plat.Store]; it is not worth a way around.
-func (s *Store) Trim(ctx context.Context, topic string, part int, before int64) error {
-	return s.direct.Trim(ctx, topic, part, before)
-}
--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -120,6 +120,10 @@
 	if r == nil {
 		return nil
 	}
+	if r.Retention > 0 && now-j.at > r.Retention {
+		w.expire(j)
+		return nil
+	}
 	p := &planned{job: j, route: r, stride: 1}
 	var models []string
 	if s := w.Conf.Config().Service(service); s != nil {
--- a/internal/node/work/job_test.go
+++ b/internal/node/work/job_test.go
@@ -14,7 +14,11 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/decide/table"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
+	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
+	"github.com/jujuberamp/jujuberamp/internal/node/logs"
+	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
 )
 
 // ward counts crashes as if each break were one.
@@ -77,6 +81,44 @@
 	return strings.Join(out, " ")
 }
 
+// A job whose trainer never ends it is over when the time of its route is: what
+// is left of it is given up, and nothing of it is held any more.
+func TestExpiredJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := topic.New()
+		b := jobs.New(jobs.Params{
+			Self: lots.Node{Name: "a"}, Info: plat.StoreInfo{Parts: 1, RecordBytes: 1 << 16, CallBytes: 1 << 20}, Status: clock.Minute,
+			Store: store, Writer: logs.NewWriter(ctx, store, "a", 1<<20, zerolog.Nop()), Clock: clock.NewSystem(), Log: zerolog.Nop(),
+		})
+		go b.Run(ctx)
+		c.Assert(b.Submit(ctx, &lots.Spec{ID: "j", Host: "h", Path: "/p/", Items: []lots.Item{{ID: "i0"}, {ID: "i1"}, {ID: "i2"}}}), qt.IsNil)
+		c.Assert(b.Finish(ctx, "j", lots.Done{Item: 1}, []byte("text")), qt.IsNil)
+		c.Assert(b.Sync(ctx), qt.IsNil)
+		w := New(Params{Board: b, Clock: clock.NewSystem(), Log: zerolog.Nop()})
+		open := func() (open bool, listed int) {
+			b.View(func(ix *lots.Index, _ bool) { open, listed = ix.Job("j").Open(), len(ix.Job("j").Results) })
+			return open, listed
+		}
+		var j *job
+		b.View(func(ix *lots.Index, _ bool) { j = newJob(ctx, ix.Job("j")) })
+		j.start(w.Clock.Now(), make([]lots.Item, 3))
+		stopped := false
+		j.state[0].phase, j.state[0].cur = running, &attempt{cancel: func() { stopped = true }}
+		w.mu.Lock()
+		w.expire(j)
+		w.expire(j) // The next look comes before the records are read.
+		w.mu.Unlock()
+		time.Sleep(time.Second)
+		isOpen, listed := open()
+		c.Check(isOpen, qt.IsFalse)
+		c.Check(listed, qt.Equals, 3)
+		c.Check(stopped, qt.IsTrue)
+	})
+}
+
 // A text goes on after the event for which its next run was asked: what the
 // slower run has made since then is dropped, so that pieces of two runs are
 // never joined elsewhere.
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -211,6 +211,18 @@
 	go w.store(j, lots.Done{Item: i, Dead: true}, nil)
 }
 
+// expire gives up what is left of a job whose time is over: its trainer has
+// left without ending it. The caller holds the lock.
+func (w *Worker) expire(j *job) {
+	for i := range j.state {
+		st := &j.state[i]
+		if st.phase != scoring && st.phase != listed {
+			st.stop()
+			w.dead(j, i, "the time of the job is over")
+		}
+	}
+}
+
 // finish has a whole text scored and stored.
 func (w *Worker) finish(j *job, i int, events []runs.Event) {
 	d := lots.Done{Item: i}
--- a/internal/prod/roles/roles.go
+++ b/internal/prod/roles/roles.go
@@ -107,7 +107,11 @@
 	var dropped atomic.Int64
 	w := diode.NewWriter(out, logLines, logPoll, func(n int) { dropped.Add(int64(n)) })
 	b.ends = append(b.ends, w.Close)
-	b.log = telem.Logger(w, "info", role)
+	b.log = telem.Bounded(telem.Logger(w, "info", role), func() { dropped.Add(1) })
+	if r := boot.Store.Retention; r > 0 && r < boot.Status {
+		b.log.Error().Int64("retention-ms", int64(r)).Int64("promised-ms", int64(boot.Status)).
+			Msg("roles: the store drops results before the time for which they are promised; have it keep records longer")
+	}
 	if b.meters, err = telem.NewMetrics(); err != nil {
 		return nil, err
 	}
@@ -141,7 +145,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "metrics")
 	}
-	_, err = m.Int64ObservableCounter("log.dropped", metric.WithDescription("Log lines dropped because their reader was slow"),
+	_, err = m.Int64ObservableCounter("log.dropped", metric.WithDescription("Log lines dropped beyond the rate or because their reader was slow"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(dropped.Load())
 			return nil
--- a/internal/prod/telem/telem.go
+++ b/internal/prod/telem/telem.go
@@ -13,6 +13,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -36,6 +37,43 @@
 	return zerolog.New(w).Level(l).With().Timestamp().Str("program", program).Logger()
 }
 
+// Bounds of a log, in lines a second. The first is twice the lines of a node
+// that takes ten times its share of the requests of docs/CAPACITY.md.
+const (
+	lines    = 400
+	warnings = 100
+)
+
+// Bounded returns a log that drops the lines beyond a rate and tells of each
+// one dropped. Warnings have a rate of their own, so that requests don't
+// displace them.
+func Bounded(l zerolog.Logger, dropped func()) zerolog.Logger {
+	return l.Sample(&bound{
+		lines:    zerolog.BurstSampler{Burst: lines, Period: time.Second},
+		warnings: zerolog.BurstSampler{Burst: warnings, Period: time.Second},
+		dropped:  dropped,
+	})
+}
+
+type bound struct {
+	lines    zerolog.BurstSampler
+	warnings zerolog.BurstSampler
+	dropped  func()
+}
+
+// Sample implements [zerolog.Sampler].
+func (b *bound) Sample(l zerolog.Level) bool {
+	rate := &b.lines
+	if l >= zerolog.WarnLevel {
+		rate = &b.warnings
+	}
+	if rate.Sample(l) {
+		return true
+	}
+	b.dropped()
+	return false
+}
+
 // Metrics are the metrics of one process.
 type Metrics struct {
 	registry *prometheus.Registry
--- a/internal/stand/topic/topic.go
+++ b/internal/stand/topic/topic.go
@@ -264,17 +264,3 @@
 	}
 	return out, s.at(topic, 0).end(), nil
 }
-
-// Trim implements [plat.Store].
-func (s *Store) Trim(ctx context.Context, topic string, n int, before int64) error {
-	if err := s.enter(ctx, nil); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p := s.at(topic, n)
-	if cut := min(before, p.end()) - p.first; cut > 0 {
-		p.first, p.records = p.first+cut, p.records[cut:]
-	}
-	return nil
-}
