Ask a silent owner of a job after 1.2 s, so that others go on sooner

Others waited for 2.5 s of missing beats, which has to hold for a slow store as well; and if rendezvous hashing chose the dead owner itself, nobody could go on sooner.

Test: TestSilentOwner.

--- a/internal/decide/lots/lots.go
+++ b/internal/decide/lots/lots.go
@@ -301,6 +301,14 @@
 	return p != nil && p.Node == n && !p.Leaving && now-p.Heard <= within
 }
 
+// Addr returns the inner address of a node, empty if it was never heard of.
+func (x *Index) Addr(name string) string {
+	if p := x.peers[name]; p != nil {
+		return p.Addr
+	}
+	return ""
+}
+
 // Peers calls fn with each node that was ever heard of.
 func (x *Index) Peers(fn func(*Peer)) {
 	for _, p := range x.peers {
--- a/internal/node/jobs/board.go
+++ b/internal/node/jobs/board.go
@@ -36,6 +36,9 @@
 	// SilentFor is how long a node may show nothing before others go on with
 	// its jobs: three beats and the delay of a slow store.
 	SilentFor = 2500 * clock.Milli
+	// DoubtFor is how long it may show nothing before it is asked itself: a beat
+	// and the delay of a store that answers fifty times slower than usual.
+	DoubtFor = 1200 * clock.Milli
 	// poll is how long a read of the index waits for a record.
 	poll = 500 * clock.Milli
 	// gather is the pause after a read that found records, so that a busy
--- /dev/null
+++ b/internal/node/work/look_test.go
@@ -0,0 +1,109 @@
+package work
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
+	"github.com/jujuberamp/jujuberamp/internal/node/logs"
+	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
+)
+
+// network carries what nodes ask each other; a node that it does not know does
+// not answer.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*Worker
+}
+
+// set has another process answer at an address, nil for none.
+func (n *network) set(addr string, w *Worker) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[addr] = w
+}
+
+func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
+	n.mu.Lock()
+	w := n.nodes[r.URL.Host]
+	n.mu.Unlock()
+	if w == nil {
+		return nil, errors.New("connection refused")
+	}
+	rec := httptest.NewRecorder()
+	w.Alive(rec, r)
+	return rec.Result(), nil
+}
+
+// startNode runs the board and the looks of a node.
+func startNode(ctx context.Context, s plat.Store, net *network, name string) *Worker {
+	self := lots.Node{Name: name, Boot: "boot-" + name}
+	b := jobs.New(jobs.Params{
+		Self: self, Addr: name, Info: plat.StoreInfo{Parts: 1, RecordBytes: 1 << 16, CallBytes: 1 << 20}, Status: clock.Minute,
+		Store: s, Writer: logs.NewWriter(ctx, s, name, 1<<20, zerolog.Nop()), Clock: clock.NewSystem(), Log: zerolog.Nop(),
+	})
+	go b.Run(ctx)
+	w := New(Params{Self: self, Board: b, HTTP: net, Clock: clock.NewSystem(), Log: zerolog.Nop()})
+	go clock.Every(ctx, lookEach, func() { w.look(ctx) })
+	net.set(name, w)
+	return w
+}
+
+// The owner of a job shows nothing any more. Others go on with the job soon if
+// it does not answer them either, or if another start of it does; they wait
+// longer for one that only the store does not hear.
+func TestSilentOwner(t *testing.T) {
+	tests := map[string]struct {
+		answer      string // incarnation that answers, empty for none
+		least, most time.Duration
+	}{
+		"gone":              {"", jobs.DoubtFor.Duration() - jobs.BeatEach.Duration(), (jobs.DoubtFor + 2*lookEach).Duration() + 300*time.Millisecond},
+		"started again":     {"boot-new", jobs.DoubtFor.Duration() - jobs.BeatEach.Duration(), (jobs.DoubtFor + 2*lookEach).Duration() + 300*time.Millisecond},
+		"only not heard of": {"boot-a", jobs.SilentFor.Duration() - jobs.BeatEach.Duration(), jobs.SilentFor.Duration() + 500*time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				s, net := topic.New(), &network{nodes: make(map[string]*Worker)}
+				own, silence := context.WithCancel(ctx)
+				a := startNode(own, s, net, "a")
+				startNode(ctx, s, net, "b")
+				w := startNode(ctx, s, net, "c")
+				time.Sleep(time.Second)
+				c.Assert(a.Board.Submit(ctx, &lots.Spec{ID: "j", Host: "h", Path: "/p/", Items: []lots.Item{{ID: "i"}}}), qt.IsNil)
+				time.Sleep(time.Second)
+				owner := func() (name string) {
+					w.Board.View(func(ix *lots.Index, _ bool) { name = ix.Job("j").Owner.Name })
+					return name
+				}
+				c.Assert(owner(), qt.Equals, "a")
+				silence()
+				net.set("a", nil)
+				if test.answer != "" {
+					net.set("a", New(Params{Self: lots.Node{Name: "a", Boot: test.answer}}))
+				}
+				start := time.Now()
+				for owner() == "a" && time.Since(start) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+				}
+				took := time.Since(start)
+				c.Check(took >= test.least && took <= test.most, qt.IsTrue, qt.Commentf("taken over after %v", took))
+			})
+		})
+	}
+}
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -63,6 +63,7 @@
 	jobs    map[string]*job
 	engines map[string]*engine
 	takes   map[string]clock.Millis
+	doubts  map[string]doubt // by name of a node
 	leaving bool
 	reached clock.Millis // when an agent was heard of last
 	lost    int          // runs since then that reached no agent
@@ -77,7 +78,7 @@
 	return &Worker{
 		Params: p, http: &http.Client{Transport: p.HTTP}, wake: make(chan struct{}, 1),
 		specs: make(map[string][]lots.Item), jobs: make(map[string]*job), engines: make(map[string]*engine),
-		takes: make(map[string]clock.Millis),
+		takes: make(map[string]clock.Millis), doubts: make(map[string]doubt),
 	}
 }
 
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -141,6 +141,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(relay.Prefix, relay.Handler(b.direct, b.log))
+	mux.HandleFunc("GET "+work.AlivePath, e.work.Alive)
 	if err := b.serveInner(mux); err != nil {
 		return err
 	}
