--- a/internal/decide/lots/lots_test.go
+++ b/internal/decide/lots/lots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -170,6 +171,20 @@
 				t.Fatalf("two readers differ on %s: %+v and %+v", j.Job, j, o)
 			}
 		})
+		// A node that starts later finds that the store has dropped the first
+		// records. Jobs of which it has all are the same there.
+		cut := rapid.Int64Range(0, int64(len(log))).Draw(t, "cut")
+		late := New()
+		for off := range log {
+			late.Skip(cut)
+			late.Apply(clock.Millis(off), int64(off), log[off])
+		}
+		steady.Jobs(func(j *Job) {
+			first := slices.IndexFunc(log, func(r Record) bool { a, ok := r.(Accept); return ok && a.Job == j.Job })
+			if o := late.Job(j.Job); int64(first) >= cut && (o == nil || fmt.Sprint(o.Results) != fmt.Sprint(j.Results) || o.Owner != j.Owner || o.Ended != j.Ended) {
+				t.Fatalf("a reader from %d on differs on %s: %+v and %+v", cut, j.Job, j, o)
+			}
+		})
 	})
 }
 
