Store a text while it is scored

A result was listed after its scoring call, the append of its text and the append of its record, one after the other. For an entry in another region than the store each append takes some 28 ms, and the last item of a step is waited for. The text is now stored beside the call.

--- a/internal/node/jobs/calls.go
+++ b/internal/node/jobs/calls.go
@@ -350,16 +350,16 @@
 	return evs, err
 }
 
-// Finish appends a result's text and its record.
-func (b *Board) Finish(ctx context.Context, job string, d lots.Done, text []byte) error {
+// Text appends a result's text and returns where it lies.
+func (b *Board) Text(ctx context.Context, job string, text []byte) (lots.Place, error) {
+	p := lots.Place{Part: b.part(job)}
+	var err error
+	p.Offset, err = b.Writer.Append(ctx, index.Bulk, p.Part, text)
+	return p, err
+}
+
+// Finish appends the record of a result.
+func (b *Board) Finish(ctx context.Context, job string, d lots.Done) error {
 	d.Job = job
-	if !d.Dead {
-		d.Text.Part = b.part(job)
-		d.Size = len(text)
-		var err error
-		if d.Text.Offset, err = b.Writer.Append(ctx, index.Bulk, d.Text.Part, text); err != nil {
-			return err
-		}
-	}
 	return b.put(ctx, d)
 }
--- a/internal/node/jobs/jobs_test.go
+++ b/internal/node/jobs/jobs_test.go
@@ -40,6 +40,16 @@
 	return s
 }
 
+// finish stores a result with its text.
+func finish(ctx context.Context, b *Board, id string, d lots.Done, text []byte) error {
+	var err error
+	if d.Text, err = b.Text(ctx, id, text); err != nil {
+		return err
+	}
+	d.Size = len(text)
+	return b.Finish(ctx, id, d)
+}
+
 func job(b *Board, id string) *lots.Job {
 	var out *lots.Job
 	b.View(func(ix *lots.Index, _ bool) {
@@ -76,7 +86,7 @@
 
 		go func() {
 			time.Sleep(300 * time.Millisecond)
-			c.Check(a.Finish(ctx, "j", lots.Done{Item: 2, Versions: []int64{1, 2}, Score: "s"}, []byte("text 2")), qt.IsNil)
+			c.Check(finish(ctx, a, "j", lots.Done{Item: 2, Versions: []int64{1, 2}, Score: "s"}, []byte("text 2")), qt.IsNil)
 		}()
 		start := time.Now()
 		l, err = b.Results(ctx, "j", 0, clock.Second) // waits for a result
@@ -87,8 +97,8 @@
 		c.Check(string(l.Results[0].Text), qt.Equals, "text 2")
 
 		// A second result of the item, and a result given up, change nothing listed.
-		c.Assert(b.Finish(ctx, "j", lots.Done{Item: 2}, []byte("other")), qt.IsNil)
-		c.Assert(b.Finish(ctx, "j", lots.Done{Item: 0, Dead: true}, nil), qt.IsNil)
+		c.Assert(finish(ctx, b, "j", lots.Done{Item: 2}, []byte("other")), qt.IsNil)
+		c.Assert(b.Finish(ctx, "j", lots.Done{Item: 0, Dead: true}), qt.IsNil)
 		for _, n := range []*Board{a, b} {
 			c.Assert(n.Sync(ctx), qt.IsNil)
 			l, err = n.Results(ctx, "j", 0, 0)
@@ -127,7 +137,7 @@
 	world(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, b *Board) {
 		c.Assert(a.Submit(ctx, spec("j", 2)), qt.IsNil)
 		c.Assert(b.Sync(ctx), qt.IsNil)
-		c.Assert(a.Finish(ctx, "j", lots.Done{}, []byte("t")), qt.IsNil)
+		c.Assert(finish(ctx, a, "j", lots.Done{}, []byte("t")), qt.IsNil)
 		l, err := b.Results(ctx, "j", 1, 0)
 		c.Assert(err, qt.IsNil)
 		c.Check(l.Next, qt.Equals, 1)
@@ -235,7 +245,7 @@
 		time.Sleep(time.Second)
 		c.Assert(a.Submit(first, spec("j", 2)), qt.IsNil)
 		c.Assert(a.Sync(first), qt.IsNil)
-		c.Assert(a.Finish(first, "j", lots.Done{Item: 1}, []byte("t")), qt.IsNil)
+		c.Assert(finish(first, a, "j", lots.Done{Item: 1}, []byte("t")), qt.IsNil)
 		kill()
 		time.Sleep(time.Second)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -290,7 +300,7 @@
 		c.Assert(b.Sync(ctx), qt.IsNil)
 		for i := range 100 {
 			d := lots.Done{Item: i, Dead: i%10 == 9}
-			c.Assert(b.Finish(ctx, "j", d, fmt.Appendf(nil, "text %d", i)), qt.IsNil)
+			c.Assert(finish(ctx, b, "j", d, fmt.Appendf(nil, "text %d", i)), qt.IsNil)
 			_, err := b.Writer.Append(ctx, "bulk", b.part("j"), []byte("another job's"))
 			c.Assert(err, qt.IsNil)
 		}
@@ -311,7 +321,7 @@
 		c.Assert(a.Submit(ctx, spec("j", 12)), qt.IsNil)
 		c.Assert(a.Sync(ctx), qt.IsNil)
 		for i := range 12 {
-			c.Assert(a.Finish(ctx, "j", lots.Done{Item: i}, make([]byte, 100<<10)), qt.IsNil)
+			c.Assert(finish(ctx, a, "j", lots.Done{Item: i}, make([]byte, 100<<10)), qt.IsNil)
 		}
 		c.Assert(a.Sync(ctx), qt.IsNil)
 		got := 0
--- a/internal/node/work/job_test.go
+++ b/internal/node/work/job_test.go
@@ -95,7 +95,7 @@
 		})
 		go b.Run(ctx)
 		c.Assert(b.Submit(ctx, &lots.Spec{ID: "j", Host: "h", Path: "/p/", Items: []lots.Item{{ID: "i0"}, {ID: "i1"}, {ID: "i2"}}}), qt.IsNil)
-		c.Assert(b.Finish(ctx, "j", lots.Done{Item: 1}, []byte("text")), qt.IsNil)
+		c.Assert(b.Finish(ctx, "j", lots.Done{Item: 1}), qt.IsNil)
 		c.Assert(b.Sync(ctx), qt.IsNil)
 		w := New(Params{Board: b, Clock: clock.NewSystem(), Log: zerolog.Nop()})
 		open := func() (open bool, listed int) {
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -208,7 +208,7 @@
 func (w *Worker) dead(j *job, i int, why string) {
 	j.state[i].phase = scoring
 	w.Log.Warn().Str("job", j.id).Str("item", j.items[i].ID).Str("why", why).Msg("work: item given up")
-	go w.store(j, lots.Done{Item: i, Dead: true}, nil)
+	go w.list(j, lots.Done{Item: i, Dead: true})
 }
 
 // expire gives up what is left of a job whose time is over: its trainer has
@@ -223,7 +223,8 @@
 	}
 }
 
-// finish has a whole text scored and stored.
+// finish has a whole text scored and stored, both at once: the last item of a
+// group is waited for.
 func (w *Worker) finish(j *job, i int, events []runs.Event) {
 	d := lots.Done{Item: i}
 	var text []byte
@@ -237,20 +238,31 @@
 		}
 	}
 	slices.Sort(d.Versions)
+	stored := make(chan struct{})
+	go func() {
+		defer close(stored)
+		d.Size = len(text)
+		w.store(j, i, func() (err error) {
+			d.Text, err = w.Board.Text(j.ctx, j.id, text)
+			return err
+		})
+	}()
+	score, ok := "", true
 	if sc := j.items[i].Scorer; sc != nil {
-		score, ok := w.score(j, i, sc)
-		if j.ctx.Err() != nil {
-			return
-		}
-		if !ok {
-			w.mu.Lock()
-			w.dead(j, i, "each scoring call failed")
-			w.mu.Unlock()
-			return
-		}
-		d.Score = score
+		score, ok = w.score(j, i, sc)
 	}
-	w.store(j, d, text)
+	<-stored
+	if j.ctx.Err() != nil {
+		return
+	}
+	if !ok {
+		w.mu.Lock()
+		w.dead(j, i, "each scoring call failed")
+		w.mu.Unlock()
+		return
+	}
+	d.Score = score
+	w.list(j, d)
 }
 
 // score calls the scoring service until it answers; false after as many
@@ -284,17 +296,20 @@
 	}
 }
 
-// store appends a result until it is listed or the job is left.
-func (w *Worker) store(j *job, d lots.Done, text []byte) {
+// list appends the record of a result.
+func (w *Worker) list(j *job, d lots.Done) {
+	w.store(j, d.Item, func() error { return w.Board.Finish(j.ctx, j.id, d) })
+}
+
+// store does an append of an item's result until it succeeds or the job is
+// left.
+func (w *Worker) store(j *job, i int, do func() error) {
 	for {
-		err := w.Board.Finish(j.ctx, j.id, d, text)
-		if err == nil {
-			return
-		}
-		if j.ctx.Err() != nil {
+		err := do()
+		if err == nil || j.ctx.Err() != nil {
 			return
 		}
-		w.Log.Warn().Str("job", j.id).Str("item", j.items[d.Item].ID).Err(errors.WithMessage(err, "store")).Msg("work: result not stored, tried again")
+		w.Log.Warn().Str("job", j.id).Str("item", j.items[i].ID).Err(errors.WithMessage(err, "store")).Msg("work: result not stored, tried again")
 		if !clock.Sleep(j.ctx, storeEach) {
 			return
 		}
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -37,11 +37,16 @@
 	Count(id string) int
 }
 
+// Caller makes the system's own calls through a route; see [front.Front].
+type Caller interface {
+	Ask(ctx context.Context, r *front.Request) (*front.Reply, error)
+}
+
 // Params are what a worker needs.
 type Params struct {
 	Self  lots.Node
 	Board *jobs.Board
-	Front *front.Front
+	Front Caller
 	Ward  Ward
 	Conf  *conf.Follower
 	Place pick.Place
