--- a/internal/node/jobs/board.go
+++ b/internal/node/jobs/board.go
@@ -168,7 +168,12 @@
 	return p, nil
 }
 
+// logChange tells what a record did to a job that this node works on; all
+// others read the same record.
 func (b *Board) logChange(r lots.Record, j *lots.Job, offset int64) {
+	if j.Owner != b.Self {
+		return
+	}
 	ev := b.Log.Info().Str("job", j.Job).Int64("offset", offset)
 	switch r := r.(type) {
 	case lots.Accept:
