A stopping entry stores its texts before it leaves its jobs

Texts were stored each 40 events only.

Ruled out: the hand-over itself (80 ms), the runs at the agents (they end within 20 ms).

Test: TestHandOver.

--- a/internal/node/work/keep.go
+++ b/internal/node/work/keep.go
@@ -35,6 +35,30 @@
 	}
 }
 
+// HandOver stores all texts that are not whole, so that the next owner goes on
+// after them, and returns when that is done or the context ends. It is for a
+// node that is about to leave.
+func (w *Worker) HandOver(ctx context.Context) {
+	var wg sync.WaitGroup
+	n := 0
+	w.mu.Lock()
+	for _, j := range w.jobs {
+		for i := range j.state {
+			st := &j.state[i]
+			if st.phase != waiting && st.phase != running || st.made() <= st.kept {
+				continue
+			}
+			evs := st.events()
+			st.kept = len(evs)
+			n++
+			wg.Go(func() { w.storeText(ctx, j, i, evs) })
+		}
+	}
+	w.mu.Unlock()
+	wg.Wait()
+	w.Log.Info().Int("texts", n).Err(ctx.Err()).Msg("work: texts so far stored for the next owners")
+}
+
 func (w *Worker) storeText(ctx context.Context, j *job, i int, evs []runs.Event) {
 	ctx, cancel := context.WithTimeout(ctx, jobs.SilentFor.Duration())
 	defer cancel()
--- a/internal/node/work/look_test.go
+++ b/internal/node/work/look_test.go
@@ -107,3 +107,34 @@
 		})
 	}
 }
+
+// The pattern of a rolling restart while busy: an entry that is told to stop
+// hands its jobs over with all events that they have, not only with those that
+// were stored on the way.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s, net := topic.New(), &network{nodes: make(map[string]*Worker)}
+		a, b := startNode(ctx, s, net, "a"), startNode(ctx, s, net, "b")
+		time.Sleep(time.Second)
+		c.Assert(a.Board.Submit(ctx, &lots.Spec{ID: "j", Host: "h", Path: "/p/", Items: []lots.Item{{ID: "i"}, {ID: "k"}, {ID: "l"}}}), qt.IsNil)
+		time.Sleep(time.Second)
+		a.mu.Lock()
+		j := a.jobs["j"]
+		j.state[0].phase, j.state[0].cur = running, &attempt{cancel: func() {}, events: texts("e", keepEach-1)}
+		j.state[1].held = texts("h", 2) // waits for an engine
+		a.mu.Unlock()
+		a.Stop()
+		a.HandOver(ctx)
+		c.Assert(a.Board.Leave(ctx), qt.IsNil)
+		time.Sleep(time.Second)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		c.Assert(b.jobs["j"], qt.IsNotNil)
+		c.Check(joined(b.jobs["j"].state[0].held), qt.Equals, joined(texts("e", keepEach-1)))
+		c.Check(joined(b.jobs["j"].state[1].held), qt.Equals, "h0 h1")
+		c.Check(b.jobs["j"].state[2].made(), qt.Equals, 0)
+	})
+}
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -40,6 +40,9 @@
 	// for handing over and answering.
 	drainShare = 0.6
 	tidyEach   = 5 * clock.Second
+	// handOverFor bounds the storing of texts before a stopping entry leaves its
+	// jobs: two appends between regions, and one repeat.
+	handOverFor = 500 * clock.Milli
 	// engineConns to one server are kept for their next use.
 	engineConns = 16
 )
@@ -175,6 +178,9 @@
 // drain finishes what is in progress, hands the rest over and waits until all
 // clients are answered.
 func (e *entry) drain(ctx context.Context, ln net.Listener, srv *listen.Server, endWork func(), over clock.Millis) {
+	texts, done := context.WithTimeout(ctx, handOverFor.Duration())
+	e.work.HandOver(texts) // Items go on meanwhile, the store may be slow.
+	done()
 	e.work.Stop()
 	until := e.clock.Now() + clock.Millis(drainShare*float64(over-e.clock.Now()))
 	leave, cancel := context.WithTimeout(ctx, (over - e.clock.Now()).Duration())
