--- a/internal/node/quar/tell_test.go
+++ b/internal/node/quar/tell_test.go
@@ -126,11 +126,15 @@
 		cl := newCluster(ctx, 1)
 		for i := range 2 * mostHeard {
 			server := "s/" + strconv.Itoa(i%5)
+			cl.mu.Lock()
 			cl.gone[server] = true
+			cl.mu.Unlock()
 			cl.nodes[0].Broke(server, strconv.Itoa(i))
 		}
 		time.Sleep(time.Second)
 		synctest.Wait()
+		cl.mu.Lock()
+		defer cl.mu.Unlock()
 		c.Check(cl.told, qt.Equals, 5)
 	})
 }
