--- a/internal/node/work/look.go
+++ b/internal/node/work/look.go
@@ -2,11 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
-	"slices"
-
-	"github.com/pkg/errors"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
@@ -16,31 +11,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
 )
 
-const (
-	// takeEach is how often a node tries to take over one job.
-	takeEach = clock.Second
-	// probeFor is how long an owner that is silent may take to answer: some ways
-	// between regions. What was seen holds for probeKeep.
-	probeFor  = 400 * clock.Milli
-	probeKeep = clock.Second
-	// mostBoot bounds the answer, in bytes.
-	mostBoot = 256
-)
-
-// AlivePath is where a node tells its incarnation.
-const AlivePath = "/alive"
-
-// Alive serves AlivePath.
-func (w *Worker) Alive(rw http.ResponseWriter, _ *http.Request) {
-	rw.Header().Set("Content-Type", "text/plain")
-	_, _ = io.WriteString(rw, w.Self.Boot) // One that does not hear it asks again.
-}
-
-// doubt is what a silent owner answered.
-type doubt struct {
-	at   clock.Millis // when it was asked
-	gone bool
-}
+// takeEach is how often a node tries to take over one job.
+const takeEach = clock.Second
 
 // look compares the jobs at hand with the index.
 func (w *Worker) look(ctx context.Context) {
@@ -83,11 +55,11 @@
 			if !fresh || w.leaving || ix.Works(now, jobs.DoubtFor, j.Owner) || now-w.takes[j.Job] < takeEach {
 				return
 			}
-			silent := ix.Works(now, jobs.SilentFor, j.Owner) // not yet for long
-			if n, ok := spread.First(j.Job, without(alive, j.Owner, silent)); !ok || string(n) != w.Self.Name {
+			inDoubt := ix.Works(now, jobs.SilentFor, j.Owner) // silent, but not yet for long
+			if n, ok := spread.First(j.Job, without(alive, j.Owner, inDoubt)); !ok || string(n) != w.Self.Name {
 				return
 			}
-			if silent && !w.gone(ctx, now, j.Owner, ix.Addr(j.Owner.Name)) {
+			if inDoubt && !w.gone(ctx, now, j.Owner, ix.Addr(j.Owner.Name)) {
 				return
 			}
 			w.takes[j.Job] = now
@@ -102,15 +74,6 @@
 	}
 }
 
-// without returns the nodes that may go on with a job: all that live, but not
-// its owner while that one is only in doubt.
-func without(alive []ident.Node, owner lots.Node, inDoubt bool) []ident.Node {
-	if !inDoubt {
-		return alive
-	}
-	return slices.DeleteFunc(slices.Clone(alive), func(n ident.Node) bool { return string(n) == owner.Name })
-}
-
 func nodes(names []string) []ident.Node {
 	out := make([]ident.Node, len(names))
 	for i, n := range names {
@@ -119,45 +82,6 @@
 	return out
 }
 
-// gone reports whether the owner of a job, silent for a while, has ended. It is
-// asked beside the look, which comes again within lookEach.
-func (w *Worker) gone(ctx context.Context, now clock.Millis, n lots.Node, addr string) bool {
-	d := w.doubts[n.Name]
-	if now-d.at < probeKeep {
-		return d.gone
-	}
-	w.doubts[n.Name] = doubt{at: now}
-	go w.probe(ctx, n, addr)
-	return false
-}
-
-func (w *Worker) probe(ctx context.Context, n lots.Node, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, probeFor.Duration())
-	defer cancel()
-	boot, err := w.incarnation(ctx, addr)
-	gone := err != nil || boot != n.Boot
-	w.Log.Info().Str("owner", n.Name).Str("addr", addr).Bool("gone", gone).Err(err).Msg("work: a silent owner was asked")
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.doubts[n.Name] = doubt{w.Clock.Now(), gone}
-	w.Wake()
-}
-
-// incarnation asks a node which start of it runs.
-func (w *Worker) incarnation(ctx context.Context, addr string) (string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+AlivePath, nil)
-	if err != nil {
-		return "", errors.Wrap(err, "alive")
-	}
-	resp, err := w.http.Do(req)
-	if err != nil {
-		return "", errors.Wrap(err, "alive")
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, mostBoot))
-	return string(b), errors.Wrap(err, "alive")
-}
-
 func (w *Worker) take(ctx context.Context, id string) {
 	ctx, cancel := context.WithTimeout(ctx, jobs.SilentFor.Duration())
 	defer cancel()
