--- a/internal/node/work/finish_test.go
+++ b/internal/node/work/finish_test.go
@@ -14,8 +14,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/front"
-	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
-	"github.com/jujuberamp/jujuberamp/internal/node/logs"
 	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
 )
 
@@ -64,11 +62,7 @@
 				c := qt.New(t)
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
-				s := far{topic.New(), way}
-				b := jobs.New(jobs.Params{
-					Self: lots.Node{Name: "a"}, Info: plat.StoreInfo{Parts: 1, RecordBytes: 1 << 16, CallBytes: 1 << 20}, Status: clock.Minute,
-					Store: s, Writer: logs.NewWriter(ctx, s, "a", 1<<20, zerolog.Nop()), Clock: clock.NewSystem(), Log: zerolog.Nop(),
-				})
+				b := newBoard(ctx, far{topic.New(), way}, lots.Node{Name: "a"})
 				c.Assert(b.Submit(ctx, &lots.Spec{ID: "j", Host: "h", Path: "/p/", Items: []lots.Item{{ID: "i"}}}), qt.IsNil)
 				c.Assert(b.Sync(ctx), qt.IsNil)
 				w := New(Params{Board: b, Front: scorer{call, test.fails}, Clock: clock.NewSystem(), Log: zerolog.Nop()})
--- a/internal/node/work/job_test.go
+++ b/internal/node/work/job_test.go
@@ -14,10 +14,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/lots"
 	"github.com/jujuberamp/jujuberamp/internal/decide/table"
-	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
-	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
-	"github.com/jujuberamp/jujuberamp/internal/node/logs"
 	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
 )
 
@@ -88,11 +85,7 @@
 		c := qt.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		store := topic.New()
-		b := jobs.New(jobs.Params{
-			Self: lots.Node{Name: "a"}, Info: plat.StoreInfo{Parts: 1, RecordBytes: 1 << 16, CallBytes: 1 << 20}, Status: clock.Minute,
-			Store: store, Writer: logs.NewWriter(ctx, store, "a", 1<<20, zerolog.Nop()), Clock: clock.NewSystem(), Log: zerolog.Nop(),
-		})
+		b := newBoard(ctx, topic.New(), lots.Node{Name: "a"})
 		go b.Run(ctx)
 		c.Assert(b.Submit(ctx, &lots.Spec{ID: "j", Host: "h", Path: "/p/", Items: []lots.Item{{ID: "i0"}, {ID: "i1"}, {ID: "i2"}}}), qt.IsNil)
 		c.Assert(b.Finish(ctx, "j", lots.Done{Item: 1}), qt.IsNil)
--- a/internal/node/work/look_test.go
+++ b/internal/node/work/look_test.go
@@ -47,13 +47,18 @@
 	return rec.Result(), nil
 }
 
+// newBoard returns a board on a store that nothing follows yet.
+func newBoard(ctx context.Context, s plat.Store, self lots.Node) *jobs.Board {
+	return jobs.New(jobs.Params{
+		Self: self, Addr: self.Name, Info: plat.StoreInfo{Parts: 1, RecordBytes: 1 << 16, CallBytes: 1 << 20}, Status: clock.Minute,
+		Store: s, Writer: logs.NewWriter(ctx, s, self.Name, 1<<20, zerolog.Nop()), Clock: clock.NewSystem(), Log: zerolog.Nop(),
+	})
+}
+
 // startNode runs the board and the looks of a node.
 func startNode(ctx context.Context, s plat.Store, net *network, name string) *Worker {
 	self := lots.Node{Name: name, Boot: "boot-" + name}
-	b := jobs.New(jobs.Params{
-		Self: self, Addr: name, Info: plat.StoreInfo{Parts: 1, RecordBytes: 1 << 16, CallBytes: 1 << 20}, Status: clock.Minute,
-		Store: s, Writer: logs.NewWriter(ctx, s, name, 1<<20, zerolog.Nop()), Clock: clock.NewSystem(), Log: zerolog.Nop(),
-	})
+	b := newBoard(ctx, s, self)
 	go b.Run(ctx)
 	w := New(Params{Self: self, Board: b, HTTP: net, Clock: clock.NewSystem(), Log: zerolog.Nop()})
 	go clock.Every(ctx, lookEach, func() { w.look(ctx) })
