Fix the offset of an append behind canceled records of its batch

Cause: edge/logcl sends a batch without the records whose callers gave up, but computed a later caller's offset by its position in the batch with them. The caller got the offset of another record, without an error. Test: TestOffsetAfterCanceledRecords fails before (record 7 at the offset told for record 4) and passes now.

--- a/internal/edge/logcl/logcl.go
+++ b/internal/edge/logcl/logcl.go
@@ -59,6 +59,18 @@
 	err      error
 }
 
+// sentBefore returns how many records before index i were sent. It is called after
+// the batch was sent, when its records no longer change.
+func (b *batch) sentBefore(i int) int {
+	n := 0
+	for _, r := range b.records[:i] {
+		if r != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // backoff delays calls after failures. The zero value means no delay.
 type backoff struct {
 	delay time.Duration // before jitter; 0 for none
@@ -122,7 +134,7 @@
 		if b.err != nil {
 			return 0, b.err
 		}
-		return b.offset + ident.Offset(first), nil
+		return b.offset + ident.Offset(b.sentBefore(first)), nil
 	case <-ctx.Done():
 		return 0, l.cancelRecords(ctx, b, first, len(data))
 	}
--- a/internal/edge/logcl/logcl_test.go
+++ b/internal/edge/logcl/logcl_test.go
@@ -139,3 +139,45 @@
 		c.Assert(len(after.Records), qt.Equals, len(before.Records))
 	})
 }
+
+// TestOffsetAfterCanceledRecords lets a caller give up while its records wait in a
+// batch. The callers whose records follow in the batch must get the offsets of their
+// own records.
+func TestOffsetAfterCanceledRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		clk := clock.NewSystem()
+		svc := logsvc.New(clk, logsvc.Params{})
+		l := New(svc, Params{Limit: 1, Nodes: func() int { return 1 }, Clock: clk})
+		_, err := l.Append(t.Context(), "s", [][]byte{{0}})
+		c.Assert(err, qt.IsNil)
+		var wg sync.WaitGroup
+		add := func(ctx context.Context, wantErr bool, records ...byte) {
+			data := make([][]byte, len(records))
+			for i, r := range records {
+				data[i] = []byte{r}
+			}
+			wg.Go(func() {
+				off, err := l.Append(ctx, "s", data)
+				c.Check(err != nil, qt.Equals, wantErr)
+				if wantErr || err != nil {
+					return
+				}
+				b, err := svc.Read(t.Context(), "s", off, len(records), 0)
+				c.Check(err, qt.IsNil)
+				for i, r := range b.Records {
+					c.Check(r.Data, qt.DeepEquals, data[i])
+				}
+			})
+			synctest.Wait()
+		}
+		impatient, cancel := context.WithCancel(t.Context())
+		add(t.Context(), false, 1)
+		add(impatient, true, 2, 3)
+		add(t.Context(), false, 4, 5)
+		add(impatient, true, 6)
+		add(t.Context(), false, 7)
+		cancel()
+		wg.Wait()
+	})
+}
