Refuse a repeated action only after the refusal holds its key

Ruled out: the offset of edge/logcl, claims don't use it. Test: TestRefusalHoldsForConcurrentSends fails before; TestAnyOrder with refusals. Cost: one append and read for each refused request without first-send.

--- a/internal/decide/claim/claim.go
+++ b/internal/decide/claim/claim.go
@@ -15,6 +15,8 @@
 //  5. The outcomes done and refused are final. An unknown outcome is replaced
 //     by one that is proven later.
 //  6. A key whose request is done can't be taken over.
+//  7. A claim that refuses the key has the outcome refused. Sends of the key that
+//     were in progress before it must not replace it; see [Holder.RefusesSince].
 //
 // The rules for agents are listed at [Guard].
 //
@@ -47,6 +49,10 @@
 	Outcome record.Outcome
 }
 
+// RefusesSince reports whether the holder refuses all sends of the key that were in
+// progress when the stream ended before the given offset (rule 7).
+func (h *Holder) RefusesSince(start ident.Offset) bool { return h.Claim.Refuses && h.Offset >= start }
+
 // State is the result of applying one stream of claims up to an offset.
 type State struct {
 	keys    map[string]*Holder
@@ -80,7 +86,11 @@
 	case current.Outcome.State == record.Done: // rule 6
 		return false
 	}
-	s.keys[c.Key] = &Holder{Offset: at, Writer: w, Claim: c}
+	h := &Holder{Offset: at, Writer: w, Claim: c}
+	if c.Refuses { // rule 7
+		h.Outcome = record.Outcome{Key: c.Key, ClaimOffset: at, State: record.Refused}
+	}
+	s.keys[c.Key] = h
 	return true
 }
 
--- a/internal/decide/claim/claim_test.go
+++ b/internal/decide/claim/claim_test.go
@@ -27,6 +27,9 @@
 	outcome   record.State // empty for a claim
 }
 
+// refusal marks the step of a claim that refuses the key.
+const refusal record.State = "refusal"
+
 func TestState(t *testing.T) {
 	tests := map[string]struct {
 		steps []step
@@ -44,6 +47,10 @@
 		"done is not replaced":                  {[]step{{"k", "b", 1, 0, ""}, {"k", "", 0, 1, record.Done}, {"k", "b", 2, 1, ""}}, 1, record.Done},
 		"outcome of another claim":              {[]step{{"k", "b", 1, 0, ""}, {"k", "b", 2, 1, ""}, {"k", "", 0, 1, record.Done}}, 2, record.Open},
 		"claims of other keys have no effect":   {[]step{{"j", "b", 1, 0, ""}, {"k", "b", 2, 0, ""}}, 2, record.Open},
+		"refusal of a free key":                 {[]step{{"k", "b", 1, 0, refusal}, {"k", "b", 2, 0, ""}}, 1, record.Refused},
+		"refusal replaces a refused claim":      {[]step{{"k", "b", 1, 0, ""}, {"k", "b", 2, 1, refusal}, {"k", "b", 3, 1, ""}}, 2, record.Refused},
+		"refusal is replaced":                   {[]step{{"k", "b", 1, 0, refusal}, {"k", "b", 2, 1, ""}}, 2, record.Open},
+		"refusal of a claimed key":              {[]step{{"k", "b", 1, 0, ""}, {"k", "b", 2, 0, refusal}}, 1, record.Open},
 		"replacement before the replaced claim": {[]step{{"k", "b", 2, 9, ""}, {"k", "b", 1, 0, ""}}, 1, record.Open},
 	}
 	for name, tc := range tests {
@@ -60,11 +67,11 @@
 }
 
 func apply(s *State, at ident.Offset, st step) bool {
-	if st.outcome != "" {
+	if st.outcome != "" && st.outcome != refusal {
 		s.Outcome(record.Outcome{Key: st.key, ClaimOffset: st.target, State: st.outcome})
 		return false
 	}
-	return s.Claim(at, record.Writer{Node: "n", Boot: 1, Seq: st.seq}, record.Claim{Key: st.key, BodyDigest: st.body, Replaces: st.target})
+	return s.Claim(at, record.Writer{Node: "n", Boot: 1, Seq: st.seq}, record.Claim{Key: st.key, BodyDigest: st.body, Replaces: st.target, Refuses: st.outcome == refusal})
 }
 
 func TestGuardPrune(t *testing.T) {
@@ -91,6 +98,8 @@
 	executions   int
 	refused      map[ident.Offset]bool
 	executed     map[ident.Offset]bool
+	refusedAt    ident.Offset // latest refusal of the key that its writer has read back
+	lateRun      bool         // a send that was in progress before that refusal executed the key after it
 	seq          uint64
 }
 
@@ -101,6 +110,7 @@
 	unsent   ident.Offset // own claim that owns the key and was not sent, 0 for none
 	replaces ident.Offset // claim that was proven as not executed, 0 for none
 	unread   uint64       // sequence number of the own claim that was not read back, 0 for none
+	start    ident.Offset // first offset that was not read when the send in progress began
 }
 
 func (cl *cluster) append(rec record.ClaimRecord, copies int) {
@@ -120,7 +130,11 @@
 		owns := wr.state.Claim(at, rec.Writer, *rec.Claim)
 		if rec.Writer.Seq == wr.unread {
 			wr.unread = 0
-			if owns {
+			switch {
+			case owns && rec.Claim.Refuses:
+				cl.refusedAt = max(cl.refusedAt, at)
+				wr.begin(cl) // The send ends with the refusal.
+			case owns:
 				wr.unsent = at
 			}
 		}
@@ -129,15 +143,41 @@
 
 func (cl *cluster) claim(wr *writer, agent, copies int) {
 	h, owned := wr.state.Lookup("k")
-	if owned && h.Offset != wr.replaces || wr.unread != 0 {
+	refused := owned && h.Claim.Refuses
+	if owned && h.Offset != wr.replaces && !refused || wr.unread != 0 || h.RefusesSince(wr.start) {
 		return
 	}
+	if refused {
+		wr.replaces = h.Offset
+	}
 	cl.seq++
 	wr.unread = cl.seq
 	c := record.Claim{Key: "k", BodyDigest: "b", Agent: ident.Node(rune('0' + agent)), Boot: cl.incarnations[agent], Replaces: wr.replaces}
 	cl.append(record.ClaimRecord{Writer: record.Writer{Node: "n", Seq: cl.seq}, Claim: &c}, copies)
 }
 
+// begin ends the send in progress and begins another one, which reads the log first.
+func (wr *writer) begin(cl *cluster) {
+	if wr.unread != 0 || wr.unsent != 0 {
+		return
+	}
+	wr.start = ident.Offset(wr.read + 1)
+	cl.readRecords(wr, len(cl.log))
+	wr.start = ident.Offset(wr.read + 1)
+}
+
+// refuse refuses the key, if it is free or held by a claim that was refused.
+func (cl *cluster) refuse(wr *writer, copies int) {
+	h, owned := wr.state.Lookup("k")
+	if owned && h.Offset != wr.replaces && !h.Claim.Refuses || wr.unread != 0 || wr.unsent != 0 {
+		return
+	}
+	cl.seq++
+	wr.unread = cl.seq
+	c := record.Claim{Key: "k", BodyDigest: "b", Replaces: h.Offset, Refuses: true}
+	cl.append(record.ClaimRecord{Writer: record.Writer{Node: "n", Seq: cl.seq}, Claim: &c}, copies)
+}
+
 func (cl *cluster) ref(at ident.Offset) (Ref, int) {
 	c := cl.log[at-1].Claim
 	return Ref{Stream: "s", Offset: at, Key: "k", Incarnation: c.Boot}, int(c.Agent[0] - '0')
@@ -155,6 +195,7 @@
 	if err == nil {
 		cl.executions++
 		cl.executed[at] = true
+		cl.lateRun = cl.lateRun || cl.refusedAt > 0 && wr.start <= cl.refusedAt
 		return
 	}
 	if f, _ := fault.As(err); f.Outcome() == fault.NotRun && !lost {
@@ -164,7 +205,7 @@
 
 func (cl *cluster) settle(wr *writer) {
 	h, owned := wr.state.Lookup("k")
-	if !owned || h.Offset == wr.unsent {
+	if !owned || h.Offset == wr.unsent || h.Claim.Refuses {
 		return
 	}
 	r, n := cl.ref(h.Offset)
@@ -179,8 +220,9 @@
 }
 
 // TestAnyOrder checks that under any interleaving a key is executed at most
-// once, a claim that was reported as refused is never executed, and the key
-// can be executed in the end unless an agent restarted.
+// once, a claim that was reported as refused is never executed, no send that was in
+// progress before a refusal of the key executes it afterwards, and the key can be
+// executed in the end unless an agent restarted.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cl := &cluster{refused: map[ident.Offset]bool{}, executed: map[ident.Offset]bool{}}
@@ -197,6 +239,8 @@
 			"claim":  func(*rapid.T) { cl.claim(anyWriter(), agent(), rapid.IntRange(0, 2).Draw(t, "copies")) },
 			"send":   func(*rapid.T) { cl.send(anyWriter(), rapid.Bool().Draw(t, "answer lost")) },
 			"settle": func(*rapid.T) { cl.settle(anyWriter()) },
+			"begin":  func(*rapid.T) { anyWriter().begin(cl) },
+			"refuse": func(*rapid.T) { cl.refuse(anyWriter(), rapid.IntRange(0, 2).Draw(t, "copies")) },
 			"fail": func(*rapid.T) {
 				switch rapid.IntRange(0, 30).Draw(t, "rare") {
 				case 0:
@@ -212,6 +256,9 @@
 				if cl.executions > 1 {
 					t.Fatalf("the key was executed %d times", cl.executions)
 				}
+				if cl.lateRun {
+					t.Fatalf("the key was executed by a send that was in progress before its refusal at %d", cl.refusedAt)
+				}
 				for at := range cl.refused {
 					if cl.executed[at] {
 						t.Fatalf("the claim at %d was reported as refused and executed", at)
@@ -224,7 +271,7 @@
 		}
 		wr := &writer{state: New()}
 		for range 8 {
-			cl.readRecords(wr, len(cl.log))
+			wr.begin(cl)
 			cl.settle(wr)
 			cl.claim(wr, 0, 1)
 			cl.readRecords(wr, len(cl.log))
--- a/internal/inner/record/claim.go
+++ b/internal/inner/record/claim.go
@@ -8,7 +8,9 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 )
 
-// Claim asks for the right to run a request that may run at most once.
+// Claim asks for the right to run a request that may run at most once. With Refuses
+// set it names no agent: its writer refuses the request for all sends of the key that
+// are in progress.
 type Claim struct {
 	Key        string // digest of the caller and its idempotency key
 	BodyDigest string // digest of the request
@@ -17,6 +19,7 @@
 	Addr       string            // inner address of the agent
 	Boot       ident.Incarnation // of the agent; no other incarnation may run the request
 	Replaces   ident.Offset      // offset of the refused claim that this claim replaces, 0 for none
+	Refuses    bool
 }
 
 // State is the state of a claim.
@@ -65,6 +68,7 @@
 	Addr       string `json:"addr"`
 	Boot       uint64 `json:"boot,string"`
 	Replaces   int64  `json:"after,omitempty"`
+	Refuses    bool   `json:"refuses,omitempty"`
 }
 
 type outcomeMsg struct {
@@ -80,7 +84,7 @@
 func EncodeClaimRecord(e ClaimRecord) ([]byte, error) {
 	m := claimRecordMsg{Format: Format, Node: string(e.Writer.Node), Boot: uint64(e.Writer.Boot), Seq: e.Writer.Seq}
 	if c := e.Claim; c != nil {
-		m.Claim = &claimMsg{c.Key, c.BodyDigest, c.KeyTime, string(c.Agent), c.Addr, uint64(c.Boot), int64(c.Replaces)}
+		m.Claim = &claimMsg{c.Key, c.BodyDigest, c.KeyTime, string(c.Agent), c.Addr, uint64(c.Boot), int64(c.Replaces), c.Refuses}
 	}
 	if o := e.Outcome; o != nil {
 		m.Outcome = &outcomeMsg{o.Key, int64(o.ClaimOffset), string(o.State), o.Body, o.Truncated, o.Detail}
@@ -104,7 +108,7 @@
 	}
 	e := ClaimRecord{Writer: Writer{ident.Node(m.Node), ident.Incarnation(m.Boot), m.Seq}}
 	if c := m.Claim; c != nil {
-		e.Claim = &Claim{c.Key, c.BodyDigest, c.KeyTimeMS, ident.Node(c.Agent), c.Addr, ident.Incarnation(c.Boot), ident.Offset(c.Replaces)}
+		e.Claim = &Claim{c.Key, c.BodyDigest, c.KeyTimeMS, ident.Node(c.Agent), c.Addr, ident.Incarnation(c.Boot), ident.Offset(c.Replaces), c.Refuses}
 	}
 	if o := m.Outcome; o != nil {
 		e.Outcome = &Outcome{o.Key, ident.Offset(o.ClaimOffset), State(o.State), o.Body, o.Truncated, o.Detail}
--- a/internal/node/claims/claims_test.go
+++ b/internal/node/claims/claims_test.go
@@ -37,6 +37,9 @@
 	loseReplies bool          // all replies are lost, but appends take effect
 	releaseRead chan struct{} // if set, the next read with records waits for this channel before it returns
 	blocked     chan struct{} // closed when that read starts to wait
+
+	releaseAppend chan struct{} // if set, the next append waits for this channel before it takes effect
+	appendBlocked chan struct{} // closed when that append starts to wait
 }
 
 func (l *faultyLog) update(fn func()) {
@@ -46,6 +49,16 @@
 }
 
 func (l *faultyLog) Append(ctx context.Context, name string, data [][]byte) (ident.Offset, error) {
+	l.mu.Lock()
+	release := l.releaseAppend
+	if release != nil {
+		l.releaseAppend = nil
+		close(l.appendBlocked)
+	}
+	l.mu.Unlock()
+	if release != nil {
+		<-release
+	}
 	offset, err := l.Log.Append(ctx, name, data)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -84,6 +97,14 @@
 	return blocked, release
 }
 
+// pauseAppend makes the next append wait. blocked is closed when the append starts to
+// wait. The test closes release to let it take effect.
+func (l *faultyLog) pauseAppend() (blocked, release chan struct{}) {
+	blocked, release = make(chan struct{}), make(chan struct{})
+	l.update(func() { l.appendBlocked, l.releaseAppend = blocked, release })
+	return blocked, release
+}
+
 type testEntry struct {
 	*Claims
 	faultyLog *faultyLog
@@ -233,6 +254,12 @@
 	return ch
 }
 
+// waitForServer runs a request with another key, which waits until the entry knows the
+// server.
+func (r *testCluster) waitForServer(e *testEntry) {
+	r.assertAnswer(e, newKey(r.c), "first")
+}
+
 func (r *testCluster) waitUntilRunning(body string) {
 	for r.runs.Runs(body) == 0 {
 		r.c.Assert(r.ctx.Err(), qt.IsNil)
@@ -409,6 +436,30 @@
 	},
 }
 
+// TestRefusalHoldsForConcurrentSends sends a key to two entries at once. One has no
+// server for it and refuses it as not run while the other still waits to claim it. The
+// other must then not run it either. A send after the refusal runs it.
+func TestRefusalHoldsForConcurrentSends(t *testing.T) {
+	r := newTestCluster(t, 10*clock.Milli)
+	key := newKey(r.c)
+	a, b := r.newEntry("entry-a"), r.newEntry("entry-b")
+	r.waitForServer(a)
+	blocked, release := a.faultyLog.pauseAppend()
+	first := r.sendAsync(a, key, "x")
+	<-blocked
+	refused := r.newRequest(key, "x")
+	refused.Work.Deadline = r.clock.Now() + 1
+	time.Sleep(5 * time.Millisecond)
+	_, err := b.Do(r.ctx, refused)
+	r.c.Assert(kindOf(err), qt.Equals, fault.PastDeadline)
+	close(release)
+	r.c.Assert(kindOf(<-first), qt.Equals, fault.ClaimRefused)
+	r.c.Assert(r.runs.Runs("x"), qt.Equals, 0)
+	r.assertAnswer(a, key, "x")
+	r.assertAnswer(b, key, "x")
+	r.c.Assert(r.runs.Runs("x"), qt.Equals, 1)
+}
+
 // newKeyInStream returns a key that belongs to a stream.
 func newKeyInStream(c *qt.C, name string) string {
 	for {
--- a/internal/node/claims/execution.go
+++ b/internal/node/claims/execution.go
@@ -36,6 +36,7 @@
 	answer  calls.Answer
 	err     error
 
+	start    ident.Offset // first offset of the stream that was not read when the execution began
 	replaces ident.Offset // claim that is proven not to have been executed; the next claim replaces it
 	ownClaim ident.Offset // claim of this entry that may have been sent
 }
@@ -66,6 +67,7 @@
 	}
 	ctx, cancel := context.WithTimeout(e.c.ctx, (left + settleGrace).Duration())
 	defer cancel()
+	e.begin(ctx)
 	for {
 		answer, err := e.step(ctx)
 		if errors.Is(err, errStateChanged) && ctx.Err() == nil {
@@ -79,6 +81,18 @@
 	}
 }
 
+// begin records the end of the stream, so that the execution knows which refusals of
+// the key concern it: those that other entries append from now on. If the stream can't
+// be read, this includes refusals that were appended earlier.
+func (e *execution) begin(ctx context.Context) {
+	if !e.request.FirstSend {
+		if err := e.stream.sync(ctx); err != nil {
+			e.c.p.Log.Info().Err(err).Str("stream", e.stream.name).Msg("claims: the stream could not be read before a repeated request")
+		}
+	}
+	e.start = e.stream.nextOffset()
+}
+
 // step runs the work if the key is free, or finds out the outcome of the claim
 // that holds the key. It returns errStateChanged if another step is needed.
 func (e *execution) step(ctx context.Context) (calls.Answer, error) {
@@ -90,6 +104,8 @@
 		return calls.Answer{}, errKeyReused()
 	}
 	switch {
+	case h.RefusesSince(e.start):
+		return calls.Answer{}, e.verifyNotRun(ctx, fault.New(fault.ClaimRefused, "another send of the key was refused at the same time"))
 	case h.Outcome.State == record.Done:
 		return e.storedAnswer(ctx, h)
 	case h.Offset == e.replaces:
@@ -220,8 +236,9 @@
 }
 
 // verifyNotRun returns err, which says that the request was not executed, if the
-// log proves the same for earlier requests with the key. Otherwise it returns an
-// error with an unknown outcome, or errStateChanged.
+// log proves the same for earlier requests with the key, and after other entries can
+// no longer execute those that are in progress. Otherwise it returns an error with an
+// unknown outcome, or errStateChanged.
 func (e *execution) verifyNotRun(ctx context.Context, err error) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), verifyTimeout.Duration())
 	defer cancel()
@@ -234,12 +251,31 @@
 	h, found, unsent := e.stream.lookup(e.key)
 	switch {
 	case !found, unsent, h.Outcome.State == record.Refused:
-		return err
 	case h.Offset == e.replaces, h.Offset == e.ownClaim:
 		e.stream.recordOutcome(record.Outcome{Key: e.key, ClaimOffset: h.Offset, State: record.Refused})
-		return err
+	default:
+		return errStateChanged
+	}
+	if e.request.FirstSend {
+		return err // No other send came before this one.
+	}
+	return e.refuseAll(ctx, h.Offset, err)
+}
+
+// refuseAll appends a refusal of the key and returns err once the refusal holds the
+// key. The argument replaces is the claim that holds the key now, 0 for none.
+func (e *execution) refuseAll(ctx context.Context, replaces ident.Offset, err error) error {
+	res, claimErr := e.stream.claim(ctx, record.Claim{
+		Key: e.key, BodyDigest: e.request.BodyDigest, KeyTime: e.keyTime, Replaces: replaces, Refuses: true,
+	})
+	switch {
+	case claimErr != nil:
+		e.c.p.Log.Info().Err(claimErr).Str("stream", e.stream.name).Msg("claims: a refusal could not be recorded")
+		return fault.Wrap(fault.ClaimUnsettled, err, "this send was not run, but others with the key may still be").WithRetryAfter(clock.Second)
+	case !res.won:
+		return errStateChanged
 	}
-	return errStateChanged
+	return err
 }
 
 // settle asks the agent that a claim names for the outcome of the claim.
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -128,6 +128,7 @@
 			"internal/inner/wire TestUnsent",
 			"internal/node/agent TestSubmitRefuses",
 			"internal/node/claims TestAtMostOnce",
+			"internal/node/claims TestRefusalHoldsForConcurrentSends",
 			"internal/node/front TestServe",
 			"internal/node/jobs TestSubmitDuringStoreFault",
 			"internal/node/jobs TestUnknownJob",
