Request the states of engines only as far as items need them

On a thin VM of a large fleet its own requests used up the processor, so that their answers came too late and it asked again. Now: at most eight requests at a time, one for each engine, only while items wait and only for as many engines as they may need, with backoff and jitter after a request without an answer.

--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -65,7 +65,7 @@
 			sameEngine[e.ID] = append(sameEngine[e.ID], e)
 		}
 		interval = max(interval, p.pool.MedianInterval())
-		for _, it := range j.startable(now, p.tokensPerEvent) {
+		for _, it := range p.startable {
 			it.JobIndex, it.AcceptedAt, it.DueAfter = len(plans), j.acceptedAt, p.route.DueAfter
 			items = append(items, it)
 		}
@@ -100,6 +100,7 @@
 	pool           *sched.Pool
 	byID           map[string]*fleet.Server
 	tokensPerEvent int
+	startable      []sched.Item
 	unassigned     int // pending items without a free engine
 }
 
@@ -137,7 +138,8 @@
 		shares[service] = share.Assign(engines, models, w.Conf.Demand())
 	}
 	p.pool, p.byID = w.candidates(now, engines, shares[service], j)
-	if w.refreshEngines(j, p.pool, p.byID, now) {
+	p.startable = j.startable(now, p.tokensPerEvent)
+	if w.requestStates(j, p.pool, p.byID, len(p.startable), now) {
 		return nil // The answers wake the worker up.
 	}
 	return p
@@ -194,7 +196,7 @@
 			continue
 		}
 		if !to.Fresh {
-			w.refreshEngine(p.byID[to.ID], j.model, now) // The answer wakes the worker up.
+			w.requestState(p.byID[to.ID], j.model, now) // The answer wakes the worker up.
 			continue
 		}
 		to.Running++ // One slot less in this pass.
--- a/internal/node/work/engines.go
+++ b/internal/node/work/engines.go
@@ -1,8 +1,11 @@
 package work
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
@@ -25,11 +28,17 @@
 	stateTTL          = 250 * clock.Milli
 	migrationStateTTL = 100 * clock.Milli
 	// stateWaitTimeout is how long a new job waits for the states of its
-	// engines: one round trip to another region. It is also the minimum time
-	// between two state requests to the same agent.
+	// engines: one round trip to another region.
 	stateWaitTimeout = 40 * clock.Milli
-	// stateFetchTimeout limits one read of an agent's state.
+	// stateFetchTimeout limits one request for an agent's state.
 	stateFetchTimeout = 500 * clock.Milli
+	// maxStateFetches limits the concurrent state requests of a node, so that
+	// their answers do not use up a small VM.
+	maxStateFetches = 8
+	// An agent is asked again minStateInterval after its last answer. After
+	// requests without an answer the interval doubles, up to maxStateInterval.
+	minStateInterval = 100 * clock.Milli
+	maxStateInterval = 1600 * clock.Milli
 	// loadingBackoff is how long an engine is avoided after its agent reported
 	// that the engine loads weights.
 	loadingBackoff = clock.Second
@@ -46,6 +55,9 @@
 	eventInterval float64      // average in ms, 0 if not known
 	lastSeen      clock.Millis // when the last report of its agent was received
 	lastAsked     clock.Millis // when its state was last requested
+	askAfter      clock.Millis // earliest time of the next state request
+	asking        bool         // a state request is in progress
+	unanswered    int          // state requests since the last answer
 	slowUntil     clock.Millis // end of a transient slowdown, 0 for none
 	steady        bool         // its streams run at their usual speed
 	loading       bool
@@ -79,30 +91,48 @@
 	e.steady, e.loading = f.Steady, f.Loading
 }
 
-// refreshEngines requests the state of every engine in the pool whose last
-// report is older than stateTTL. It reports whether a job that has just started
-// should wait for the answers.
-func (w *Worker) refreshEngines(j *job, pool *sched.Pool, byID map[string]*fleet.Server, now clock.Millis) bool {
-	stale := false
+// requestStates requests the states of as many engines with an outdated state as
+// may be needed for the given number of items. It reports whether a job that has
+// just started should wait for the answers.
+func (w *Worker) requestStates(j *job, pool *sched.Pool, byID map[string]*fleet.Server, items int, now clock.Millis) bool {
+	var outdated []*sched.Engine
 	for _, candidate := range pool.Engines() {
-		s := byID[candidate.ID]
-		e := w.engine(s)
-		if now-e.lastSeen < stateTTL {
-			continue
+		free := max(0, candidate.Slots-candidate.Running)
+		if now-w.engine(byID[candidate.ID]).lastSeen < stateTTL {
+			items -= free
+		} else {
+			outdated = append(outdated, candidate)
 		}
-		stale = true
-		w.refreshEngine(s, j.model, now)
 	}
-	return stale && now-j.startedAt < stateWaitTimeout
+	// The engines that were not asked for longest come first. The random order of
+	// the others spreads the requests of several nodes.
+	rand.Shuffle(len(outdated), func(i, k int) { outdated[i], outdated[k] = outdated[k], outdated[i] })
+	slices.SortStableFunc(outdated, func(a, b *sched.Engine) int {
+		return cmp.Compare(w.engine(byID[a.ID]).lastAsked, w.engine(byID[b.ID]).lastAsked)
+	})
+	waiting := false
+	for _, candidate := range outdated {
+		if items <= 0 {
+			break
+		}
+		items -= max(1, candidate.Slots-candidate.Running)
+		w.requestState(byID[candidate.ID], j.model, now)
+		waiting = waiting || w.engine(byID[candidate.ID]).asking
+	}
+	return waiting && now-j.startedAt < stateWaitTimeout
 }
 
-// refreshEngine requests the state of an engine, unless that was done less than
-// stateWaitTimeout ago.
-func (w *Worker) refreshEngine(s *fleet.Server, model string, now clock.Millis) {
-	if e := w.engine(s); now-e.lastAsked >= stateWaitTimeout {
-		e.lastAsked = now
-		go w.fetchState(s, model)
+// requestState requests the state of an engine in the background, unless a request
+// to it is in progress, the last one was made a short time ago, or maxStateFetches
+// requests to other engines are in progress.
+func (w *Worker) requestState(s *fleet.Server, model string, now clock.Millis) {
+	e := w.engine(s)
+	if e.asking || now < e.askAfter || w.stateFetches >= maxStateFetches {
+		return
 	}
+	e.asking, e.lastAsked = true, now
+	w.stateFetches++
+	go w.fetchState(s, model)
 }
 
 // fetchState reads the state of an engine from its agent.
@@ -110,12 +140,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stateFetchTimeout.Duration())
 	defer cancel()
 	f, err := runs.FetchState(ctx, w.http, w.agentAddr(s), model)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.engine(s)
+	e.asking = false
+	w.stateFetches--
+	now := w.Clock.Now()
 	if err != nil {
-		w.Log.Info().Str("engine", s.ID).Str("addr", s.Addr).Err(err).Msg("work: fetching an agent's state failed")
+		w.Log.Info().Str("engine", s.ID).Str("addr", s.Addr).Int("unanswered", e.unanswered).Err(err).Msg("work: fetching an agent's state failed")
+		interval := min(maxStateInterval, minStateInterval<<min(e.unanswered, 10))
+		e.askAfter = now + interval/2 + rand.N(interval) //nolint:gosec // spreads out the requests of the nodes
+		e.unanswered++
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	e.askAfter, e.unanswered = now+minStateInterval, 0
 	w.updateEngine(s, f)
 	w.Wake()
 }
--- /dev/null
+++ b/internal/node/work/fleet_test.go
@@ -0,0 +1,203 @@
+package work
+
+import (
+	"context"
+	"encoding/gob"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
+	"github.com/jujuberamp/jujuberamp/internal/decide/router"
+	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
+	"github.com/jujuberamp/jujuberamp/internal/node/conf"
+	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
+)
+
+// fakeFleet plays the agents of many engines. Each engine has two slots.
+type fakeFleet struct {
+	delay   time.Duration // of each state answer
+	runTime time.Duration // of each run
+	full    bool          // every slot is taken by other nodes
+
+	mu          sync.Mutex
+	running     map[string]int // by host
+	runs        int            // runs that were executed
+	fetches     int            // state requests
+	inFlight    int            // state requests in progress
+	maxInFlight int
+}
+
+const fakeSlots = 2
+
+func (f *fakeFleet) frame(host string) *runs.Frame {
+	n := f.running[host]
+	if f.full {
+		n = fakeSlots
+	}
+	return &runs.Frame{Running: n, Slots: fakeSlots, Version: 1, Steady: true}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (f *fakeFleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	host, _, err := net.SplitHostPort(r.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	rec := httptest.NewRecorder()
+	if r.URL.Path == runs.StatePath {
+		return f.serveState(r.Context(), rec, host)
+	}
+	var run runs.Run
+	if err := gob.NewDecoder(r.Body).Decode(&run); err != nil {
+		return nil, err
+	}
+	return f.serveRun(rec, host)
+}
+
+func (f *fakeFleet) serveState(ctx context.Context, rec *httptest.ResponseRecorder, host string) (*http.Response, error) {
+	f.mu.Lock()
+	f.fetches++
+	f.inFlight++
+	f.maxInFlight = max(f.maxInFlight, f.inFlight)
+	f.mu.Unlock()
+	answered := clock.Sleep(ctx, clock.FromDuration(f.delay))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight--
+	if !answered {
+		return nil, ctx.Err()
+	}
+	return frameResponse(rec, f.frame(host))
+}
+
+func (f *fakeFleet) serveRun(rec *httptest.ResponseRecorder, host string) (*http.Response, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full || f.running[host] >= fakeSlots {
+		frame := f.frame(host)
+		frame.Code = runs.Full
+		return frameResponse(rec, frame)
+	}
+	f.running[host]++
+	f.runs++
+	in, out := io.Pipe()
+	go func() {
+		time.Sleep(f.runTime)
+		f.mu.Lock()
+		f.running[host]--
+		frame := f.frame(host)
+		f.mu.Unlock()
+		frame.Code, frame.Events = runs.Done, []runs.Event{{Version: 1, Data: []byte("x")}}
+		resp, err := frameResponse(rec, frame)
+		if err == nil {
+			_, err = io.Copy(out, resp.Body)
+		}
+		_ = out.CloseWithError(err) // It always returns nil.
+	}()
+	return &http.Response{StatusCode: http.StatusOK, Body: in}, nil
+}
+
+// frameResponse returns a response that consists of one frame.
+func frameResponse(rec *httptest.ResponseRecorder, frame *runs.Frame) (*http.Response, error) {
+	if err := runs.NewWriter(rec).Write(frame); err != nil {
+		return nil, err
+	}
+	return rec.Result(), nil
+}
+
+// startFleetWorker starts a worker of a deployment with n engines.
+func startFleetWorker(ctx context.Context, agents *fakeFleet, n int) *Worker {
+	agents.running = make(map[string]int)
+	store := topic.New()
+	self := joblog.Node{Name: "a", Boot: "boot-a"}
+	cfg := router.New(1, router.Limits{}, []*router.Route{
+		{Host: "h", Prefix: "/p/", Kind: router.Rollout, Backends: []router.Backend{{Service: "s", Weight: 1}}, DueAfter: 7 * clock.Second, MaxAttempts: 3},
+	}, []*router.Service{{Name: "s", Slots: fakeSlots, Models: []string{"m"}}})
+	follower := conf.New(conf.Decoder{
+		OperatorTopic: "op", ServersTopic: "servers", PlansTopic: "plans", DecodeKeyed: topic.DecodeKeyed,
+		DecodeChange: func(string, []byte) (conf.Change, error) { return conf.Change{Config: cfg}, nil },
+		DecodeServer: func(id string, addr []byte) (*fleet.Server, error) {
+			return &fleet.Server{ID: id, Service: "s", Addr: string(addr), Slots: fakeSlots, LoadedVersions: map[string]int64{"m": 1}}, nil
+		},
+	}, clock.NewSystem(), zerolog.Nop())
+	store.Write("op", "config", []byte("c"))
+	for i := range n {
+		store.Write("servers", fmt.Sprintf("i-%d", i), fmt.Appendf(nil, "10.0.%d.%d:80", i/250, i%250))
+	}
+	svc := newService(ctx, store, self)
+	go follower.Run(ctx, store)
+	go svc.Run(ctx)
+	w := New(Params{
+		Self: self, Jobs: svc, Conf: follower, Transport: agents, AgentPort: 81, Clock: clock.NewSystem(), Log: zerolog.Nop(),
+		Quarantine: &fakeQuarantine{},
+	})
+	go w.Run(ctx)
+	time.Sleep(time.Second)
+	return w
+}
+
+// submit hands a job of n items to the worker.
+func submit(ctx context.Context, w *Worker, id string, n int) error {
+	spec := &joblog.Spec{ID: id, Host: "h", Path: "/p/", Model: "m", MinVersion: 1}
+	for i := range n {
+		spec.Items = append(spec.Items, joblog.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/p/x", LengthHint: 1})
+	}
+	w.CacheItems(spec)
+	return w.Jobs.Submit(ctx, spec)
+}
+
+// TestStateRequestsDoNotGrowWithTheFleet submits a job to a node of a fleet whose
+// agents answer slowly or have no free slot. The requests of the node for the states
+// of engines must not depend on the number of engines, and a node must never ask
+// faster than it is answered.
+func TestStateRequestsDoNotGrowWithTheFleet(t *testing.T) {
+	const items = 16
+	tests := map[string]struct {
+		engines    int
+		delay      time.Duration
+		full       bool
+		maxFetches int // in the first 10 s
+		runs       int
+	}{
+		"10 engines, idle":               {10, time.Millisecond, false, 40, items},
+		"100 engines, idle":              {100, time.Millisecond, false, 40, items},
+		"1000 engines, idle":             {1000, time.Millisecond, false, 40, items},
+		"1000 engines, answer in 300 ms": {1000, 300 * time.Millisecond, false, 40, items},
+		// Eight requests at a time, each without an answer for half a second.
+		"1000 engines, answer in 1 s": {1000, time.Second, false, 8 * 20, -1},
+		// Each engine that may have a slot is asked about four times a second.
+		"10 engines, full": {10, time.Millisecond, true, 10 * 40, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				agents := &fakeFleet{delay: tc.delay, runTime: time.Second, full: tc.full}
+				w := startFleetWorker(ctx, agents, tc.engines)
+				c.Assert(submit(ctx, w, "j", items), qt.IsNil)
+				time.Sleep(10 * time.Second)
+				agents.mu.Lock()
+				defer agents.mu.Unlock()
+				c.Check(agents.maxInFlight <= maxStateFetches, qt.IsTrue, qt.Commentf("%d requests at once", agents.maxInFlight))
+				c.Check(agents.fetches <= tc.maxFetches, qt.IsTrue, qt.Commentf("%d requests", agents.fetches))
+				if tc.runs >= 0 {
+					c.Check(agents.runs, qt.Equals, tc.runs)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -69,6 +69,7 @@
 	cachedItems      map[string][]joblog.Item // by job: items of jobs accepted here and not yet started
 	jobs             map[string]*job
 	engines          map[string]*engine
+	stateFetches     int                     // state requests in progress
 	takeoverTriedAt  map[string]clock.Millis // by job
 	probes           map[string]probeResult  // by node name
 	assigningStopped bool
