Start an item only if the agent can tell that its job was open just before

Now: agents stamp their frames with their clock, an owner confirms a stamp by a read of the index that it requests afterwards, and an agent refuses a run whose stamp is older than the bound less one second (decide/permit). While the store does not answer the agent, no job can end, and it starts runs as before. Also: Sync returns an error instead of reading again at once when the store names an end beyond the records that it returns; a test of a lagging index read without end.

--- a/internal/decide/joblog/joblog.go
+++ b/internal/decide/joblog/joblog.go
@@ -189,6 +189,7 @@
 	peers      map[string]*Peer // by name
 	stepTokens map[string]int64 // by model: moving average of the estimated tokens of a job
 	nextOffset int64
+	currentAt  clock.Millis // see CurrentAt
 }
 
 // New returns an empty index.
@@ -316,6 +317,14 @@
 	}
 }
 
+// ConfirmCurrent records that the index had no records beyond the applied ones at a
+// time.
+func (x *Index) ConfirmCurrent(at clock.Millis) { x.currentAt = max(x.currentAt, at) }
+
+// CurrentAt returns the latest time at which the index is known to have had no
+// records beyond the applied ones, 0 if there is none.
+func (x *Index) CurrentAt() clock.Millis { return x.currentAt }
+
 // MarkAllSeen sets the last-seen time of all nodes to now. It is called after a
 // store outage, in which no heartbeat could arrive, so that no node counts as
 // dead because of the outage.
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -86,6 +86,7 @@
 	Slots         int
 	EventInterval float64 // ms between two events of a stream, 0 if not known
 	RoundTrip     clock.Millis
+	Unproven      bool // its agent would refuse to start an item now; see package permit
 	InBackoff     bool // gets no items for now, after a refusal or failure or while it loads
 	SlowNow       bool // in a transient slowdown
 	SteadyNow     bool // its streams show that it is not in a transient slowdown
@@ -190,6 +191,11 @@
 // Best returns the engine for an item, nil if the item should wait (rules 2, 3
 // and 6).
 func (p *Pool) Best(item Item) *Engine {
+	return p.best(item, func(e *Engine) bool { return !e.Unproven })
+}
+
+// best is Best among the engines that a condition holds for.
+func (p *Pool) best(item Item, allowed func(*Engine) bool) *Engine {
 	remaining := Remaining(item.ExpectedEvents, item.Received)
 	var best *Engine
 	var bestDuration clock.Millis
@@ -198,7 +204,7 @@
 		anyFast = anyFast || !p.IsSlow(e)
 	}
 	for _, e := range p.engines {
-		if e.InBackoff || e.Running >= e.Slots || e.ID == item.Avoid && len(p.engines) > 1 {
+		if !allowed(e) || e.InBackoff || e.Running >= e.Slots || e.ID == item.Avoid && len(p.engines) > 1 {
 			continue
 		}
 		d := p.expectedDuration(e, remaining)
@@ -213,14 +219,15 @@
 }
 
 // MigrationTarget returns the engine to which an item that runs on another engine
-// should migrate, nil if it should stay (rules 4 and 5). Longest is the number
+// should migrate, nil if it should stay (rules 4 and 5). The caller has to bring an
+// unproven engine up to date before the migration. Longest is the number
 // of events that the longest item of the job still lacks.
 func (p *Pool) MigrationTarget(from *Engine, expected, received int, longest float64) *Engine {
 	remaining := Remaining(expected, received)
 	if !p.IsSlow(from) && (!from.SlowNow || remaining < lastItemRatio*longest) {
 		return nil
 	}
-	to := p.Best(Item{ExpectedEvents: expected, Received: received, Avoid: from.ID})
+	to := p.best(Item{ExpectedEvents: expected, Received: received, Avoid: from.ID}, func(*Engine) bool { return true })
 	if to == nil || to == from || to.SlowNow || p.IsSlow(to) {
 		return nil
 	}
--- a/internal/edge/plat/settings.go
+++ b/internal/edge/plat/settings.go
@@ -19,6 +19,7 @@
 	MemoryMB        int
 	GracePeriod     clock.Millis // time from the stop signal until the process is killed
 	ResultRetention clock.Millis // time for which results are retained after a job is accepted
+	EndBound        clock.Millis // time after the end of a job within which its items may still reach an engine
 	Store           StoreInfo
 }
 
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -3,6 +3,13 @@
 // stream of [Frame] values, at least one every [FrameInterval], and the last one
 // has a [Code] other than [InProgress].
 //
+// An agent starts a run only if the job was open a short time ago. Each frame has
+// the time of the agent's clock. An entry that receives a frame and after that reads
+// the index to its end knows that the jobs that are still open then were open at that
+// time, and says so in later runs. So neither an entry that was paused or no longer
+// reads the index, nor a connection that delays a run, can start an item long after
+// the end of its job.
+//
 // To cancel a run, the entry closes the connection. It keeps all events of the
 // frames that it has read, so that another agent can resume after them.
 //
@@ -35,6 +42,13 @@
 // sends no frame for several times as long counts as unreachable.
 const FrameInterval = 150 * clock.Milli
 
+// Stamp is a time by the clock of one incarnation of an agent. Only that incarnation
+// can compare it with the present. The zero value is no time.
+type Stamp struct {
+	Incarnation string
+	At          clock.Millis
+}
+
 // Run is the request to execute one attempt at an item.
 type Run struct {
 	Job        string
@@ -49,6 +63,7 @@
 	Body       []byte
 	After      int   // number of events already received, after which to resume
 	Version    int64 // weight version of the last of these events
+	OpenAt     Stamp // the job was open at this time or later, by the clock of the agent
 }
 
 // Event is one event of the output, with the weight version that generated it.
@@ -60,7 +75,7 @@
 // Code is the state of a run, or how it ended.
 type Code string
 
-// The codes of runs. Those from Full to Leaving don't count as failed attempts:
+// The codes of runs. Those from Full to Unproven don't count as failed attempts:
 // the item waits for an engine again and keeps the events received so far.
 const (
 	InProgress    Code = ""         // more frames follow
@@ -68,6 +83,7 @@
 	StaleWeights  Code = "old"      // the weights are older than allowed; not executed, or stopped at the first such event
 	WrongInstance Code = "moved"    // another engine has the address; not executed
 	Leaving       Code = "leaving"  // the agent is shutting down; not executed
+	Unproven      Code = "unproven" // the job may have ended; not executed
 	Done          Code = "done"     // the output is complete
 	Broken        Code = "broken"   // the output is truncated: a disconnect or timeout of the engine
 	MixedVersions Code = "mixed"    // the version changed, but a single version is required
@@ -78,6 +94,7 @@
 // Frame is one part of the answer: new events, and the state of the run and of
 // the engine.
 type Frame struct {
+	Now     Stamp // when the agent made the frame
 	Events  []Event
 	Code    Code
 	Detail  string
--- a/internal/node/conf/conf.go
+++ b/internal/node/conf/conf.go
@@ -62,6 +62,8 @@
 	view     atomic.Pointer[fleet.View] // of servers
 	demand   atomic.Pointer[map[string]int64]
 
+	storeDown atomic.Bool // the last read of the servers failed
+
 	mu       sync.Mutex
 	servers  *fleet.List
 	onChange func()
@@ -87,6 +89,9 @@
 // Servers returns the current backend servers.
 func (f *Follower) Servers() *fleet.View { return f.view.Load() }
 
+// IsStoreDown reports whether the last read of the store failed.
+func (f *Follower) IsStoreDown() bool { return f.storeDown.Load() }
+
 // Demand returns the demand for each model, by which engines are assigned to models.
 func (f *Follower) Demand() map[string]int64 { return *f.demand.Load() }
 
@@ -203,6 +208,7 @@
 }
 
 func (f *Follower) setStoreAvailable(ok bool) {
+	f.storeDown.Store(!ok)
 	f.mu.Lock()
 	defer f.publishAndUnlock()
 	if ok {
--- a/internal/node/jobs/service.go
+++ b/internal/node/jobs/service.go
@@ -121,6 +121,7 @@
 	s.mu.Lock()
 	from := s.ix.NextOffset()
 	s.mu.Unlock()
+	requestedAt := s.Clock.Now()
 	p, err := s.Store.Read(ctx, index.Topic, 0, from, maxPageKB, wait)
 	var gone *plat.GoneError
 	if errors.As(err, &gone) {
@@ -160,7 +161,11 @@
 			s.logChange(r, j, from+int64(i))
 		}
 	}
-	if from+int64(len(p.Records)) >= p.End && !s.caughtUp {
+	atEnd := from+int64(len(p.Records)) >= p.End
+	if atEnd {
+		s.ix.ConfirmCurrent(requestedAt)
+	}
+	if atEnd && !s.caughtUp {
 		s.caughtUp = true
 		s.Log.Info().Int64("offset", p.End).Msg("jobs: index read to its end")
 		s.ix.MarkAllSeen(now)
@@ -210,6 +215,9 @@
 		if p.From+int64(len(p.Records)) >= end {
 			return nil
 		}
+		if len(p.Records) == 0 { // Asking again at once would not be bounded.
+			return errors.Errorf("the index has no records from offset %d, but ends at %d", p.From, end)
+		}
 	}
 }
 
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -23,6 +23,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/speed"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
@@ -68,7 +69,9 @@
 // Params are the dependencies and settings of an Agent.
 type Params struct {
 	Node          string
-	EngineAddr    string // IP:port of the engine
+	Incarnation   string       // of this process
+	EngineAddr    string       // IP:port of the engine
+	EndBound      clock.Millis // time after the end of a job within which its items may still reach the engine
 	Conf          *conf.Follower
 	Sender        plat.Sender
 	DecodeEvents  func(*plat.Response) plat.EventReader
@@ -145,6 +148,8 @@
 	switch {
 	case a.acceptingStopped:
 		return runs.Leaving, "the agent stops"
+	case !permit.IsValid(a.Clock.Now(), a.Incarnation, r.OpenAt, permit.MaxAge(a.EndBound)) && !a.Conf.IsStoreDown():
+		return runs.Unproven, "the job may have ended"
 	case a.unreachable:
 		return runs.Full, "the engine does not report"
 	case a.loading:
@@ -174,6 +179,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	f := &runs.Frame{
+		Now:     runs.Stamp{Incarnation: a.Incarnation, At: a.Clock.Now()},
 		Running: a.running, Slots: slots, Version: a.state.Versions[model],
 		Hiccup:  a.speedState == speed.Slow || a.loading,
 		Steady:  a.speedState == speed.Steady && !a.loading,
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -158,7 +158,7 @@
 		go f.Run(ctx, env.store)
 		env.limiter = NewLoadLimiter("n", env.store, logs.NewWriter(ctx, env.store, "n/1", 1<<20, zerolog.Nop()), clock.NewSystem(), zerolog.Nop())
 		env.agent = New(Params{
-			Node: "n", EngineAddr: "10.0.0.1:1", Conf: f, Sender: env.engine, DecodeEvents: func(*plat.Response) plat.EventReader { return env.engine }, EngineControl: env.engine,
+			Node: "n", Incarnation: "boot-n", EndBound: 3 * clock.Second, EngineAddr: "10.0.0.1:1", Conf: f, Sender: env.engine, DecodeEvents: func(*plat.Response) plat.EventReader { return env.engine }, EngineControl: env.engine,
 			LoadLimiter: env.limiter,
 			Clock:       clock.NewSystem(), Log: zerolog.Nop(),
 		})
@@ -175,6 +175,9 @@
 // runItem has the agent run an item. It returns the versions of its events and the
 // last frame.
 func (env *testEnv) runItem(r runs.Run) (versions []int64, last *runs.Frame) {
+	if r.OpenAt == (runs.Stamp{}) {
+		r.OpenAt = env.agent.newFrame("").Now
+	}
 	var body strings.Builder
 	env.c.Assert(gob.NewEncoder(&body).Encode(&r), qt.IsNil)
 	rec := httptest.NewRecorder()
@@ -192,6 +195,40 @@
 	}
 }
 
+// TestJobMayHaveEnded sends runs of a job to an agent. The agent must start an item only
+// if the job was open a short time ago by the agent's own clock, however long the run
+// was on its way. It must not ask that much while the store is down, since no job can
+// end then.
+func TestJobMayHaveEnded(t *testing.T) {
+	tests := map[string]struct {
+		incarnation string
+		age         time.Duration
+		storeDown   bool
+		want        runs.Code
+	}{
+		"recent":                  {"boot-n", time.Second, false, runs.Done},
+		"delayed in a connection": {"boot-n", 2500 * time.Millisecond, false, runs.Unproven},
+		"from the time before the agent's restart": {"boot-m", 0, false, runs.Unproven},
+		"entry knows nothing of the agent":         {"", 0, false, runs.Unproven},
+		"delayed while the store is down":          {"boot-n", time.Minute, true, runs.Done},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			withTestEnv(t, func(env *testEnv) {
+				env.engine.set(func(e *fakeEngine) { e.events = []plat.Event{event(1, 1)} })
+				stamp := runs.Stamp{Incarnation: tc.incarnation, At: env.agent.Clock.Now()}
+				if tc.storeDown {
+					env.store.SetFaultMode(topic.Busy)
+				}
+				time.Sleep(tc.age)
+				_, last := env.runItem(runs.Run{Item: "x", Instance: "i-1", Model: "m", MinVersion: 1, OpenAt: stamp})
+				env.c.Check(last.Code, qt.Equals, tc.want, qt.Commentf("%s", last.Detail))
+				env.c.Check(last.Now.Incarnation, qt.Equals, "boot-n")
+			})
+		})
+	}
+}
+
 func event(id int, version int64) plat.Event {
 	return plat.Event{ID: id, Version: version, Data: []byte("x")}
 }
@@ -280,7 +317,7 @@
 		})
 		ctx, disconnect := context.WithCancel(env.ctx)
 		var body strings.Builder
-		env.c.Assert(gob.NewEncoder(&body).Encode(&runs.Run{Item: "x", Instance: "i-1", Model: "m"}), qt.IsNil)
+		env.c.Assert(gob.NewEncoder(&body).Encode(&runs.Run{Item: "x", Instance: "i-1", Model: "m", OpenAt: env.agent.newFrame("").Now}), qt.IsNil)
 		go env.agent.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, runs.RunPath, strings.NewReader(body.String())))
 		synctest.Wait()
 		env.c.Check(env.agent.Running(), qt.Equals, 1)
@@ -306,7 +343,7 @@
 			ctx, cancel := context.WithTimeout(env.ctx, timeout)
 			defer cancel()
 			var body strings.Builder
-			env.c.Assert(gob.NewEncoder(&body).Encode(&runs.Run{Item: "x", Instance: "i-1", Model: "m"}), qt.IsNil)
+			env.c.Assert(gob.NewEncoder(&body).Encode(&runs.Run{Item: "x", Instance: "i-1", Model: "m", OpenAt: env.agent.newFrame("").Now}), qt.IsNil)
 			env.agent.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, runs.RunPath, strings.NewReader(body.String())))
 			synctest.Wait()
 		}
--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -168,6 +168,7 @@
 			SlowNow:   now < e.slowUntil,
 			SteadyNow: e.steady && recent,
 			Fresh:     recent,
+			Unproven:  !w.mayStart(e, now),
 			InBackoff: now < e.backoffUntil || now < e.staleUntil[j.model] || e.loading && now-e.lastSeen < loadingBackoff,
 		})
 		byID[s.ID] = s
@@ -199,6 +200,10 @@
 			w.requestState(p.byID[to.ID], j.model, now) // The answer wakes the worker up.
 			continue
 		}
+		if to.Unproven {
+			w.confirmEvidence(now)
+			continue
+		}
 		to.Running++ // One slot less in this pass.
 		st.migrations++
 		st.migrateAt = now + migrationInterval
--- a/internal/node/work/engines.go
+++ b/internal/node/work/engines.go
@@ -10,6 +10,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/sched"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 )
@@ -30,8 +31,9 @@
 	// stateWaitTimeout is how long a new job waits for the states of its
 	// engines: one round trip to another region.
 	stateWaitTimeout = 40 * clock.Milli
-	// stateFetchTimeout limits one request for an agent's state.
-	stateFetchTimeout = 500 * clock.Milli
+	// stateFetchTimeout limits one request for an agent's state. An answer that
+	// takes as long is still of use for maxEvidenceAge.
+	stateFetchTimeout = 800 * clock.Milli
 	// maxStateFetches limits the concurrent state requests of a node, so that
 	// their answers do not use up a small VM.
 	maxStateFetches = 8
@@ -42,6 +44,12 @@
 	// loadingBackoff is how long an engine is avoided after its agent reported
 	// that the engine loads weights.
 	loadingBackoff = clock.Second
+	// maxEvidenceAge is how old the evidence for an agent may be when a run is sent
+	// to it: the agent refuses it somewhat later; see package permit.
+	maxEvidenceAge = 1200 * clock.Milli
+	// confirmInterval is the minimum time between two reads of the index that only
+	// confirm evidence.
+	confirmInterval = 40 * clock.Milli
 	// slowdownTTL is how long an engine counts as slower than usual after its
 	// agent reported so. The agent repeats the report during the slowdown.
 	slowdownTTL = 600 * clock.Milli
@@ -63,6 +71,7 @@
 	loading       bool
 	backoffUntil  clock.Millis
 	staleUntil    map[string]clock.Millis // by model: it has no usable version until then
+	evidence      permit.Evidence
 }
 
 func (w *Worker) engine(s *fleet.Server) *engine {
@@ -79,6 +88,7 @@
 	e := w.engine(s)
 	now := w.Clock.Now()
 	w.lastReached, w.lostRuns = now, 0
+	e.evidence.Observe(now, f.Now)
 	e.otherRuns, e.slots, e.lastSeen = max(0, f.Running-e.ownRuns), f.Slots, now
 	e.eventInterval = f.Pace
 	if f.Hiccup != (now < e.slowUntil) {
@@ -95,14 +105,22 @@
 // may be needed for the given number of items. It reports whether a job that has
 // just started should wait for the answers.
 func (w *Worker) requestStates(j *job, pool *sched.Pool, byID map[string]*fleet.Server, items int, now clock.Millis) bool {
+	if items <= 0 {
+		return false
+	}
 	var outdated []*sched.Engine
+	unconfirmed := false
 	for _, candidate := range pool.Engines() {
-		free := max(0, candidate.Slots-candidate.Running)
-		if now-w.engine(byID[candidate.ID]).lastSeen < stateTTL {
-			items -= free
-		} else {
+		e := w.engine(byID[candidate.ID])
+		if now-e.lastSeen >= stateTTL {
 			outdated = append(outdated, candidate)
+			continue
 		}
+		items -= max(0, candidate.Slots-candidate.Running)
+		unconfirmed = unconfirmed || !w.mayStart(e, now)
+	}
+	if unconfirmed {
+		w.confirmEvidence(now)
 	}
 	// The engines that were not asked for longest come first. The random order of
 	// the others spreads the requests of several nodes.
@@ -122,6 +140,33 @@
 	return waiting && now-j.startedAt < stateWaitTimeout
 }
 
+// mayStart reports whether the agent of an engine is expected to start a run: this
+// node can show that its jobs are still open. While the index can't be read, the
+// agent may start runs without that.
+func (w *Worker) mayStart(e *engine, now clock.Millis) bool {
+	return !w.indexReadable || e.evidence.Age(now) <= maxEvidenceAge
+}
+
+// confirmEvidence reads the index to its end in the background, unless that is in
+// progress or was done a short time ago.
+func (w *Worker) confirmEvidence(now clock.Millis) {
+	if w.confirming || now < w.confirmAfter || !w.indexReadable {
+		return
+	}
+	w.confirming, w.confirmAfter = true, now+confirmInterval
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stateFetchTimeout.Duration())
+		defer cancel()
+		if err := w.Jobs.Sync(ctx); err != nil {
+			w.Log.Info().Err(err).Msg("work: reading the index before runs are sent failed")
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.confirming = false
+		w.Wake()
+	}()
+}
+
 // requestState requests the state of an engine in the background, unless a request
 // to it is in progress, the last one was made a short time ago, or maxStateFetches
 // requests to other engines are in progress.
@@ -147,6 +192,7 @@
 	w.stateFetches--
 	now := w.Clock.Now()
 	if err != nil {
+		w.lostRuns++
 		w.Log.Info().Str("engine", s.ID).Str("addr", s.Addr).Int("unanswered", e.unanswered).Err(err).Msg("work: fetching an agent's state failed")
 		interval := min(maxStateInterval, minStateInterval<<min(e.unanswered, 10))
 		e.askAfter = now + interval/2 + rand.N(interval) //nolint:gosec // spreads out the requests of the nodes
--- a/internal/node/work/fleet_test.go
+++ b/internal/node/work/fleet_test.go
@@ -9,17 +9,21 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/conf"
 	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
@@ -30,6 +34,7 @@
 	delay   time.Duration // of each state answer
 	runTime time.Duration // of each run
 	full    bool          // every slot is taken by other nodes
+	clock   clock.Clock
 
 	mu          sync.Mutex
 	running     map[string]int // by host
@@ -46,7 +51,10 @@
 	if f.full {
 		n = fakeSlots
 	}
-	return &runs.Frame{Running: n, Slots: fakeSlots, Version: 1, Steady: true}
+	return &runs.Frame{
+		Now:     runs.Stamp{Incarnation: "x", At: f.clock.Now()},
+		Running: n, Slots: fakeSlots, Version: 1, Steady: true,
+	}
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -119,8 +127,14 @@
 
 // startFleetWorker starts a worker of a deployment with n engines.
 func startFleetWorker(ctx context.Context, agents *fakeFleet, n int) *Worker {
-	agents.running = make(map[string]int)
 	store := topic.New()
+	return startFleetWorkerOn(ctx, store, store, agents, n)
+}
+
+// startFleetWorkerOn is startFleetWorker with a store that the worker uses and the one
+// below it.
+func startFleetWorkerOn(ctx context.Context, used plat.Store, store *topic.Store, agents *fakeFleet, n int) *Worker {
+	agents.running, agents.clock = make(map[string]int), clock.NewSystem()
 	self := joblog.Node{Name: "a", Boot: "boot-a"}
 	cfg := router.New(1, router.Limits{}, []*router.Route{
 		{Host: "h", Prefix: "/p/", Kind: router.Rollout, Backends: []router.Backend{{Service: "s", Weight: 1}}, DueAfter: 7 * clock.Second, MaxAttempts: 3},
@@ -136,7 +150,7 @@
 	for i := range n {
 		store.Write("servers", fmt.Sprintf("i-%d", i), fmt.Appendf(nil, "10.0.%d.%d:80", i/250, i%250))
 	}
-	svc := newService(ctx, store, self)
+	svc := newService(ctx, used, self)
 	go follower.Run(ctx, store)
 	go svc.Run(ctx)
 	w := New(Params{
@@ -185,6 +199,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				ctx, cancel := context.WithCancel(context.Background())
+				defer time.Sleep(2 * time.Second) // Requests in progress end.
 				defer cancel()
 				agents := &fakeFleet{delay: tc.delay, runTime: time.Second, full: tc.full}
 				w := startFleetWorker(ctx, agents, tc.engines)
@@ -201,3 +216,70 @@
 		})
 	}
 }
+
+// laggingStore is a store whose index grows by a heartbeat with each read, so that
+// no read ever reaches its end, or whose index can't be read.
+type laggingStore struct {
+	*topic.Store
+	lags  atomic.Bool
+	fails atomic.Bool
+}
+
+func (s *laggingStore) Read(ctx context.Context, name string, part int, from int64, maxKB int, wait clock.Millis) (plat.Page, error) {
+	if name == index.Topic && s.fails.Load() {
+		return plat.Page{}, errors.New("the store is unreachable")
+	}
+	p, err := s.Store.Read(ctx, name, part, from, maxKB, wait)
+	if name == index.Topic && s.lags.Load() {
+		p.End++
+	}
+	return p, err
+}
+
+// TestStartNeedsCurrentIndex submits a job to a node that then falls behind the index,
+// so that it can't know whether the job has ended. It must start no further item until
+// it has caught up. A node that can't read the index at all leaves the decision to the
+// agents, since the store may be down for all.
+func TestStartNeedsCurrentIndex(t *testing.T) {
+	tests := map[string]struct {
+		lags, fails bool
+		want        bool // whether runs are sent
+	}{
+		"current":    {false, false, true},
+		"behind":     {true, false, false},
+		"unreadable": {false, true, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer time.Sleep(2 * time.Second)
+				defer cancel()
+				agents := &fakeFleet{delay: time.Millisecond, runTime: 100 * time.Millisecond}
+				store := &laggingStore{Store: topic.New()}
+				w := startFleetWorkerOn(ctx, store, store.Store, agents, 2)
+				c.Assert(submit(ctx, w, "j", 1000), qt.IsNil)
+				time.Sleep(time.Second)
+				store.lags.Store(tc.lags)
+				store.fails.Store(tc.fails)
+				time.Sleep(maxEvidenceAge.Duration() + time.Second)
+				before := agents.runCount()
+				c.Assert(before > 0, qt.IsTrue)
+				time.Sleep(3 * time.Second)
+				c.Check(agents.runCount() > before, qt.Equals, tc.want, qt.Commentf("%d runs, then %d", before, agents.runCount()))
+				store.lags.Store(false)
+				store.fails.Store(false)
+				before = agents.runCount()
+				time.Sleep(time.Second)
+				c.Check(agents.runCount() > before, qt.IsTrue)
+			})
+		})
+	}
+}
+
+func (f *fakeFleet) runCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs
+}
--- a/internal/node/work/reconcile.go
+++ b/internal/node/work/reconcile.go
@@ -25,6 +25,10 @@
 		now := w.Clock.Now()
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		w.indexReadable = fresh
+		for _, e := range w.engines {
+			e.evidence.Confirm(ix.CurrentAt())
+		}
 		alive := nodeIDs(ix.LiveNodes(now, jobs.FailureTimeout))
 		ix.EachJob(func(j *joblog.Job) {
 			shouldRun := j.Owner == w.Self && j.IsOpen()
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -54,6 +54,7 @@
 	run := &runs.Run{
 		Job: j.id, Item: it.ID, Instance: s.ID, Model: j.model, MinVersion: j.minVersion, OneModel: r.SingleVersion,
 		Host: j.host, Path: it.Path, Header: it.Header, Body: it.Body, After: a.resumeAfter, Version: st.lastVersion(),
+		OpenAt: w.engine(s).evidence.Stamp(),
 	}
 	go func() {
 		defer cancel()
@@ -136,7 +137,7 @@
 	if j.ctx.Err() != nil || st.current != a && st.successor != a {
 		return
 	}
-	if code == runs.Full || code == runs.StaleWeights {
+	if code == runs.Full || code == runs.StaleWeights || code == runs.Unproven {
 		st.refusals++ // Not logged here: the log line of a later outcome has their number.
 	} else {
 		w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", s.ID).Str("code", string(code)).Str("why", detail).
@@ -166,7 +167,7 @@
 		st.phase = finishing
 		go w.finish(j, i, st.received)
 		st.received = nil
-	case runs.Full, runs.WrongInstance, runs.Leaving:
+	case runs.Full, runs.WrongInstance, runs.Leaving, runs.Unproven:
 		e.backoffUntil = now + engineBackoff
 	case runs.StaleWeights:
 		e.staleUntil[j.model] = now + engineBackoff
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -70,6 +70,9 @@
 	jobs             map[string]*job
 	engines          map[string]*engine
 	stateFetches     int                     // state requests in progress
+	indexReadable    bool                    // as of the last pass
+	confirming       bool                    // confirmEvidence reads the index
+	confirmAfter     clock.Millis            // earliest time of the next such read
 	takeoverTriedAt  map[string]clock.Millis // by job
 	probes           map[string]probeResult  // by node name
 	assigningStopped bool
--- a/internal/prod/roles/agent.go
+++ b/internal/prod/roles/agent.go
@@ -35,7 +35,7 @@
 	limiter := side.NewLoadLimiter(settings.Node, p.store, p.writer, p.clock, p.log)
 	client := platform.NewBackendClient(dial.NewTransport(idleConnsPerServer, 0))
 	agent := side.New(side.Params{
-		Node: settings.Node, EngineAddr: settings.EngineAddr, Conf: p.conf, Sender: client,
+		Node: settings.Node, Incarnation: p.self.Boot, EngineAddr: settings.EngineAddr, EndBound: settings.EndBound, Conf: p.conf, Sender: client,
 		DecodeEvents: platform.ReadEvents, EngineControl: client, LoadLimiter: limiter,
 		Clock: p.clock, Log: p.log, Count: p.countEvent,
 	})
