Keep heartbeats out of the index, and let idle nodes send few

Cause: every entry appended 1.4 heartbeats a second to the partition that carries all jobs. Now: heartbeats go to a compacted topic, one record for each node; a node that owns no open job sends one every 5 s. An idle node's death is noticed late, so further candidates take a job over 500 ms after each other. Reads of the index, mended with it: pages of 128 KB instead of 1 MB (133 starting entries read 133 MB at once from a store that gives 80 MB/s, each with a time-out of 1.2 s), and concurrent clients share a read to the end. Tests: TestHeartbeatsDoNotGrowWithTheFleet, TestStartUnderLoad, TestIdleNode, TestLaggingNodeKnowsNoEnd.

--- a/internal/decide/joblog/joblog.go
+++ b/internal/decide/joblog/joblog.go
@@ -15,7 +15,9 @@
 //     later owner resumes. Each checkpoint holds the output from the start, and
 //     the one with the most events counts.
 //  6. A node is alive while its heartbeat records arrive. The first heartbeat of
-//     a new incarnation replaces the earlier incarnation.
+//     a new incarnation replaces the earlier incarnation. Heartbeats are in a topic
+//     of their own, see [Index.ApplyHeartbeat]. A node that owns open jobs sends them
+//     more often than one that does not.
 //
 // # Usage
 //
@@ -120,6 +122,7 @@
 	Addr    string
 	Zone    string
 	Leaving bool // the node accepts no more jobs
+	Idle    bool // the node owns no open job, so its next heartbeat may come late
 }
 
 // Node identifies one incarnation of a node.
@@ -128,8 +131,8 @@
 	Boot string // differs for each start
 }
 
-// Record is an [Accept], [Done], [Checkpoint], [End], [Takeover], [Heartbeat]
-// or [crash.Crash]. An [Index] ignores crashes.
+// Record is an [Accept], [Done], [Checkpoint], [End], [Takeover] or [crash.Crash]. An
+// [Index] ignores crashes.
 type Record any
 
 // Result is the result of an item, in the order of the job's results.
@@ -185,11 +188,12 @@
 
 // Index is the state after all records that were applied.
 type Index struct {
-	jobs       map[string]*Job  // by ID
-	peers      map[string]*Peer // by name
-	stepTokens map[string]int64 // by model: moving average of the estimated tokens of a job
-	nextOffset int64
-	currentAt  clock.Millis // see CurrentAt
+	jobs             map[string]*Job  // by ID
+	peers            map[string]*Peer // by name
+	stepTokens       map[string]int64 // by model: moving average of the estimated tokens of a job
+	nextOffset       int64
+	currentAt        clock.Millis // see CurrentAt
+	heartbeatsReadAt clock.Millis
 }
 
 // New returns an empty index.
@@ -228,6 +232,7 @@
 		}
 		j := &Job{Accept: r, Owner: r.Node, AppliedAt: now, resultIndex: make([]int32, len(r.ItemIDs))}
 		x.jobs[r.JobID] = j
+		x.markOwner(now, r.Node)
 		if average, known := x.stepTokens[r.Model]; known {
 			x.stepTokens[r.Model] = (average + r.EstimatedTokens) / 2
 		} else {
@@ -246,14 +251,52 @@
 	case Takeover:
 		if j := x.jobs[r.JobID]; j != nil && j.IsOpen() { // rule 4
 			j.Owner = r.Node
+			x.markOwner(now, r.Node)
 			return j
 		}
-	case Heartbeat:
-		x.peers[r.Node.Name] = &Peer{Heartbeat: r, LastSeen: now} // rule 6
 	}
 	return nil
 }
 
+// markOwner records that a node has become the owner of a job: it is alive, and its
+// heartbeats come often from now on (rule 6).
+func (x *Index) markOwner(now clock.Millis, n Node) {
+	if p := x.peers[n.Name]; p != nil && p.Node == n {
+		p.LastSeen, p.Idle = now, false
+	}
+}
+
+// ApplyHeartbeat applies a heartbeat that was just read (rule 6).
+func (x *Index) ApplyHeartbeat(now clock.Millis, h Heartbeat) {
+	x.peers[h.Node.Name] = &Peer{Heartbeat: h, LastSeen: now}
+}
+
+// RemovePeer removes a node whose heartbeat the store no longer has.
+func (x *Index) RemovePeer(name string) { delete(x.peers, name) }
+
+// HeartbeatsRead records that the heartbeats were just read to their end. After a gap
+// of more than maxGap since the last time, nobody counts as dead because of it.
+func (x *Index) HeartbeatsRead(now, maxGap clock.Millis) {
+	if now-x.heartbeatsReadAt > maxGap {
+		x.MarkAllSeen(now)
+	}
+	x.heartbeatsReadAt = now
+}
+
+// HeartbeatsReadAt returns when the heartbeats were last read to their end, 0 if they
+// never were.
+func (x *Index) HeartbeatsReadAt() clock.Millis { return x.heartbeatsReadAt }
+
+// OwnsOpenJob reports whether a node owns a job that is open.
+func (x *Index) OwnsOpenJob(n Node) bool {
+	for _, j := range x.jobs {
+		if j.Owner == n && j.IsOpen() {
+			return true
+		}
+	}
+	return false
+}
+
 // applyDone applies the record of an item's result (rules 2 and 3). It returns the
 // job, or nil if the record is ignored.
 func (x *Index) applyDone(r Done) *Job {
@@ -281,11 +324,15 @@
 }
 
 // LiveNodes returns the sorted names of the nodes that are not leaving and whose
-// latest heartbeat is no older than the timeout.
-func (x *Index) LiveNodes(now, timeout clock.Millis) []string {
+// latest heartbeat is no older than the timeout, or the one for idle nodes.
+func (x *Index) LiveNodes(now, timeout, idleTimeout clock.Millis) []string {
 	var out []string
 	for name, p := range x.peers {
-		if !p.Leaving && now-p.LastSeen <= timeout {
+		limit := timeout
+		if p.Idle {
+			limit = idleTimeout
+		}
+		if !p.Leaving && now-p.LastSeen <= limit {
 			out = append(out, name)
 		}
 	}
--- a/internal/decide/joblog/joblog_test.go
+++ b/internal/decide/joblog/joblog_test.go
@@ -86,7 +86,7 @@
 			c := qt.New(t)
 			x := New()
 			for _, h := range test.heartbeats {
-				apply(x, h)
+				x.ApplyHeartbeat(0, h)
 			}
 			c.Check(x.IsLive(test.now, timeout, nodeA), qt.Equals, test.want)
 		})
@@ -96,10 +96,55 @@
 func TestStoreOutageIsNoNodeFailure(t *testing.T) {
 	c := qt.New(t)
 	x := New()
-	apply(x, Heartbeat{Node: nodeA})
+	x.ApplyHeartbeat(0, Heartbeat{Node: nodeA})
 	x.MarkAllSeen(9 * clock.Second) // after a store outage of eight seconds
 	c.Check(x.IsLive(10*clock.Second, 2*clock.Second, nodeA), qt.IsTrue)
-	c.Check(x.LiveNodes(10*clock.Second, 2*clock.Second), qt.DeepEquals, []string{"a"})
+	c.Check(x.LiveNodes(10*clock.Second, 2*clock.Second, 5*clock.Second), qt.DeepEquals, []string{"a"})
+}
+
+// Nobody must count as dead because heartbeats were not read for a while.
+func TestGapBetweenReadsIsNoNodeFailure(t *testing.T) {
+	tests := map[string]struct {
+		readAt clock.Millis // after the heartbeat at 1 s and a read at 1 s
+		want   bool
+	}{
+		"read often":    {2 * clock.Second, false},
+		"read in a gap": {9 * clock.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := New()
+			x.ApplyHeartbeat(clock.Second, Heartbeat{Node: nodeA})
+			x.HeartbeatsRead(clock.Second, 1500)
+			x.HeartbeatsRead(test.readAt, 1500)
+			qt.Check(t, x.IsLive(test.readAt+1500, 2*clock.Second, nodeA), qt.Equals, test.want)
+		})
+	}
+}
+
+// A node that owns no job sends few heartbeats and counts as alive for longer, but not
+// once it owns a job.
+func TestIdleNode(t *testing.T) {
+	tests := map[string]struct {
+		records []Record
+		now     clock.Millis
+		want    []string
+	}{
+		"idle":                         {now: 4 * clock.Second, want: []string{"a"}},
+		"idle for too long":            {now: 6 * clock.Second},
+		"accepted a job":               {[]Record{accept("j", nodeA, "x")}, 2 * clock.Second, []string{"a"}},
+		"accepted a job, then silent":  {[]Record{accept("j", nodeA, "x")}, 4 * clock.Second, nil},
+		"took a job over, then silent": {[]Record{accept("j", nodeB, "x"), Takeover{JobID: "j", Node: nodeA}}, 4 * clock.Second, nil},
+		"another node's job":           {[]Record{accept("j", nodeB, "x")}, 4 * clock.Second, []string{"a"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := New()
+			x.ApplyHeartbeat(0, Heartbeat{Node: nodeA, Idle: true})
+			apply(x, test.records...)
+			qt.Check(t, x.LiveNodes(test.now, 2*clock.Second, 5*clock.Second), qt.DeepEquals, test.want)
+		})
+	}
 }
 
 func TestForgetKeepsOpenJobs(t *testing.T) {
@@ -129,7 +174,7 @@
 			case 3:
 				return End{JobID: job}
 			case 4:
-				return Heartbeat{Node: node}
+				return Checkpoint{JobID: job, Item: rapid.IntRange(0, 2).Draw(t, "item"), Events: rapid.IntRange(1, 9).Draw(t, "events")}
 			default:
 				return Done{
 					JobID: job, Item: rapid.IntRange(0, 2).Draw(t, "item"),
--- a/internal/decide/permit/permit.go
+++ b/internal/decide/permit/permit.go
@@ -24,10 +24,7 @@
 //	ok := permit.IsValid(now, incarnation, run.OpenAt, maxAge) // at the agent
 package permit
 
-import (
-	"github.com/jujuberamp/jujuberamp/internal/base/clock"
-	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
-)
+import "github.com/jujuberamp/jujuberamp/internal/base/clock"
 
 const (
 	// connectTime is the time that an agent may need to open a connection to its
@@ -41,14 +38,21 @@
 // later than endBound after the acknowledged end of the job.
 func MaxAge(endBound clock.Millis) clock.Millis { return max(minAge, endBound-connectTime) }
 
+// Stamp is a time by the clock of one incarnation of an agent. Only that incarnation
+// can compare it with the present. The zero value is no time.
+type Stamp struct {
+	Incarnation string
+	At          clock.Millis
+}
+
 // IsValid reports whether an agent may start a run with a stamp (rule 3).
-func IsValid(now clock.Millis, incarnation string, s runs.Stamp, maxAge clock.Millis) bool {
+func IsValid(now clock.Millis, incarnation string, s Stamp, maxAge clock.Millis) bool {
 	return s.Incarnation == incarnation && now-s.At <= maxAge
 }
 
 // observation is a stamp and when it was received.
 type observation struct {
-	stamp      runs.Stamp
+	stamp      Stamp
 	receivedAt clock.Millis
 }
 
@@ -61,7 +65,7 @@
 }
 
 // Observe records a stamp that was just received (rule 1).
-func (e *Evidence) Observe(now clock.Millis, s runs.Stamp) {
+func (e *Evidence) Observe(now clock.Millis, s Stamp) {
 	if s.Incarnation != e.newest.stamp.Incarnation {
 		*e = Evidence{}
 	}
@@ -86,7 +90,7 @@
 }
 
 // Stamp returns the newest confirmed stamp (rule 3), or the zero value.
-func (e *Evidence) Stamp() runs.Stamp { return e.confirmed.stamp }
+func (e *Evidence) Stamp() Stamp { return e.confirmed.stamp }
 
 // Age returns the time since the confirmed stamp was received, or [clock.Never]. The
 // stamp itself is older by the time that its frame took.
--- a/internal/decide/permit/permit_test.go
+++ b/internal/decide/permit/permit_test.go
@@ -8,7 +8,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
-	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 )
 
 func init() {
@@ -19,14 +18,14 @@
 
 func TestIsValid(t *testing.T) {
 	tests := map[string]struct {
-		stamp runs.Stamp
+		stamp Stamp
 		want  bool
 	}{
-		"recent":              {runs.Stamp{Incarnation: "x", At: 9000}, true},
-		"as old as allowed":   {runs.Stamp{Incarnation: "x", At: 8000}, true},
-		"too old":             {runs.Stamp{Incarnation: "x", At: 7999}, false},
-		"earlier incarnation": {runs.Stamp{Incarnation: "w", At: 9000}, false},
-		"none":                {runs.Stamp{}, false},
+		"recent":              {Stamp{Incarnation: "x", At: 9000}, true},
+		"as old as allowed":   {Stamp{Incarnation: "x", At: 8000}, true},
+		"too old":             {Stamp{Incarnation: "x", At: 7999}, false},
+		"earlier incarnation": {Stamp{Incarnation: "w", At: 9000}, false},
+		"none":                {Stamp{}, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -42,7 +41,7 @@
 	var e Evidence
 	const readEvery = 100
 	for now := clock.Millis(1); now <= 1000; now++ {
-		e.Observe(now, runs.Stamp{Incarnation: "x", At: now + 5000})
+		e.Observe(now, Stamp{Incarnation: "x", At: now + 5000})
 		if now%readEvery == 0 {
 			e.Confirm(now - readEvery/2) // requested half an interval ago
 		}
@@ -54,7 +53,7 @@
 
 // message is something on its way between two parties.
 type message struct {
-	stamp       runs.Stamp
+	stamp       Stamp
 	requestedAt clock.Millis // of a read of the index, by the clock of the entry
 	open        bool         // whether the job was open when the store answered
 }
@@ -105,7 +104,7 @@
 				}
 			},
 			"frame": func(*rapid.T) {
-				w.frames = append(w.frames, message{stamp: runs.Stamp{Incarnation: w.incarnation, At: w.agentClock}})
+				w.frames = append(w.frames, message{stamp: Stamp{Incarnation: w.incarnation, At: w.agentClock}})
 			},
 			"frame arrives": func(*rapid.T) {
 				if w.paused {
@@ -139,7 +138,7 @@
 				if w.paused {
 					return
 				}
-				w.evidence.Observe(w.entryClock, runs.Stamp{Incarnation: w.incarnation, At: w.agentClock})
+				w.evidence.Observe(w.entryClock, Stamp{Incarnation: w.incarnation, At: w.agentClock})
 				w.dropped = w.dropped || w.endedAt > 0
 				w.evidence.Confirm(w.entryClock)
 			},
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -67,6 +67,18 @@
 	return best.node, len(nodes) > 0
 }
 
+// Rank returns how many nodes have a higher weight for a key than a node.
+func Rank(key string, nodes []ident.Node, self ident.Node) int {
+	own := rankedNode{self, weight(key, self)}
+	n := 0
+	for _, m := range nodes {
+		if m != self && (rankedNode{m, weight(key, m)}).compare(own) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Successors returns up to n nodes that follow a node on a ring, where the nodes
 // are ordered by their hashes. Each node is thus a successor of n others. The
 // nodes must not include the node itself.
--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -30,6 +30,8 @@
 	// models are assigned to engines.
 	PlansTopic = "plans"
 	DemandKey  = "demand"
+	// NodesTopic is a compacted topic of heartbeats, with the node's name as the key.
+	NodesTopic = "nodes"
 )
 
 // record is the JSON form of the records of the index topic, of any kind.
@@ -52,9 +54,6 @@
 	Score           string   `json:"score,omitempty"`
 	Node            string   `json:"node,omitempty"`
 	Boot            string   `json:"boot,omitempty"`
-	Addr            string   `json:"addr,omitempty"`
-	Zone            string   `json:"zone,omitempty"`
-	Leaving         bool     `json:"leaving,omitempty"`
 	EstimatedTokens int64    `json:"work,omitempty"`
 	Server          string   `json:"server,omitempty"`
 	Requests        []string `json:"requests,omitempty"`
@@ -84,8 +83,6 @@
 		w = record{Kind: "end", Job: r.JobID}
 	case joblog.Takeover:
 		w = record{Kind: "take", Job: r.JobID, Node: r.Node.Name, Boot: r.Node.Boot}
-	case joblog.Heartbeat:
-		w = record{Kind: "beat", Node: r.Node.Name, Boot: r.Node.Boot, Addr: r.Addr, Zone: r.Zone, Leaving: r.Leaving}
 	case crash.Crash:
 		w = record{Kind: "crash", Server: r.ID, Requests: r.Requests}
 	default:
@@ -119,14 +116,40 @@
 		return joblog.End{JobID: w.Job}, nil
 	case "take":
 		return joblog.Takeover{JobID: w.Job, Node: node}, nil
-	case "beat":
-		return joblog.Heartbeat{Node: node, Addr: w.Addr, Zone: w.Zone, Leaving: w.Leaving}, nil
 	case "crash":
 		return crash.Crash{ID: w.Server, Requests: w.Requests}, nil
 	}
 	return nil, errors.Errorf("index record of unknown kind %q", w.Kind)
 }
 
+// heartbeat is the JSON form of a [joblog.Heartbeat] under the name of its node.
+type heartbeat struct {
+	Boot    string `json:"boot"`
+	Addr    string `json:"addr"`
+	Zone    string `json:"zone,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Idle    bool   `json:"idle,omitempty"`
+}
+
+// EncodeHeartbeat returns the bytes of a heartbeat. The key of its record is the name
+// of the node.
+func EncodeHeartbeat(h joblog.Heartbeat) ([]byte, error) {
+	b, err := json.Marshal(heartbeat{h.Node.Boot, h.Addr, h.Zone, h.Leaving, h.Idle})
+	return b, errors.Wrap(err, "heartbeat")
+}
+
+// DecodeHeartbeat parses the heartbeat of a node.
+func DecodeHeartbeat(node string, b []byte) (joblog.Heartbeat, error) {
+	var w heartbeat
+	if err := json.Unmarshal(b, &w); err != nil {
+		return joblog.Heartbeat{}, errors.Wrap(err, "heartbeat")
+	}
+	if w.Boot == "" {
+		return joblog.Heartbeat{}, errors.New("heartbeat without an incarnation")
+	}
+	return joblog.Heartbeat{Node: joblog.Node{Name: node, Boot: w.Boot}, Addr: w.Addr, Zone: w.Zone, Leaving: w.Leaving, Idle: w.Idle}, nil
+}
+
 // item is the JSON form of a [joblog.Item].
 type item struct {
 	ID          string      `json:"id"`
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -29,6 +29,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
 )
 
 // RunPath is the path of an agent to which runs are posted.
@@ -42,13 +43,6 @@
 // sends no frame for several times as long counts as unreachable.
 const FrameInterval = 150 * clock.Milli
 
-// Stamp is a time by the clock of one incarnation of an agent. Only that incarnation
-// can compare it with the present. The zero value is no time.
-type Stamp struct {
-	Incarnation string
-	At          clock.Millis
-}
-
 // Run is the request to execute one attempt at an item.
 type Run struct {
 	Job        string
@@ -61,9 +55,9 @@
 	Path       string
 	Header     http.Header
 	Body       []byte
-	After      int   // number of events already received, after which to resume
-	Version    int64 // weight version of the last of these events
-	OpenAt     Stamp // the job was open at this time or later, by the clock of the agent
+	After      int          // number of events already received, after which to resume
+	Version    int64        // weight version of the last of these events
+	OpenAt     permit.Stamp // the job was open at this time or later, by the clock of the agent
 }
 
 // Event is one event of the output, with the weight version that generated it.
@@ -94,7 +88,7 @@
 // Frame is one part of the answer: new events, and the state of the run and of
 // the engine.
 type Frame struct {
-	Now     Stamp // when the agent made the frame
+	Now     permit.Stamp // when the agent made the frame
 	Events  []Event
 	Code    Code
 	Detail  string
--- a/internal/node/jobs/jobs_test.go
+++ b/internal/node/jobs/jobs_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,13 +25,18 @@
 )
 
 func startService(ctx context.Context, s plat.Store, name, boot string) *Service {
+	svc := newTestService(ctx, s, name, boot)
+	go svc.Run(ctx)
+	return svc
+}
+
+// newTestService returns a service that does not follow the index.
+func newTestService(ctx context.Context, s plat.Store, name, boot string) *Service {
 	w := logs.NewWriter(ctx, s, name+"/"+boot, 1<<20, zerolog.Nop())
-	svc := New(Params{
+	return New(Params{
 		Self: joblog.Node{Name: name, Boot: boot}, Addr: "10.0.0.1:1", StoreInfo: plat.StoreInfo{Partitions: 3, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20},
-		Retention: 120 * clock.Second, Store: s, Writer: w, Clock: clock.NewSystem(), Log: zerolog.Nop(),
+		Retention: 120 * clock.Second, NodesTopic: "nodes", DecodeKeyed: topic.DecodeKeyed, Store: s, Writer: w, Clock: clock.NewSystem(), Log: zerolog.Nop(),
 	})
-	go svc.Run(ctx)
-	return svc
 }
 
 func newSpec(id string, items int) *joblog.Spec {
@@ -150,6 +157,115 @@
 	})
 }
 
+// A client has read results from another node. A node that has fallen behind the index
+// must not answer that there is none at their position, whether it waits or not.
+func TestLaggingNodeKnowsNoEnd(t *testing.T) {
+	tests := map[string]struct {
+		wait  clock.Millis
+		fault topic.FaultMode
+		want  int // results in the answer, -1 for a refusal
+	}{
+		"without a wait":           {0, topic.NoFault, 1},
+		"after a wait":             {300 * clock.Milli, topic.NoFault, 1},
+		"index can't be read":      {0, topic.Busy, -1},
+		"index can't be read soon": {300 * clock.Milli, topic.Unresponsive, -1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			withTwoNodes(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, _ *Service) {
+				c.Assert(a.Submit(ctx, newSpec("j", 2)), qt.IsNil)
+				lagging := newTestService(ctx, s, "c", "1") // does not follow the index
+				c.Assert(lagging.Sync(ctx), qt.IsNil)
+				c.Assert(storeResult(ctx, a, "j", joblog.Done{}, []byte("t")), qt.IsNil)
+				time.Sleep(2 * time.Second)
+				s.SetFaultMode(test.fault)
+				l, err := lagging.Results(ctx, "j", 0, test.wait)
+				if test.want < 0 {
+					c.Check(fault.Is(err, fault.LogUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+					return
+				}
+				c.Assert(err, qt.IsNil)
+				c.Check(l.Results, qt.HasLen, test.want)
+			})
+		})
+	}
+}
+
+// countingStore counts the reads of the index from its start.
+type countingStore struct {
+	plat.Store
+	reads atomic.Int64
+	bytes atomic.Int64
+	maxKB atomic.Int64
+}
+
+func (s *countingStore) Read(ctx context.Context, name string, part int, from int64, maxKB int, wait clock.Millis) (plat.Page, error) {
+	p, err := s.Store.Read(ctx, name, part, from, maxKB, wait)
+	if name == index.Topic {
+		s.reads.Add(1)
+		for _, r := range p.Records {
+			s.bytes.Add(int64(len(r)))
+		}
+		s.maxKB.Store(max(s.maxKB.Load(), int64(maxKB)))
+	}
+	clock.Sleep(ctx, 20)
+	return p, err
+}
+
+// TestStartUnderLoad starts a node whose clients all ask at once for jobs that it does
+// not know yet. The clients must share the reads of the index, and each read must be
+// small enough to be answered while all nodes of a large fleet start.
+func TestStartUnderLoad(t *testing.T) {
+	withTwoNodes(t, func(c *qt.C, ctx context.Context, s *topic.Store, a, _ *Service) {
+		for i := range 20 {
+			c.Assert(a.Submit(ctx, newSpec(fmt.Sprint("j", i), 2)), qt.IsNil)
+		}
+		store := &countingStore{Store: s}
+		starting := newTestService(ctx, store, "c", "1")
+		var wg sync.WaitGroup
+		for i := range 100 {
+			wg.Go(func() {
+				_, err := starting.Results(ctx, fmt.Sprint("j", i%20), 0, 0)
+				c.Check(err, qt.IsNil)
+			})
+		}
+		wg.Wait()
+		c.Check(store.reads.Load() <= 4, qt.IsTrue, qt.Commentf("%d reads", store.reads.Load()))
+		c.Check(store.maxKB.Load() <= maxIndexPageKB, qt.IsTrue)
+	})
+}
+
+// TestHeartbeatsDoNotGrowWithTheFleet lets many nodes run, of which one owns a job. The
+// index must get no records of nodes without jobs, and these send few heartbeats.
+func TestHeartbeatsDoNotGrowWithTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := topic.New()
+		var first *Service
+		const nodes = 60
+		for i := range nodes {
+			svc := startService(ctx, s, fmt.Sprint("n", i), "1")
+			if i == 0 {
+				first = svc
+			}
+		}
+		time.Sleep(time.Second)
+		c.Assert(first.Submit(ctx, newSpec("j", 2)), qt.IsNil)
+		time.Sleep(30 * time.Second)
+		p, err := s.Read(ctx, index.Topic, 0, 0, 1024, 0)
+		c.Assert(err, qt.IsNil)
+		c.Check(p.Records, qt.HasLen, 1) // the accepted job
+		_, end, err := s.Newest(ctx, "nodes")
+		c.Assert(err, qt.IsNil)
+		c.Check(end <= nodes*8+60, qt.IsTrue, qt.Commentf("%d heartbeats in 31 s", end))
+		first.View(func(ix *joblog.Index, _ bool) {
+			c.Check(ix.LiveNodes(first.Clock.Now(), FailureTimeout, IdleFailureTimeout), qt.HasLen, nodes)
+		})
+	})
+}
+
 // Submit may report success only after the record is in the log, and a refusal only
 // if the job will never be accepted.
 func TestSubmitDuringStoreFault(t *testing.T) {
--- a/internal/node/jobs/operations.go
+++ b/internal/node/jobs/operations.go
@@ -134,6 +134,7 @@
 func (s *Service) Results(ctx context.Context, id string, after int, wait clock.Millis) (*ResultPage, error) {
 	timer := time.NewTimer(wait.Duration())
 	defer timer.Stop()
+	synced := false
 	for {
 		changed := s.Changed()
 		j, err := s.findJob(ctx, id, func(j *joblog.Job) bool { return len(j.Results) >= after })
@@ -147,19 +148,33 @@
 		if after < len(j.Results) {
 			return s.readResults(ctx, j, after)
 		}
-		if !j.IsOpen() || wait <= 0 {
+		if !j.IsOpen() || wait <= 0 && (synced || s.isCurrent()) {
 			return &ResultPage{Total: len(j.ItemIDs), Next: after}, nil
 		}
+		if wait <= 0 { // A client may have read results at this index from another node.
+			if err := s.Sync(ctx); err != nil {
+				return nil, fault.Wrap(fault.LogUnavailable, err, "further results of job "+id+" may exist, but the index can't be read").WithRetryAfter(retryAfter)
+			}
+			synced = true
+			continue
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return &ResultPage{Total: len(j.ItemIDs), Next: after}, nil
+			wait = 0
 		case <-ctx.Done():
 			return nil, fault.New(fault.Canceled, "the client left")
 		}
 	}
 }
 
+// isCurrent reports whether the index was read to its end a short time ago.
+func (s *Service) isCurrent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Clock.Now()-s.ix.CurrentAt() <= maxIndexAge
+}
+
 // span is a range of results whose texts are adjacent in one partition.
 type span struct {
 	first int // index of its first result
--- a/internal/node/jobs/service.go
+++ b/internal/node/jobs/service.go
@@ -32,8 +32,16 @@
 )
 
 const (
-	// HeartbeatInterval is how often a node writes a heartbeat.
+	// HeartbeatInterval is how often a node that owns an open job writes a heartbeat.
 	HeartbeatInterval = 700 * clock.Milli
+	// IdleHeartbeatInterval is how often other nodes write one. Few nodes of a large
+	// fleet own jobs, and every node reads every heartbeat.
+	IdleHeartbeatInterval = 5 * clock.Second
+	// IdleFailureTimeout is the time without a heartbeat after which a node without
+	// jobs counts as dead: two heartbeats and the delay of a slow store.
+	IdleFailureTimeout = 12 * clock.Second
+	// heartbeatReadInterval is the minimum time between two reads of heartbeats.
+	heartbeatReadInterval = 150 * clock.Milli
 	// FailureTimeout is the time without a heartbeat after which a node counts
 	// as dead and others take over its jobs: three heartbeats and the delay of a
 	// slow store.
@@ -49,7 +57,13 @@
 	batchDelay = 40 * clock.Milli
 	// retryDelay is the delay after a failed read.
 	retryDelay = 100 * clock.Milli
-	maxPageKB  = 1024
+	// maxPageKB limits one read of items. Reads of the index are smaller: when all
+	// nodes start at the same time, each read of each node must be answered in time.
+	maxPageKB      = 1024
+	maxIndexPageKB = 128
+	// maxIndexAge is the maximum age of the index when this node answers that a job
+	// has no further results yet. An idle read waits for readWait.
+	maxIndexAge = 700 * clock.Milli
 	// pruneInterval is how often old jobs are dropped. They are kept for
 	// extraRetention longer than the guaranteed retention of results.
 	pruneInterval  = 5 * clock.Second
@@ -62,12 +76,15 @@
 	Addr       string // address at which other nodes reach this one
 	Zone       string
 	StoreInfo  plat.StoreInfo
-	PlansTopic string       // topic of the published demand
-	Retention  clock.Millis // guaranteed retention of results
-	Store      plat.Store
-	Writer     *logs.Writer
-	Clock      clock.Clock
-	Log        zerolog.Logger
+	PlansTopic string // topic of the published demand
+	NodesTopic string // topic of the heartbeats
+	// DecodeKeyed decodes a record of NodesTopic.
+	DecodeKeyed func(offset int64, rec []byte) (plat.Keyed, error)
+	Retention   clock.Millis // guaranteed retention of results
+	Store       plat.Store
+	Writer      *logs.Writer
+	Clock       clock.Clock
+	Log         zerolog.Logger
 	// OnCrash is called for each crash that a node has reported.
 	OnCrash func(crash.Crash)
 }
@@ -81,6 +98,8 @@
 	caughtUp    bool          // the index has been read to its end
 	lastAnswer  clock.Millis  // when the store last answered a read
 	storeOutage bool          // the last read of the index failed
+	syncLock    chan struct{} // has an element while a call of Sync reads
+	syncs       uint64        // number of completed syncs
 	leaving     atomic.Bool
 	unhealthy   atomic.Bool
 }
@@ -90,12 +109,16 @@
 	if p.OnCrash == nil {
 		p.OnCrash = func(crash.Crash) {}
 	}
-	return &Service{Params: p, ix: joblog.New(), changed: make(chan struct{})}
+	return &Service{Params: p, ix: joblog.New(), changed: make(chan struct{}), syncLock: make(chan struct{}, 1)}
 }
 
 // Run reads the index and sends heartbeats until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	go s.sendHeartbeats(ctx)
+	go logs.FollowKeyed(ctx, s.Store, logs.Subscription{
+		Topic: s.NodesTopic, DecodeKeyed: s.DecodeKeyed, ReadInterval: heartbeatReadInterval,
+		OnSnapshot: logs.ForEach(s.applyHeartbeat), OnRecord: s.applyHeartbeat, OnRead: s.heartbeatsRead,
+	}, s.Log)
 	go clock.Every(ctx, pruneInterval, s.prune)
 	for ctx.Err() == nil {
 		p, err := s.readIndex(ctx, readWait)
@@ -108,12 +131,11 @@
 	}
 }
 
-// Ready reports whether the index has been read to its end and the store answered
-// within the given time.
+// Ready reports whether the index was read to its end within the given time.
 func (s *Service) Ready(within clock.Millis) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.caughtUp && s.Clock.Now()-s.lastAnswer <= within
+	return s.caughtUp && s.Clock.Now()-s.ix.CurrentAt() <= within
 }
 
 // readIndex reads the next page of the index, applies its records and returns it.
@@ -122,7 +144,7 @@
 	from := s.ix.NextOffset()
 	s.mu.Unlock()
 	requestedAt := s.Clock.Now()
-	p, err := s.Store.Read(ctx, index.Topic, 0, from, maxPageKB, wait)
+	p, err := s.Store.Read(ctx, index.Topic, 0, from, maxIndexPageKB, wait)
 	var gone *plat.GoneError
 	if errors.As(err, &gone) {
 		s.Log.Info().Int64("from", from).Int64("first", gone.First).Msg("jobs: skipping expired records of the index")
@@ -201,8 +223,39 @@
 }
 
 // Sync reads the index up to its current end. It does not wait for records that
-// are appended in the meantime, because a busy index always has more.
+// are appended in the meantime, because a busy index always has more. Concurrent
+// calls share a read.
 func (s *Service) Sync(ctx context.Context) error {
+	completed := func() uint64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.syncs
+	}
+	want := completed() + 1
+	select {
+	case s.syncLock <- struct{}{}:
+	default:
+		want++ // The read in progress may have started before this call.
+		select {
+		case s.syncLock <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	defer func() { <-s.syncLock }()
+	if completed() >= want {
+		return nil
+	}
+	if err := s.readToEnd(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.syncs++
+	return nil
+}
+
+func (s *Service) readToEnd(ctx context.Context) error {
 	end := int64(-1)
 	for {
 		p, err := s.readIndex(ctx, 0)
@@ -236,29 +289,87 @@
 	fn(s.ix, s.caughtUp && !s.storeOutage)
 }
 
-// PeerAddrs returns the inner addresses of the other nodes that are not leaving.
+// PeerAddrs returns the inner addresses of the other nodes that are not leaving and
+// were alive when heartbeats were last read.
 func (s *Service) PeerAddrs() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []string
 	s.ix.EachPeer(func(p *joblog.Peer) {
-		if p.Node.Name != s.Self.Name && !p.Leaving {
+		if p.Node.Name != s.Self.Name && !p.Leaving && s.ix.HeartbeatsReadAt()-p.LastSeen <= IdleFailureTimeout {
 			out = append(out, p.Addr)
 		}
 	})
 	return out
 }
 
+func (s *Service) applyHeartbeat(k plat.Keyed) {
+	if k.Value == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.ix.RemovePeer(k.Key)
+		return
+	}
+	h, err := index.DecodeHeartbeat(k.Key, k.Value)
+	if err != nil {
+		s.Log.Warn().Err(err).Str("node", k.Key).Int64("offset", k.Offset).Msg("jobs: heartbeat skipped")
+		return
+	}
+	if h.Node.Name == s.Self.Name && h.Node != s.Self {
+		return // from an earlier process
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ix.ApplyHeartbeat(s.Clock.Now(), h)
+}
+
+func (s *Service) heartbeatsRead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ix.HeartbeatsRead(s.Clock.Now(), SuspectTimeout)
+}
+
+// sendHeartbeats sends heartbeats until the context ends: often while this node owns
+// an open job, and at once when its state changes.
 func (s *Service) sendHeartbeats(ctx context.Context) {
+	var last joblog.Heartbeat
+	var sentAt clock.Millis
 	clock.Repeat(ctx, HeartbeatInterval, func() {
+		h := s.heartbeat()
+		if h.Idle && h == last && s.Clock.Now()-sentAt < IdleHeartbeatInterval {
+			return
+		}
+		now := s.Clock.Now()
 		heartbeatCtx, cancel := context.WithTimeout(ctx, FailureTimeout.Duration())
 		defer cancel()
-		if err := s.appendRecord(heartbeatCtx, joblog.Heartbeat{Node: s.Self, Addr: s.Addr, Zone: s.Zone, Leaving: s.leaving.Load() || s.unhealthy.Load()}); err != nil && ctx.Err() == nil {
-			s.Log.Warn().Err(err).Msg("jobs: heartbeat not written")
+		if err := s.putHeartbeat(heartbeatCtx, h); err != nil {
+			if ctx.Err() == nil {
+				s.Log.Warn().Err(err).Msg("jobs: heartbeat not written")
+			}
+			return
 		}
+		last, sentAt = h, now
 	})
 }
 
+// heartbeat returns the current heartbeat of this node.
+func (s *Service) heartbeat() joblog.Heartbeat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return joblog.Heartbeat{
+		Node: s.Self, Addr: s.Addr, Zone: s.Zone,
+		Leaving: s.leaving.Load() || s.unhealthy.Load(), Idle: !s.ix.OwnsOpenJob(s.Self),
+	}
+}
+
+func (s *Service) putHeartbeat(ctx context.Context, h joblog.Heartbeat) error {
+	raw, err := index.EncodeHeartbeat(h)
+	if err != nil {
+		return err
+	}
+	return s.Store.Put(ctx, s.NodesTopic, s.Self.Name, raw)
+}
+
 // SetHealthy sets whether this node can run jobs. Other nodes take over the jobs of
 // an unhealthy node.
 func (s *Service) SetHealthy(healthy bool) { s.unhealthy.Store(!healthy) }
@@ -266,7 +377,7 @@
 // AnnounceLeaving makes the other nodes take over the jobs of this node.
 func (s *Service) AnnounceLeaving(ctx context.Context) error {
 	s.leaving.Store(true)
-	return s.appendRecord(ctx, joblog.Heartbeat{Node: s.Self, Addr: s.Addr, Zone: s.Zone, Leaving: true})
+	return s.putHeartbeat(ctx, s.heartbeat())
 }
 
 // appendRecord appends a record to the index.
--- a/internal/node/logs/follow.go
+++ b/internal/node/logs/follow.go
@@ -32,6 +32,12 @@
 	// OnRecord receives each later record; a nil value means that the key was
 	// deleted.
 	OnRecord func(plat.Keyed)
+	// OnRead is called after each successful read that reached the end of the topic,
+	// after the functions above. Nil ignores it.
+	OnRead func()
+	// ReadInterval is the minimum time between two reads that return records. It bounds
+	// the reads of a topic that changes all the time.
+	ReadInterval clock.Millis
 	// OnAvailability is called when the store becomes unavailable or available
 	// again. Nil ignores it.
 	OnAvailability func(available bool)
@@ -60,13 +66,21 @@
 	next := int64(-1) // offset of the next record to read, -1 to read a snapshot
 	for ctx.Err() == nil {
 		var err error
+		previous := next
 		if next < 0 {
 			next, err = f.readSnapshot(ctx, store)
 		} else {
 			next, err = f.readRecords(ctx, store, next)
 		}
 		f.recordAvailability(err)
-		if err != nil && !clock.Sleep(ctx, readRetryDelay) {
+		delay := clock.Millis(0)
+		switch {
+		case err != nil:
+			delay = readRetryDelay
+		case previous >= 0 && next != previous:
+			delay = f.ReadInterval
+		}
+		if delay > 0 && !clock.Sleep(ctx, delay) {
 			return
 		}
 	}
@@ -112,7 +126,7 @@
 		}
 	}
 	f.OnSnapshot(fresh)
-	return end, nil
+	return end, nil // A read of the records after the snapshot follows.
 }
 
 func (f *keyedFollower) readRecords(ctx context.Context, store plat.Store, from int64) (int64, error) {
@@ -137,5 +151,8 @@
 		f.recordOffset(k)
 		f.OnRecord(k)
 	}
+	if f.OnRead != nil && from+int64(len(p.Records)) >= p.End {
+		f.OnRead()
+	}
 	return from + int64(len(p.Records)), nil
 }
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -179,7 +179,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	f := &runs.Frame{
-		Now:     runs.Stamp{Incarnation: a.Incarnation, At: a.Clock.Now()},
+		Now:     permit.Stamp{Incarnation: a.Incarnation, At: a.Clock.Now()},
 		Running: a.running, Slots: slots, Version: a.state.Versions[model],
 		Hiccup:  a.speedState == speed.Slow || a.loading,
 		Steady:  a.speedState == speed.Steady && !a.loading,
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
@@ -175,7 +176,7 @@
 // runItem has the agent run an item. It returns the versions of its events and the
 // last frame.
 func (env *testEnv) runItem(r runs.Run) (versions []int64, last *runs.Frame) {
-	if r.OpenAt == (runs.Stamp{}) {
+	if r.OpenAt == (permit.Stamp{}) {
 		r.OpenAt = env.agent.newFrame("").Now
 	}
 	var body strings.Builder
@@ -216,7 +217,7 @@
 		t.Run(name, func(t *testing.T) {
 			withTestEnv(t, func(env *testEnv) {
 				env.engine.set(func(e *fakeEngine) { e.events = []plat.Event{event(1, 1)} })
-				stamp := runs.Stamp{Incarnation: tc.incarnation, At: env.agent.Clock.Now()}
+				stamp := permit.Stamp{Incarnation: tc.incarnation, At: env.agent.Clock.Now()}
 				if tc.storeDown {
 					env.store.SetFaultMode(topic.Busy)
 				}
--- a/internal/node/work/fleet_test.go
+++ b/internal/node/work/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
+	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
@@ -52,7 +53,7 @@
 		n = fakeSlots
 	}
 	return &runs.Frame{
-		Now:     runs.Stamp{Incarnation: "x", At: f.clock.Now()},
+		Now:     permit.Stamp{Incarnation: "x", At: f.clock.Now()},
 		Running: n, Slots: fakeSlots, Version: 1, Steady: true,
 	}
 }
--- a/internal/node/work/plan.go
+++ b/internal/node/work/plan.go
@@ -46,7 +46,7 @@
 	var demand map[string]int64
 	isPublisher := false
 	w.Jobs.View(func(ix *joblog.Index, fresh bool) {
-		publisher, ok := spread.Owner("plan", nodeIDs(ix.LiveNodes(w.Clock.Now(), jobs.FailureTimeout)))
+		publisher, ok := spread.Owner("plan", nodeIDs(ix.LiveNodes(w.Clock.Now(), jobs.FailureTimeout, jobs.IdleFailureTimeout)))
 		isPublisher = fresh && ok && string(publisher) == w.Self.Name
 		demand = ix.Demand()
 	})
--- a/internal/node/work/reconcile.go
+++ b/internal/node/work/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
@@ -11,9 +12,14 @@
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
 )
 
-// takeoverRetryDelay is the minimum time between two attempts of a node to take
-// over the same job.
-const takeoverRetryDelay = clock.Second
+const (
+	// takeoverRetryDelay is the minimum time between two attempts of a node to take
+	// over the same job.
+	takeoverRetryDelay = clock.Second
+	// takeoverStagger is how much later each further candidate takes a job over. The
+	// candidates before it may be dead: an idle node is missed only after seconds.
+	takeoverStagger = 500 * clock.Milli
+)
 
 // reconcile updates the jobs of this node from the index: it starts the jobs that
 // the node owns, releases those that it no longer owns, and takes over jobs whose
@@ -29,7 +35,8 @@
 		for _, e := range w.engines {
 			e.evidence.Confirm(ix.CurrentAt())
 		}
-		alive := nodeIDs(ix.LiveNodes(now, jobs.FailureTimeout))
+		heartbeatsFresh := fresh && now-ix.HeartbeatsReadAt() <= jobs.SuspectTimeout
+		alive := nodeIDs(ix.LiveNodes(now, jobs.FailureTimeout, jobs.IdleFailureTimeout))
 		ix.EachJob(func(j *joblog.Job) {
 			shouldRun := j.Owner == w.Self && j.IsOpen()
 			if owned := w.jobs[j.JobID]; owned != nil {
@@ -57,14 +64,23 @@
 			if !j.IsOpen() {
 				delete(w.cachedItems, j.JobID)
 				delete(w.takeoverTriedAt, j.JobID)
+				delete(w.suspectSince, j.JobID)
+				return
+			}
+			if !heartbeatsFresh || w.assigningStopped || ix.IsLive(now, jobs.SuspectTimeout, j.Owner) {
+				delete(w.suspectSince, j.JobID)
 				return
 			}
-			if !fresh || w.assigningStopped || ix.IsLive(now, jobs.SuspectTimeout, j.Owner) ||
-				now-w.takeoverTriedAt[j.JobID] < takeoverRetryDelay {
+			if w.suspectSince[j.JobID] == 0 {
+				w.suspectSince[j.JobID] = now
+			}
+			if now-w.takeoverTriedAt[j.JobID] < takeoverRetryDelay {
 				return
 			}
 			suspect := ix.IsLive(now, jobs.FailureTimeout, j.Owner) // no recent heartbeat, but not yet dead
-			if n, ok := spread.Owner(j.JobID, takeoverCandidates(alive, j.Owner, suspect)); !ok || string(n) != w.Self.Name {
+			candidates := takeoverCandidates(alive, j.Owner, suspect)
+			rank := spread.Rank(j.JobID, candidates, ident.Node(w.Self.Name))
+			if !slices.Contains(candidates, ident.Node(w.Self.Name)) || now-w.suspectSince[j.JobID] < clock.Millis(rank)*takeoverStagger {
 				return
 			}
 			if suspect && !w.ownerGone(ctx, now, j.Owner, ix.Addr(j.Owner.Name)) {
--- a/internal/node/work/reconcile_test.go
+++ b/internal/node/work/reconcile_test.go
@@ -51,6 +51,7 @@
 func newService(ctx context.Context, s plat.Store, self joblog.Node) *jobs.Service {
 	return jobs.New(jobs.Params{
 		Self: self, Addr: self.Name, StoreInfo: plat.StoreInfo{Partitions: 1, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20}, Retention: clock.Minute,
+		NodesTopic: "nodes", DecodeKeyed: topic.DecodeKeyed,
 		Store: s, Writer: logs.NewWriter(ctx, s, self.Name, 1<<20, zerolog.Nop()), Clock: clock.NewSystem(), Log: zerolog.Nop(),
 	})
 }
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -74,6 +74,7 @@
 	confirming       bool                    // confirmEvidence reads the index
 	confirmAfter     clock.Millis            // earliest time of the next such read
 	takeoverTriedAt  map[string]clock.Millis // by job
+	suspectSince     map[string]clock.Millis // by job: since when its owner is silent
 	probes           map[string]probeResult  // by node name
 	assigningStopped bool
 	lastReached      clock.Millis // when the last frame or state of an agent was received
@@ -89,7 +90,7 @@
 	return &Worker{
 		Params: p, http: &http.Client{Transport: p.Transport}, wake: make(chan struct{}, 1),
 		cachedItems: make(map[string][]joblog.Item), jobs: make(map[string]*job), engines: make(map[string]*engine),
-		takeoverTriedAt: make(map[string]clock.Millis), probes: make(map[string]probeResult),
+		takeoverTriedAt: make(map[string]clock.Millis), suspectSince: make(map[string]clock.Millis), probes: make(map[string]probeResult),
 	}
 }
 
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -134,6 +134,7 @@
 	e.jobs = jobs.New(jobs.Params{
 		Self: p.self, Addr: settings.InnerAddr, Zone: settings.Zone, StoreInfo: settings.Store,
 		Retention: settings.ResultRetention, PlansTopic: platform.KeyedTopic(index.PlansTopic),
+		NodesTopic: platform.KeyedTopic(index.NodesTopic), DecodeKeyed: platform.DecodeKeyed,
 		Store: p.store, Writer: p.writer, Clock: p.clock, Log: p.log, OnCrash: crashDetector.RecordCrash,
 	})
 	p.peerAddrs = func() []string { return append(p.configuredPeers(), e.jobs.PeerAddrs()...) }
