Don't call the store through peers while peers fail as well

Now: after a call failed through all peers that it tried, peers are left out for 0.2 s, doubling to 3.2 s, with jitter. Tests: TestStoreDownForAll, TestEachPeerOnce, which fail before.

--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -8,6 +8,9 @@
 //     and there is no peer, it is made nevertheless.
 //  3. A call is proven as not applied only if that is proven for each
 //     connection that was tried.
+//  4. While peers fail as well, the store is down or slow for all. Peers are then
+//     not called for a time that doubles, since each call through a peer adds to
+//     the load of the store.
 //
 // # Usage
 //
@@ -22,6 +25,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -38,6 +43,10 @@
 	// directBackoff is how long the direct connection is skipped after a
 	// failure.
 	directBackoff = 500 * clock.Milli
+	// minPeerBackoff is how long peers are not called after a call failed through all
+	// peers that it tried. It doubles with each further one, up to maxPeerBackoff.
+	minPeerBackoff = 200 * clock.Milli
+	maxPeerBackoff = 3200 * clock.Milli
 	// maxPeers is the maximum number of peers that one call tries.
 	maxPeers = 2
 	// peerTimeout bounds a call to a peer, in addition to call.Wait. It covers
@@ -123,6 +132,10 @@
 	log            zerolog.Logger
 	directFailedAt atomic.Int64           // when the direct connection failed last, 0 if it works
 	lastGoodPeer   atomic.Pointer[string] // peer of the last relayed call, nil after a failed one
+
+	mu          sync.Mutex
+	peerBackoff clock.Millis // 0 after a successful call through a peer
+	peersAfter  clock.Millis // peers are not called before this time
 }
 
 // New returns a store that calls peers while the direct connection fails.
@@ -158,21 +171,31 @@
 		}
 		notApplied = a.NotDone
 	}
+	triedPeer := false
 	for _, p := range s.choosePeers() { // rule 2
 		if ctx.Err() != nil {
 			break
 		}
+		triedPeer = true
 		peerAnswer := s.callPeer(ctx, p, c)
 		if isStoreResult(peerAnswer.err()) {
 			s.lastGoodPeer.Store(&p)
+			s.recordPeerResult(true)
 			return peerAnswer
 		}
 		s.lastGoodPeer.CompareAndSwap(s.lastGoodPeer.Load(), nil)
 		notApplied = notApplied && peerAnswer.NotDone
 		a = peerAnswer
 	}
+	if triedPeer && ctx.Err() == nil {
+		s.recordPeerResult(false)
+	}
 	if a == nil {
 		a = callStore(ctx, s.direct, c)
+		if isStoreResult(a.err()) {
+			s.directFailedAt.Store(0)
+			return a
+		}
 		notApplied = a.NotDone
 	}
 	a.NotDone = notApplied // rule 3
@@ -182,12 +205,37 @@
 	return a
 }
 
+// recordPeerResult records whether a call through peers succeeded (rule 4). The jitter
+// keeps the nodes that lost the store at the same time from calling at the same time.
+func (s *Store) recordPeerResult(ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok {
+		s.peerBackoff, s.peersAfter = 0, 0
+		return
+	}
+	now := s.clock.Now()
+	if now < s.peersAfter {
+		return // A concurrent call has failed as well.
+	}
+	s.peerBackoff = min(maxPeerBackoff, max(minPeerBackoff, 2*s.peerBackoff))
+	s.peersAfter = now + s.peerBackoff/2 + rand.N(s.peerBackoff/2) //nolint:gosec // spreads out the calls of the nodes
+	s.log.Info().Int64("backoff-ms", int64(s.peersAfter-now)).Msg("relay: peers don't reach the store either")
+}
+
 // choosePeers returns the peers to call: first the one of the last relayed call,
-// then others in random order.
+// then others in random order. It returns none during the backoff of rule 4.
 func (s *Store) choosePeers() []string {
+	s.mu.Lock()
+	inBackoff := s.clock.Now() < s.peersAfter
+	s.mu.Unlock()
+	if inBackoff {
+		return nil
+	}
 	peers := s.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	if last := s.lastGoodPeer.Load(); last != nil {
+		peers = slices.DeleteFunc(peers, func(p string) bool { return p == *last })
 		peers = append([]string{*last}, peers...)
 	}
 	return peers[:min(maxPeers, len(peers))]
--- a/internal/node/relay/relay_test.go
+++ b/internal/node/relay/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -118,3 +120,45 @@
 	_, err := s.Append(context.Background(), plat.Append{Topic: "t", Records: [][]byte{{1}}})
 	c.Check(err, qt.IsNil)
 }
+
+// TestStoreDownForAll calls the store as fast as it fails, while it fails for all nodes.
+// The calls through peers must not grow with the calls, and they must work again soon
+// after a peer reaches the store.
+func TestStoreDownForAll(t *testing.T) {
+	c := qt.New(t)
+	shared := topic.New()
+	peer := &failingStore{shared, errNoAnswer}
+	var relayed atomic.Int64
+	h := Handler(peer, zerolog.Nop())
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		relayed.Add(1)
+		h.ServeHTTP(w, r)
+	}))
+	defer srv.Close()
+	cl := clock.NewManual(clock.Second)
+	addr := srv.Listener.Addr().String()
+	s := New(&failingStore{shared, errNoAnswer}, func() []string { return []string{addr, "127.0.0.1:1"} }, srv.Client().Transport, cl, zerolog.Nop())
+	call := func() error {
+		_, err := s.Append(context.Background(), plat.Append{Topic: "t", Records: [][]byte{{1}}})
+		return err
+	}
+	for range 200 { // 20 s
+		c.Check(call(), qt.IsNotNil)
+		cl.Advance(100)
+	}
+	c.Check(relayed.Load() <= 16, qt.IsTrue, qt.Commentf("%d calls through the peer", relayed.Load()))
+	peer.err = nil
+	cl.Advance(maxPeerBackoff)
+	c.Check(call(), qt.IsNil)
+	c.Check(call(), qt.IsNil)
+}
+
+// The peer of the last relayed call must not be tried twice for one call.
+func TestEachPeerOnce(t *testing.T) {
+	s := New(topic.New(), func() []string { return []string{"a", "b"} }, nil, clock.NewManual(1), zerolog.Nop())
+	last := "b"
+	s.lastGoodPeer.Store(&last)
+	for range 20 {
+		qt.Check(t, s.choosePeers(), qt.DeepEquals, []string{"b", "a"})
+	}
+}
