--- a/internal/node/work/engines.go
+++ b/internal/node/work/engines.go
@@ -1,12 +1,16 @@
 package work
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/sched"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 )
@@ -25,14 +29,27 @@
 	stateTTL          = 250 * clock.Milli
 	migrationStateTTL = 100 * clock.Milli
 	// stateWaitTimeout is how long a new job waits for the states of its
-	// engines: one round trip to another region. It is also the minimum time
-	// between two state requests to the same agent.
+	// engines: one round trip to another region.
 	stateWaitTimeout = 40 * clock.Milli
-	// stateFetchTimeout limits one read of an agent's state.
-	stateFetchTimeout = 500 * clock.Milli
+	// stateFetchTimeout limits one request for an agent's state. An answer that
+	// takes as long is still of use for maxEvidenceAge.
+	stateFetchTimeout = 800 * clock.Milli
+	// maxStateFetches limits the concurrent state requests of a node, so that
+	// their answers do not use up a small VM.
+	maxStateFetches = 8
+	// An agent is asked again minStateInterval after its last answer. After
+	// requests without an answer the interval doubles, up to maxStateInterval.
+	minStateInterval = 100 * clock.Milli
+	maxStateInterval = 1600 * clock.Milli
 	// loadingBackoff is how long an engine is avoided after its agent reported
 	// that the engine loads weights.
 	loadingBackoff = clock.Second
+	// maxEvidenceAge is how old the evidence for an agent may be when a run is sent
+	// to it: the agent refuses it somewhat later; see package permit.
+	maxEvidenceAge = 1200 * clock.Milli
+	// confirmInterval is the minimum time between two reads of the index that only
+	// confirm evidence.
+	confirmInterval = 40 * clock.Milli
 	// slowdownTTL is how long an engine counts as slower than usual after its
 	// agent reported so. The agent repeats the report during the slowdown.
 	slowdownTTL = 600 * clock.Milli
@@ -46,11 +63,15 @@
 	eventInterval float64      // average in ms, 0 if not known
 	lastSeen      clock.Millis // when the last report of its agent was received
 	lastAsked     clock.Millis // when its state was last requested
+	askAfter      clock.Millis // earliest time of the next state request
+	asking        bool         // a state request is in progress
+	unanswered    int          // state requests since the last answer
 	slowUntil     clock.Millis // end of a transient slowdown, 0 for none
 	steady        bool         // its streams run at their usual speed
 	loading       bool
 	backoffUntil  clock.Millis
 	staleUntil    map[string]clock.Millis // by model: it has no usable version until then
+	evidence      permit.Evidence
 }
 
 func (w *Worker) engine(s *fleet.Server) *engine {
@@ -67,6 +88,7 @@
 	e := w.engine(s)
 	now := w.Clock.Now()
 	w.lastReached, w.lostRuns = now, 0
+	e.evidence.Observe(now, f.Now)
 	e.otherRuns, e.slots, e.lastSeen = max(0, f.Running-e.ownRuns), f.Slots, now
 	e.eventInterval = f.Pace
 	if f.Hiccup != (now < e.slowUntil) {
@@ -79,30 +101,83 @@
 	e.steady, e.loading = f.Steady, f.Loading
 }
 
-// refreshEngines requests the state of every engine in the pool whose last
-// report is older than stateTTL. It reports whether a job that has just started
-// should wait for the answers.
-func (w *Worker) refreshEngines(j *job, pool *sched.Pool, byID map[string]*fleet.Server, now clock.Millis) bool {
-	stale := false
+// requestStates requests the states of as many engines with an outdated state as
+// may be needed for the given number of items. It reports whether a job that has
+// just started should wait for the answers.
+func (w *Worker) requestStates(j *job, pool *sched.Pool, byID map[string]*fleet.Server, items int, now clock.Millis) bool {
+	if items <= 0 {
+		return false
+	}
+	var outdated []*sched.Engine
+	unconfirmed := false
 	for _, candidate := range pool.Engines() {
-		s := byID[candidate.ID]
-		e := w.engine(s)
-		if now-e.lastSeen < stateTTL {
+		e := w.engine(byID[candidate.ID])
+		if now-e.lastSeen >= stateTTL {
+			outdated = append(outdated, candidate)
 			continue
 		}
-		stale = true
-		w.refreshEngine(s, j.model, now)
+		items -= max(0, candidate.Slots-candidate.Running)
+		unconfirmed = unconfirmed || !w.mayStart(e, now)
+	}
+	if unconfirmed {
+		w.confirmEvidence(now)
+	}
+	// The engines that were not asked for longest come first. The random order of
+	// the others spreads the requests of several nodes.
+	rand.Shuffle(len(outdated), func(i, k int) { outdated[i], outdated[k] = outdated[k], outdated[i] })
+	slices.SortStableFunc(outdated, func(a, b *sched.Engine) int {
+		return cmp.Compare(w.engine(byID[a.ID]).lastAsked, w.engine(byID[b.ID]).lastAsked)
+	})
+	waiting := false
+	for _, candidate := range outdated {
+		if items <= 0 {
+			break
+		}
+		items -= max(1, candidate.Slots-candidate.Running)
+		w.requestState(byID[candidate.ID], j.model, now)
+		waiting = waiting || w.engine(byID[candidate.ID]).asking
+	}
+	return waiting && now-j.startedAt < stateWaitTimeout
+}
+
+// mayStart reports whether the agent of an engine is expected to start a run: this
+// node can show that its jobs are still open. While the index can't be read, the
+// agent may start runs without that.
+func (w *Worker) mayStart(e *engine, now clock.Millis) bool {
+	return !w.indexReadable || e.evidence.Age(now) <= maxEvidenceAge
+}
+
+// confirmEvidence reads the index to its end in the background, unless that is in
+// progress or was done a short time ago.
+func (w *Worker) confirmEvidence(now clock.Millis) {
+	if w.confirming || now < w.confirmAfter || !w.indexReadable {
+		return
 	}
-	return stale && now-j.startedAt < stateWaitTimeout
+	w.confirming, w.confirmAfter = true, now+confirmInterval
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stateFetchTimeout.Duration())
+		defer cancel()
+		if err := w.Jobs.Sync(ctx); err != nil {
+			w.Log.Info().Err(err).Msg("work: reading the index before runs are sent failed")
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.confirming = false
+		w.Wake()
+	}()
 }
 
-// refreshEngine requests the state of an engine, unless that was done less than
-// stateWaitTimeout ago.
-func (w *Worker) refreshEngine(s *fleet.Server, model string, now clock.Millis) {
-	if e := w.engine(s); now-e.lastAsked >= stateWaitTimeout {
-		e.lastAsked = now
-		go w.fetchState(s, model)
+// requestState requests the state of an engine in the background, unless a request
+// to it is in progress, the last one was made a short time ago, or maxStateFetches
+// requests to other engines are in progress.
+func (w *Worker) requestState(s *fleet.Server, model string, now clock.Millis) {
+	e := w.engine(s)
+	if e.asking || now < e.askAfter || w.stateFetches >= maxStateFetches {
+		return
 	}
+	e.asking, e.lastAsked = true, now
+	w.stateFetches++
+	go w.fetchState(s, model)
 }
 
 // fetchState reads the state of an engine from its agent.
@@ -110,12 +185,21 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stateFetchTimeout.Duration())
 	defer cancel()
 	f, err := runs.FetchState(ctx, w.http, w.agentAddr(s), model)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.engine(s)
+	e.asking = false
+	w.stateFetches--
+	now := w.Clock.Now()
 	if err != nil {
-		w.Log.Info().Str("engine", s.ID).Str("addr", s.Addr).Err(err).Msg("work: fetching an agent's state failed")
+		w.lostRuns++
+		w.Log.Info().Str("engine", s.ID).Str("addr", s.Addr).Int("unanswered", e.unanswered).Err(err).Msg("work: fetching an agent's state failed")
+		interval := min(maxStateInterval, minStateInterval<<min(e.unanswered, 10))
+		e.askAfter = now + interval/2 + rand.N(interval) //nolint:gosec // spreads out the requests of the nodes
+		e.unanswered++
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	e.askAfter, e.unanswered = now+minStateInterval, 0
 	w.updateEngine(s, f)
 	w.Wake()
 }
