Count a holder of the load limiter from when it holds it

Cause: a request to load counted for 3 s after it was enqueued, the wait included. In the queue of a large service every waiting agent expired before its turn, so all of them loaded at once. Test: TestLongQueue (200 agents, 10 at a time, one dies as the holder).

--- a/internal/node/side/limiter.go
+++ b/internal/node/side/limiter.go
@@ -84,7 +84,7 @@
 		return false, err
 	}
 	l.apply(p)
-	return l.state.Ahead(l.clock.Now(), token-1) < limit, nil
+	return l.state.MayLoad(l.clock.Now(), token-1, limit), nil
 }
 
 func (l *LoadLimiter) apply(p plat.Page) {
@@ -95,6 +95,6 @@
 			l.state.Skip(p.From + int64(i) + 1)
 			continue
 		}
-		l.state.Apply(l.clock.Now(), p.From+int64(i), record.Agent, record.Release)
+		l.state.Apply(p.From+int64(i), record.Agent, record.Release)
 	}
 }
