--- a/internal/decide/lease/candidate.go
+++ b/internal/decide/lease/candidate.go
@@ -154,6 +154,7 @@
 func (c *Candidate) Release(now clock.Millis) (record.Lease, bool) {
 	token, ok := c.HeldToken(now)
 	c.heldUntil = 0
+	clear(c.sentAt) // A renewal that is read back later does not count any more.
 	if !ok {
 		return record.Lease{}, false
 	}
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -242,3 +242,22 @@
 	_, ok = b.Next(now)
 	c.Assert(ok, qt.IsTrue)
 }
+
+// A node that releases the lease while a renewal is on its way must not count itself as
+// the holder when it reads the renewal back.
+func TestReleaseBeforeARenewalIsRead(t *testing.T) {
+	c := qt.New(t)
+	x := NewCandidate(Policy{Term: 3000, RenewInterval: 500, RetryDelay: 100, Margin: 500}, "a", 1, 0)
+	bid, ok := x.Next(1)
+	c.Assert(ok, qt.IsTrue)
+	x.Apply(10, 1, bid)
+	_, held := x.HeldToken(20)
+	c.Assert(held, qt.IsTrue)
+	renewal, ok := x.Next(600)
+	c.Assert(ok, qt.IsTrue)
+	_, ok = x.Release(610)
+	c.Assert(ok, qt.IsTrue)
+	x.Apply(620, 2, renewal)
+	_, held = x.HeldToken(630)
+	c.Check(held, qt.IsFalse)
+}
--- a/internal/edge/dial/dial.go
+++ b/internal/edge/dial/dial.go
@@ -29,6 +29,8 @@
 	// between probes.
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveProbes   = 3
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 	// idleConnTimeout is the time for which idle connections are retained for reuse.
 	// Servers have idle timeouts of their own.
 	idleConnTimeout = 20 * time.Second
@@ -64,7 +66,9 @@
 		MaxConnsPerHost:       maxPerHost,
 		IdleConnTimeout:       idleConnTimeout,
 		ResponseHeaderTimeout: 0,
-		ReadBufferSize:        2 << 10,
-		WriteBufferSize:       2 << 10,
+		// A peer may send a response header without end.
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		ReadBufferSize:         2 << 10,
+		WriteBufferSize:        2 << 10,
 	}
 }
--- a/internal/edge/listen/listen.go
+++ b/internal/edge/listen/listen.go
@@ -51,6 +51,15 @@
 	}
 }
 
+func (l *connListener) isClosed() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *connListener) Close() error {
 	l.once.Do(func() { close(l.done) })
 	return nil
@@ -81,7 +90,7 @@
 func (s *Server) activeListener(addr net.Addr) *connListener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.active != nil {
+	if s.active != nil && !s.active.isClosed() {
 		return s.active
 	}
 	l := &connListener{conns: make(chan net.Conn), done: make(chan struct{}), addr: addr}
@@ -109,16 +118,23 @@
 			return errors.Wrap(err, "accept")
 		}
 		l := s.activeListener(ln.Addr())
-		select {
-		case l.conns <- c:
-		case <-l.done:
-			// The limits changed and this server has stopped: pass the connection to
-			// the server with the current limits.
-			s.activeListener(ln.Addr()).conns <- c
+		for !l.pass(c) {
+			l = s.activeListener(ln.Addr()) // The limits have changed, and that server has stopped.
 		}
 	}
 }
 
+// pass passes a connection to the server of the listener. It returns false if the
+// listener is closed.
+func (l *connListener) pass(c net.Conn) bool {
+	select {
+	case l.conns <- c:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
 // Shutdown waits until all requests are answered. The listener must already be closed.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -29,6 +29,10 @@
 // Fetch returns the answer of an attempt from a token index on, as part of the
 // inner protocol. It waits for new tokens or the end of the job.
 func (s *service) Fetch(args *wire.FetchArgs, reply *wire.FetchReply) error {
+	if err := args.Hello.Check(); err != nil {
+		reply.Fault = wire.ToFault(err)
+		return nil
+	}
 	j, ok := s.a.findJob(args.Attempt)
 	if !ok {
 		reply.Fault = wire.ToFault(fault.New(fault.OutcomeUnknown, "agent "+string(s.a.p.Node)+" does not know attempt "+args.Attempt))
--- a/internal/node/agent/submit_test.go
+++ b/internal/node/agent/submit_test.go
@@ -79,3 +79,11 @@
 	c.Assert(s.Submit(&wire.SubmitArgs{Hello: hello, Job: job("late", claim(4, "k4"))}, &late), qt.IsNil)
 	c.Assert(late.Fault.Kind, qt.Equals, string(fault.ClaimRefused))
 }
+
+// Every call of the inner protocol must be refused if its sender speaks another version.
+func TestFetchChecksTheProtocol(t *testing.T) {
+	c := qt.New(t)
+	var r wire.FetchReply
+	c.Assert((&service{}).Fetch(&wire.FetchArgs{Hello: wire.Hello{Protocol: 99, Node: "entry-1"}, Attempt: "a"}, &r), qt.IsNil)
+	c.Check(fault.Is(r.Fault.Err(), fault.BadPeer), qt.IsTrue)
+}
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/lines"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
@@ -74,6 +76,24 @@
 	q.answers++
 }
 
+// closableBody can't be read after it was closed.
+type closableBody struct {
+	io.Reader
+	closed atomic.Bool
+}
+
+func (b *closableBody) Read(p []byte) (int, error) {
+	if b.closed.Load() {
+		return 0, errors.New("the body is closed")
+	}
+	return b.Reader.Read(p)
+}
+
+func (b *closableBody) Close() error {
+	b.closed.Store(true)
+	return nil
+}
+
 type truncatedBody struct{ io.Reader }
 
 func (b truncatedBody) Read(p []byte) (int, error) {
@@ -108,7 +128,7 @@
 	return &plat.Response{
 		Status:        rep.status,
 		Header:        http.Header{"X-From": {to.ID}},
-		Body:          io.NopCloser(body),
+		Body:          &closableBody{Reader: body},
 		ContentLength: -1,
 		Stamp:         to.ID,
 		NotExecuted:   rep.notExecuted,
@@ -289,6 +309,101 @@
 	})
 }
 
+// A long body of a server error reaches the client whole, whatever the kind of route.
+func TestLongServerError(t *testing.T) {
+	long := strings.Repeat("x", maxBufferedBytes+1000)
+	for name, kind := range map[string]router.Kind{"idempotent": router.Idempotent, "once": router.NonIdempotent, "stream": router.Streaming} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				failed := scriptedReply{status: 500, body: long}
+				proxy := newProxy(ctx, c, &scriptedSender{replies: []scriptedReply{failed, failed, failed}}, kind, false)
+				w := httptest.NewRecorder()
+				c.Assert(proxy.Serve(ctx, &Request{ID: "r", Method: "POST", Host: "h", Path: "/", URI: "/"}, w), qt.IsNil)
+				c.Check(w.Code, qt.Equals, 500)
+				c.Check(w.Body.Len(), qt.Equals, len(long))
+			})
+		})
+	}
+}
+
+// A request whose first hedge was refused by the budget is hedged once the budget
+// allows it.
+func TestHedgeAfterTheBudgetIsRefilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		proxy := newProxy(ctx, c, &scriptedSender{replies: []scriptedReply{unresponsive, okReply("x")}}, router.Idempotent, false)
+		proxy.hedgeBudget = -1
+		time.AfterFunc(500*time.Millisecond, func() {
+			proxy.mu.Lock()
+			defer proxy.mu.Unlock()
+			proxy.hedgeBudget = maxHedgeBudget
+		})
+		w := httptest.NewRecorder()
+		c.Assert(proxy.Serve(ctx, &Request{ID: "r", Method: "POST", Host: "h", Path: "/", URI: "/"}, w), qt.IsNil)
+		c.Check(w.Body.String(), qt.Equals, "x")
+	})
+}
+
+// A stream whose connection ends without any part of an answer counts as a disconnect,
+// like other requests do.
+func TestStreamThatCrashesServers(t *testing.T) {
+	tests := map[string]struct {
+		replies     []scriptedReply
+		disconnects int
+		answers     int
+	}{
+		"reset":               {[]scriptedReply{disconnected, disconnected, disconnected}, 3, 0},
+		"answered":            {[]scriptedReply{okReply(events(1, 2))}, 0, 1},
+		"refused or not sent": {[]scriptedReply{refused, notSent, notSent}, 0, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				proxy := newProxy(ctx, c, &scriptedSender{replies: test.replies}, router.Streaming, true)
+				quarantine := &fakeQuarantine{}
+				proxy.Quarantine = quarantine
+				_ = proxy.Serve(ctx, &Request{ID: "r", Host: "h", Path: "/", URI: "/"}, httptest.NewRecorder()) // TestStream checks the result.
+				c.Check(quarantine.disconnects, qt.HasLen, test.disconnects)
+				c.Check(quarantine.answers, qt.Equals, test.answers)
+			})
+		})
+	}
+}
+
+// endlessReader returns bytes without end and counts them.
+type endlessReader struct{ n int }
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	r.n += len(p)
+	return len(p), nil
+}
+
+// An event that never ends must not use up the memory.
+func TestEventWithoutEnd(t *testing.T) {
+	for name, start := range map[string]string{"line": "data: ", "event": "data: a\ndata: b\ndata: "} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			body := &endlessReader{}
+			w := httptest.NewRecorder()
+			_, err := copyEvents(w, io.MultiReader(strings.NewReader(start), body), 0)
+			c.Check(errors.Is(err, lines.ErrTooLong), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(body.n <= 2*maxEventBytes, qt.IsTrue, qt.Commentf("%d bytes read", body.n))
+			c.Check(w.Body.Len(), qt.Equals, 0)
+		})
+	}
+}
+
 func events(from, to int) string {
 	var b bytes.Buffer
 	for n := from; n <= to; n++ {
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -95,8 +95,11 @@
 		c.mayHaveRun = true
 	}
 	if a.response != nil && !a.notExecuted && a.err == nil {
-		c.lastFailure = a
+		c.closeLastFailure()
+		c.lastFailure = a // Its body is forwarded if no further attempt succeeds.
 		c.failures++
+	} else if a.response != nil {
+		a.response.Body.Close()
 	}
 	event := c.proxy.Log.Info().Str("request", c.req.ID).Str("server", a.server.ID).Str("addr", a.server.Addr).
 		Bool("not-run", a.notExecuted).Err(a.err)
@@ -106,6 +109,13 @@
 	event.Msg("front: attempt failed")
 }
 
+// closeLastFailure closes the body of the last failure, which is not forwarded.
+func (c *requestState) closeLastFailure() {
+	if c.lastFailure != nil {
+		c.lastFailure.response.Body.Close()
+	}
+}
+
 // runHedged runs the attempts of a request that may run twice (rule 3).
 func (c *requestState) runHedged(ctx context.Context, w http.ResponseWriter) (string, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -138,8 +148,11 @@
 				startAttempt()
 			}
 		case <-hedge.C:
-			if c.attempts < c.route.MaxAttempts && c.proxy.withdrawHedgeBudget() && startAttempt() {
-				hedge.Reset(delay.Duration())
+			if c.attempts < c.route.MaxAttempts {
+				if c.proxy.withdrawHedgeBudget() {
+					startAttempt()
+				}
+				hedge.Reset(delay.Duration()) // The budget may be larger by then.
 			}
 		}
 	}
@@ -214,6 +227,9 @@
 
 // writeResponse writes a response to the client (rule 4).
 func (c *requestState) writeResponse(w http.ResponseWriter, a *attempt) (string, error) {
+	if c.lastFailure != a {
+		c.closeLastFailure()
+	}
 	copyHeader(w, a.response)
 	if a.complete {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -10,11 +10,16 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/lines"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 )
 
+// maxEventBytes limits an event of a stream, which is held in memory until it is
+// complete.
+const maxEventBytes = 1 << 20
+
 // runStream forwards the events of a stream as they arrive. It forwards only
 // complete events, so that another server can resume after the last one if the
 // route allows it. If the response has started and the stream can't be
@@ -30,9 +35,6 @@
 		a := c.startStream(ctx, s, last)
 		if !a.isFinal() {
 			c.recordFailure(a)
-			if a.response != nil && !a.notExecuted {
-				a.response.Body.Close()
-			}
 			if a.notExecuted || c.route.IsRetryable() {
 				continue
 			}
@@ -73,6 +75,9 @@
 	case a.err != nil:
 		a.notExecuted = errors.Is(a.err, plat.ErrNotSent)
 		outcome = pick.Failed
+		if ctx.Err() == nil && !a.notExecuted && !errors.Is(a.err, plat.ErrResponseMismatch) {
+			c.proxy.Quarantine.RecordDisconnect(s.Incarnation(), c.fingerprint()) // rule 5
+		}
 	case a.response.NotExecuted:
 		a.notExecuted = true
 		a.response.Body.Close()
@@ -81,6 +86,9 @@
 		a.body, a.complete, a.err = readUpTo(a.response.Body, maxBufferedBytes)
 		outcome = pick.Failed
 	}
+	if a.response != nil {
+		c.proxy.Quarantine.RecordAnswer(c.fingerprint)
+	}
 	c.proxy.finishAttempt(s.ID, startedAt, outcome)
 	return a
 }
@@ -93,7 +101,7 @@
 	var event []byte
 	id := last
 	for {
-		line, err := r.ReadBytes('\n')
+		line, err := lines.Read(r, maxEventBytes-len(event))
 		event = append(event, line...)
 		if err == io.EOF && len(bytes.TrimSpace(event)) == 0 {
 			return last, nil
--- a/internal/node/work/checkpoint.go
+++ b/internal/node/work/checkpoint.go
@@ -21,14 +21,15 @@
 
 // checkpoint is the partial output of an item.
 type checkpoint struct {
-	job    *job
-	item   int
-	events []runs.Event
+	job      *job
+	item     int
+	events   []runs.Event
+	previous int // number of events in the checkpoint before
 }
 
 // dueCheckpoints returns checkpoints of the items in the given phases that have at
 // least minEvents events since their last checkpoint. These events count as
-// stored from then on.
+// stored from then on, unless saveCheckpoint fails.
 func (w *Worker) dueCheckpoints(minEvents int, phases ...phase) []checkpoint {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -39,7 +40,7 @@
 			if !slices.Contains(phases, st.phase) || st.eventCount()-st.checkpointed < minEvents {
 				continue
 			}
-			cp := checkpoint{j, i, st.events()}
+			cp := checkpoint{j, i, st.events(), st.checkpointed}
 			st.checkpointed = len(cp.events)
 			out = append(out, cp)
 		}
@@ -71,7 +72,16 @@
 func (w *Worker) saveCheckpoint(ctx context.Context, cp checkpoint) {
 	ctx, cancel := context.WithTimeout(ctx, jobs.FailureTimeout.Duration())
 	defer cancel()
-	if err := w.Jobs.SaveCheckpoint(ctx, cp.job.id, cp.item, cp.events); err != nil && cp.job.ctx.Err() == nil {
+	err := w.Jobs.SaveCheckpoint(ctx, cp.job.id, cp.item, cp.events)
+	if err == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if st := &cp.job.states[cp.item]; st.checkpointed == len(cp.events) {
+		st.checkpointed = cp.previous // The next pass stores it again.
+	}
+	if cp.job.ctx.Err() == nil {
 		w.Log.Info().Str("job", cp.job.id).Str("item", cp.job.items[cp.item].ID).Int("events", len(cp.events)).Err(err).Msg("work: storing a checkpoint failed")
 	}
 }
--- a/internal/node/work/finish_test.go
+++ b/internal/node/work/finish_test.go
@@ -86,3 +86,28 @@
 		})
 	}
 }
+
+// A checkpoint that the store refused must be stored by a later pass. Until then its
+// events don't count as stored.
+func TestFailedCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		store := topic.New()
+		svc := newService(ctx, store, joblog.Node{Name: "a"})
+		w := New(Params{Jobs: svc, Clock: clock.NewSystem(), Log: zerolog.Nop()})
+		j := &job{ctx: ctx, id: "j", items: []joblog.Item{{ID: "i"}}, states: make([]itemState, 1)}
+		j.states[0] = itemState{phase: inFlight, current: &attempt{cancel: func() {}, events: testEvents("e", eventsPerCheckpoint+1)}}
+		w.jobs["j"] = j
+		store.SetFaultMode(topic.Busy)
+		w.saveDueCheckpoints(ctx)
+		time.Sleep(time.Minute)
+		store.SetFaultMode(topic.NoFault)
+		c.Assert(j.states[0].checkpointed, qt.Equals, 0)
+		w.saveDueCheckpoints(ctx)
+		time.Sleep(time.Second)
+		c.Check(j.states[0].checkpointed, qt.Equals, eventsPerCheckpoint+1)
+		c.Check(w.dueCheckpoints(1, inFlight), qt.HasLen, 0)
+	})
+}
