--- a/internal/decide/joblog/joblog.go
+++ b/internal/decide/joblog/joblog.go
@@ -258,26 +258,6 @@
 	return nil
 }
 
-// RepeatedItems reports for each item of a job whether an earlier job of the same
-// trainer has an item with the same ID.
-func (x *Index) RepeatedItems(j *Job) []bool {
-	out := make([]bool, len(j.ItemIDs))
-	earlier := make(map[string]bool)
-	for _, other := range x.jobs {
-		if other.Model == j.Model && other.Host == j.Host && other.AppliedAt < j.AppliedAt && len(other.Results) < len(other.ItemIDs) {
-			for i, id := range other.ItemIDs {
-				if !other.HasResult(i) {
-					earlier[id] = true
-				}
-			}
-		}
-	}
-	for i, id := range j.ItemIDs {
-		out[i] = earlier[id]
-	}
-	return out
-}
-
 // markOwner records that a node has become the owner of a job: it is alive, and its
 // heartbeats come often from now on (rule 6).
 func (x *Index) markOwner(now clock.Millis, n Node) {
--- a/internal/decide/joblog/joblog_test.go
+++ b/internal/decide/joblog/joblog_test.go
@@ -264,21 +264,3 @@
 		})
 	}
 }
-
-// Items that an earlier job of the same trainer left without a result count as repeated.
-func TestRepeatedItems(t *testing.T) {
-	c := qt.New(t)
-	x := New()
-	job := func(at clock.Millis, id, model string, items ...string) {
-		a := accept(id, nodeA, items...)
-		a.Model = model
-		x.Apply(at, x.NextOffset(), a)
-	}
-	job(1, "first", "m", "a", "b")
-	job(1, "other", "n", "c")
-	x.Apply(1, x.NextOffset(), Done{JobID: "first", Item: 0})
-	x.Apply(1, x.NextOffset(), End{JobID: "first"})
-	job(2, "second", "m", "a", "b", "c", "d")
-	c.Check(x.RepeatedItems(x.Job("second")), qt.DeepEquals, []bool{false, true, false, false})
-	c.Check(x.RepeatedItems(x.Job("first")), qt.DeepEquals, []bool{false, false})
-}
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -6,7 +6,7 @@
 //     item of a later job may start before a short item of an earlier job, since
 //     a group is complete only with its last item. The latest start is never
 //     before the job was accepted, so that an item that can't meet its deadline
-//     any more does not displace other items. Spare items come after all others.
+//     any more does not displace other items.
 //  2. An item is assigned to the engine with a free slot on which it is expected
 //     to end first, by the engine's event interval, load and round-trip time.
 //  3. A slow engine gets only items that are expected to end soon on it; longer
@@ -101,7 +101,6 @@
 	Index          int          // in its job
 	ExpectedEvents int          // estimated number of events in total, 0 if not known
 	Received       int          // number of events received so far
-	Spare          bool         // of a group that the trainer is likely to leave out; see package quorum
 	Avoid          string       // ID of the engine that gets the item only if there is no other, empty for none
 }
 
@@ -112,15 +111,9 @@
 }
 
 // Sort sorts items by rule 1, given an event interval in ms. Of items with the
-// same latest start, the longer one comes first. Spare items come last.
+// same latest start, the longer one comes first.
 func Sort(items []Item, interval float64) {
 	slices.SortStableFunc(items, func(a, b Item) int {
-		if a.Spare != b.Spare {
-			if a.Spare {
-				return 1
-			}
-			return -1
-		}
 		return cmp.Or(
 			cmp.Compare(a.LatestStart(interval), b.LatestStart(interval)),
 			cmp.Compare(b.ExpectedEvents-b.Received, a.ExpectedEvents-a.Received),
--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -100,17 +100,16 @@
 	pool           *sched.Pool
 	byID           map[string]*fleet.Server
 	tokensPerEvent int
-	spare          []bool // by item
 	startable      []sched.Item
 	unassigned     int // pending items without a free engine
 }
 
 // longestRemaining returns the number of events that the longest unfinished item
-// of the job still needs, apart from spare items.
+// of the job still needs.
 func (p *jobPlan) longestRemaining() float64 {
 	longest := 0.0
 	for i := range p.job.states {
-		if st := &p.job.states[i]; !p.spare[i] && (st.phase == pending || st.phase == inFlight) {
+		if st := &p.job.states[i]; st.phase == pending || st.phase == inFlight {
 			longest = max(longest, sched.Remaining(p.job.items[i].LengthHint/p.tokensPerEvent, st.eventCount()))
 		}
 	}
@@ -139,8 +138,7 @@
 		shares[service] = share.Assign(engines, models, w.Conf.Demand())
 	}
 	p.pool, p.byID = w.candidates(now, engines, shares[service], j)
-	p.spare = j.spareItems(p.tokensPerEvent)
-	p.startable = j.startable(now, p.tokensPerEvent, p.spare)
+	p.startable = j.startable(now, p.tokensPerEvent)
 	if w.requestStates(j, p.pool, p.byID, len(p.startable), now) {
 		return nil // The answers wake the worker up.
 	}
@@ -185,7 +183,7 @@
 	longest := p.longestRemaining()
 	for i := range j.states {
 		st := &j.states[i]
-		if p.spare[i] || st.current == nil || st.successor != nil || st.migrations >= maxMigrations || now < st.migrateAt {
+		if st.current == nil || st.successor != nil || st.migrations >= maxMigrations || now < st.migrateAt {
 			continue
 		}
 		current := p.pool.Engine(st.current.server.ID)
--- a/internal/node/work/finish_test.go
+++ b/internal/node/work/finish_test.go
@@ -68,7 +68,7 @@
 				c.Assert(svc.Sync(ctx), qt.IsNil)
 				w := New(Params{Jobs: svc, Proxy: fakeScorer{scoreDelay, test.fails}, Clock: clock.NewSystem(), Log: zerolog.Nop()})
 				var j *job
-				svc.View(func(ix *joblog.Index, _ bool) { j = newJob(ctx, ix.Job("j"), []bool{false}) })
+				svc.View(func(ix *joblog.Index, _ bool) { j = newJob(ctx, ix.Job("j")) })
 				j.start(w.Clock.Now(), []joblog.Item{{ID: "i", Scorer: test.scorer}})
 				start := w.Clock.Now()
 				go w.finish(j, 0, []runs.Event{{Version: 2, Data: []byte("x")}, {Version: 1, Data: []byte("y")}})
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -8,7 +8,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
-	"github.com/jujuberamp/jujuberamp/internal/decide/quorum"
 	"github.com/jujuberamp/jujuberamp/internal/decide/sched"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 )
@@ -115,18 +114,16 @@
 	path       string
 	model      string
 	minVersion int64
-	groups     int          // number of complete groups that the trainer waits for
-	repeated   []bool       // by item: it was also in an earlier job
 	acceptedAt clock.Millis // when this node applied the job's accept record
 	startedAt  clock.Millis // when its items were loaded
 	items      []joblog.Item
 	states     []itemState
 }
 
-func newJob(ctx context.Context, j *joblog.Job, repeated []bool) *job {
+func newJob(ctx context.Context, j *joblog.Job) *job {
 	ctx, cancel := context.WithCancel(ctx)
 	out := &job{
-		ctx: ctx, cancel: cancel, id: j.JobID, host: j.Host, path: j.Path, model: j.Model, minVersion: j.MinVersion, groups: j.Groups, repeated: repeated, acceptedAt: j.AppliedAt,
+		ctx: ctx, cancel: cancel, id: j.JobID, host: j.Host, path: j.Path, model: j.Model, minVersion: j.MinVersion, acceptedAt: j.AppliedAt,
 		states: make([]itemState, len(j.ItemIDs)),
 	}
 	out.applyResults(j)
@@ -162,27 +159,14 @@
 	return n
 }
 
-// spareItems reports for each item whether it is spare; see package quorum. Length
-// hints are in tokens: tokensPerEvent converts them to events.
-func (j *job) spareItems(tokensPerEvent int) []bool {
-	items := make([]quorum.Item, len(j.states))
-	for i := range j.states {
-		st := &j.states[i]
-		items[i] = quorum.Item{
-			Group: j.items[i].Group, Repeated: j.repeated[i], Done: st.phase == finishing || st.phase == recorded,
-			Remaining: sched.Remaining(j.items[i].LengthHint/tokensPerEvent, st.eventCount()),
-		}
-	}
-	return quorum.Spare(items, j.groups)
-}
-
-// startable returns the items that can be started now.
-func (j *job) startable(now clock.Millis, tokensPerEvent int, spare []bool) []sched.Item {
+// startable returns the items that can be started now. Length hints are in tokens:
+// tokensPerEvent converts them to events.
+func (j *job) startable(now clock.Millis, tokensPerEvent int) []sched.Item {
 	var out []sched.Item
 	for i := range j.states {
 		st := &j.states[i]
 		if st.phase == pending && now >= st.retryAt {
-			out = append(out, sched.Item{Index: i, ExpectedEvents: j.items[i].LengthHint / tokensPerEvent, Received: len(st.received), Spare: spare[i], Avoid: st.avoidEngine})
+			out = append(out, sched.Item{Index: i, ExpectedEvents: j.items[i].LengthHint / tokensPerEvent, Received: len(st.received), Avoid: st.avoidEngine})
 		}
 	}
 	return out
--- a/internal/node/work/job_test.go
+++ b/internal/node/work/job_test.go
@@ -48,7 +48,7 @@
 				s := &fleet.Server{ID: "i"}
 				starts := 0
 				for range 400 {
-					if len(j.startable(w.Clock.Now(), 1, make([]bool, 1))) > 0 {
+					if len(j.startable(w.Clock.Now(), 1)) > 0 {
 						starts++
 						st := &j.states[0]
 						st.phase, st.current = inFlight, &attempt{server: s, cancel: func() {}, resumeAfter: st.eventCount(), events: testEvents("e", test.events)}
@@ -97,7 +97,7 @@
 			return open, results
 		}
 		var j *job
-		svc.View(func(ix *joblog.Index, _ bool) { j = newJob(ctx, ix.Job("j"), make([]bool, 3)) })
+		svc.View(func(ix *joblog.Index, _ bool) { j = newJob(ctx, ix.Job("j")) })
 		j.start(w.Clock.Now(), make([]joblog.Item, 3))
 		stopped := false
 		j.states[0].phase, j.states[0].current = inFlight, &attempt{cancel: func() { stopped = true }}
@@ -166,7 +166,7 @@
 	c := qt.New(t)
 	ix := joblog.New()
 	ix.Apply(1, 0, joblog.Accept{JobID: "j", ItemIDs: []string{"a", "b"}})
-	j := newJob(context.Background(), ix.Job("j"), make([]bool, 2))
+	j := newJob(context.Background(), ix.Job("j"))
 	j.start(1, make([]joblog.Item, 2))
 	stopped := false
 	j.states[1] = itemState{phase: inFlight, current: &attempt{cancel: func() { stopped = true }}}
@@ -174,7 +174,7 @@
 	j.applyResults(ix.Job("j"))
 	c.Check(stopped, qt.IsTrue)
 	c.Check(j.inProgress(), qt.Equals, 0)
-	c.Check(j.startable(1, 1, make([]bool, 2)), qt.HasLen, 1)
+	c.Check(j.startable(1, 1), qt.HasLen, 1)
 }
 
 func TestReassignedEngines(t *testing.T) {
--- a/internal/node/work/reconcile.go
+++ b/internal/node/work/reconcile.go
@@ -49,7 +49,7 @@
 				return
 			}
 			if shouldRun && !w.assigningStopped {
-				owned := newJob(ctx, j, ix.RepeatedItems(j))
+				owned := newJob(ctx, j)
 				w.jobs[j.JobID] = owned
 				if items := w.cachedItems[j.JobID]; items != nil {
 					delete(w.cachedItems, j.JobID)
