Make scoring calls only while the index is current

Cause, by reading: an owner that has fallen behind the index could make the scoring call of an item whose job had ended some seconds before (UNASKED holds for these calls as for items). Items were guarded by their agents, scoring calls by nothing. Test: TestScoringNeedsCurrentIndex, which fails before.

--- a/internal/node/work/finish_test.go
+++ b/internal/node/work/finish_test.go
@@ -111,3 +111,41 @@
 		c.Check(w.dueCheckpoints(1, inFlight), qt.HasLen, 0)
 	})
 }
+
+// A node that has fallen behind the index can't know whether a job has ended. It must
+// not make scoring calls until it has caught up or the index can't be read at all.
+func TestScoringNeedsCurrentIndex(t *testing.T) {
+	tests := map[string]struct {
+		readable bool
+		age      clock.Millis // of the index
+		want     bool         // whether the call is made
+	}{
+		"current":    {true, 500, true},
+		"behind":     {true, 5000, false},
+		"unreadable": {false, 5000, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				w := New(Params{Proxy: fakeScorer{}, Clock: clock.NewSystem(), Log: zerolog.Nop()})
+				w.indexReadable, w.indexCurrentAt = test.readable, w.Clock.Now()-test.age
+				j := &job{ctx: ctx, items: []joblog.Item{{ID: "i"}}}
+				scored := make(chan bool, 1)
+				go func() {
+					_, ok := w.score(j, 0, &joblog.Scorer{ID: "s"})
+					scored <- ok
+				}()
+				synctest.Wait()
+				c.Check(len(scored) == 1, qt.Equals, test.want)
+				w.mu.Lock()
+				w.indexCurrentAt = w.Clock.Now()
+				w.mu.Unlock()
+				time.Sleep(time.Second)
+				c.Check(<-scored, qt.IsTrue)
+			})
+		})
+	}
+}
--- a/internal/node/work/reconcile.go
+++ b/internal/node/work/reconcile.go
@@ -31,7 +31,7 @@
 		now := w.Clock.Now()
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.indexReadable = fresh
+		w.indexReadable, w.indexCurrentAt = fresh, ix.CurrentAt()
 		for _, e := range w.engines {
 			e.evidence.Confirm(ix.CurrentAt())
 		}
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -269,12 +269,27 @@
 	w.recordResult(j, d)
 }
 
+// mayScore reports whether this node knows that its jobs were open a short time ago. A
+// scoring call of a job that has ended must not reach a server. While the index can't
+// be read, no end may be acknowledged either, and the call is made.
+func (w *Worker) mayScore() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.indexReadable || w.Clock.Now()-w.indexCurrentAt <= maxEvidenceAge
+}
+
 // score calls the scoring service until it answers, and returns the stamp of the
 // answer as the score. It returns false after as many failures as the route of the
 // service allows attempts, or when this node releases the job.
 func (w *Worker) score(j *job, i int, sc *joblog.Scorer) (string, bool) {
 	failures := 0
 	for {
+		if !w.mayScore() {
+			if !clock.Sleep(j.ctx, scoreRetryDelay) {
+				return "", false
+			}
+			continue
+		}
 		start := w.Clock.Now()
 		res, err := w.Proxy.Do(j.ctx, &front.Request{
 			ID: sc.ID, Method: http.MethodPost, Host: sc.Host, Path: sc.Path, URI: sc.Path, Header: http.Header{}, Body: sc.Body,
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -71,6 +71,7 @@
 	engines          map[string]*engine
 	stateFetches     int                     // state requests in progress
 	indexReadable    bool                    // as of the last pass
+	indexCurrentAt   clock.Millis            // see joblog.Index.CurrentAt, as of the last pass
 	confirming       bool                    // confirmEvidence reads the index
 	confirmAfter     clock.Millis            // earliest time of the next such read
 	takeoverTriedAt  map[string]clock.Millis // by job
