Don't take runs that the owner has ended for unreachable agents

Cause: when a job ends, its owner cancels the runs that are left; each counted as a run that reached no agent. A trainer ends nearly every job with items left, since it waits for nine tenths of the groups. Test: TestEndOfAJobIsNoIsolation, which fails before.

--- a/internal/node/work/fleet_test.go
+++ b/internal/node/work/fleet_test.go
@@ -72,7 +72,7 @@
 	if err := gob.NewDecoder(r.Body).Decode(&run); err != nil {
 		return nil, err
 	}
-	return f.serveRun(rec, host)
+	return f.serveRun(r.Context(), rec, host)
 }
 
 func (f *fakeFleet) serveState(ctx context.Context, rec *httptest.ResponseRecorder, host string) (*http.Response, error) {
@@ -91,7 +91,7 @@
 	return frameResponse(rec, f.frame(host))
 }
 
-func (f *fakeFleet) serveRun(rec *httptest.ResponseRecorder, host string) (*http.Response, error) {
+func (f *fakeFleet) serveRun(ctx context.Context, rec *httptest.ResponseRecorder, host string) (*http.Response, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.full || f.running[host] >= fakeSlots {
@@ -102,6 +102,7 @@
 	f.running[host]++
 	f.runs++
 	in, out := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = out.CloseWithError(ctx.Err()) }) // It always returns nil.
 	go func() {
 		time.Sleep(f.runTime)
 		f.mu.Lock()
@@ -284,3 +285,27 @@
 	defer f.mu.Unlock()
 	return f.runs
 }
+
+// A trainer ends a job while some of its items run. The node cancels these runs and then
+// has nothing to do. It must not take the canceled runs for unreachable agents.
+func TestEndOfAJobIsNoIsolation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Minute)
+		defer cancel()
+		agents := &fakeFleet{delay: time.Millisecond, runTime: 30 * time.Second}
+		w := startFleetWorker(ctx, agents, 10)
+		c.Assert(submit(ctx, w, "j", 2*minLostRuns), qt.IsNil)
+		time.Sleep(time.Second)
+		c.Assert(agents.runCount(), qt.Equals, 2*minLostRuns)
+		c.Assert(w.Jobs.End(ctx, "j"), qt.IsNil)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			w.mu.Lock()
+			isolated := w.isolatedUntil > 0
+			w.mu.Unlock()
+			c.Assert(isolated, qt.IsFalse)
+		}
+	})
+}
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -130,12 +130,12 @@
 	s := a.server
 	e := w.engine(s)
 	e.ownRuns--
-	if code == agentLost {
-		w.lostRuns++
-	}
 	st := &j.states[i]
 	if j.ctx.Err() != nil || st.current != a && st.successor != a {
-		return
+		return // This node has ended the run.
+	}
+	if code == agentLost {
+		w.lostRuns++
 	}
 	if code == runs.Full || code == runs.StaleWeights || code == runs.Unproven {
 		st.refusals++ // Not logged here: the log line of a later outcome has their number.
