--- a/internal/decide/joblog/joblog.go
+++ b/internal/decide/joblog/joblog.go
@@ -7,8 +7,8 @@
 //  2. The results of a job are in the order of their records. Only the first
 //     result of an item counts; later ones are dropped.
 //  3. Results that are recorded after the end record of their job are ignored.
-//  4. The owner of a job executes its items. The owner is the node that its accept
-//     record names, until a takeover record names another node. Ownership
+//  4. The owner of a job executes its items. The owner is the node that
+//     accepted the job, until a takeover record names another node. Ownership
 //     is no lock: two nodes that both execute a job waste tokens, but rule 2
 //     still leaves one result for each item.
 //  5. The partial output of an item may be stored as a checkpoint, from which a
@@ -27,7 +27,6 @@
 package joblog
 
 import (
-	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -84,7 +83,7 @@
 	Groups          int
 	ItemIDs         []string
 	ItemsAt         Location // of the first item
-	Node            Node     // first owner
+	Node            Node     // node that accepted the job
 	EstimatedTokens int64    // sum over all items
 }
 
@@ -259,23 +258,6 @@
 	return nil
 }
 
-// TrainerOwner returns the owner of the latest open job of a trainer, which has a model
-// of its own, if that node is alive. It decides which items of the trainer's open jobs
-// go first, so it should own the next job as well.
-func (x *Index) TrainerOwner(now, timeout clock.Millis, host, path, model string) (Node, bool) {
-	var latest *Job
-	for _, j := range x.jobs {
-		if j.IsOpen() && j.Host == host && j.Path == path && j.Model == model &&
-			(latest == nil || cmp.Or(cmp.Compare(j.AppliedAt, latest.AppliedAt), cmp.Compare(j.JobID, latest.JobID)) > 0) {
-			latest = j
-		}
-	}
-	if latest == nil || !x.IsLive(now, timeout, latest.Owner) {
-		return Node{}, false
-	}
-	return latest.Owner, true
-}
-
 // markOwner records that a node has become the owner of a job: it is alive, and its
 // heartbeats come often from now on (rule 6).
 func (x *Index) markOwner(now clock.Millis, n Node) {
--- a/internal/node/jobs/operations.go
+++ b/internal/node/jobs/operations.go
@@ -89,7 +89,7 @@
 	}
 	err = s.appendRecord(ctx, joblog.Accept{
 		JobID: spec.ID, Host: spec.Host, Path: spec.Path, Model: spec.Model, MinVersion: spec.MinVersion, Groups: spec.Groups,
-		ItemIDs: ids, ItemsAt: location, Node: s.chooseOwner(spec), EstimatedTokens: tokens,
+		ItemIDs: ids, ItemsAt: location, Node: s.Self, EstimatedTokens: tokens,
 	})
 	if errors.Is(err, logs.ErrOutcomeUnknown) {
 		return fault.Wrap(fault.OutcomeUnknown, err, "job "+spec.ID+" may be accepted")
@@ -101,22 +101,6 @@
 	return nil
 }
 
-// chooseOwner returns the node that executes a new job: the owner of another open job of
-// the same trainer, or this node if there is none or this node can't tell whether it is
-// alive.
-func (s *Service) chooseOwner(spec *joblog.Spec) joblog.Node {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Clock.Now()
-	if now-s.ix.HeartbeatsReadAt() > SuspectTimeout {
-		return s.Self
-	}
-	if owner, ok := s.ix.TrainerOwner(now, SuspectTimeout, spec.Host, spec.Path, spec.Model); ok {
-		return owner
-	}
-	return s.Self
-}
-
 // findJob returns a copy of a job's state. It reads the index first if the job is
 // not known or enough reports false (rule 2).
 func (s *Service) findJob(ctx context.Context, id string, enough func(*joblog.Job) bool) (*joblog.Job, error) {
--- a/internal/node/work/reconcile.go
+++ b/internal/node/work/reconcile.go
@@ -61,8 +61,8 @@
 				}
 				return
 			}
-			delete(w.cachedItems, j.JobID) // Another node owns the job.
 			if !j.IsOpen() {
+				delete(w.cachedItems, j.JobID)
 				delete(w.takeoverTriedAt, j.JobID)
 				delete(w.suspectSince, j.JobID)
 				return
