--- a/internal/node/jobs/jobs_test.go
+++ b/internal/node/jobs/jobs_test.go
@@ -266,6 +266,20 @@
 	})
 }
 
+// A planned stop answers the clients that wait for results. Otherwise their requests keep
+// the process until the end of the grace period, and are cut then.
+func TestStopAnswersWaitingClients(t *testing.T) {
+	withTwoNodes(t, func(c *qt.C, ctx context.Context, _ *topic.Store, a, _ *Service) {
+		c.Assert(a.Submit(ctx, newSpec("j", 2)), qt.IsNil)
+		start := time.Now()
+		time.AfterFunc(time.Second, a.StopWaiting)
+		page, err := a.Results(ctx, "j", 0, 30*clock.Second)
+		c.Assert(err, qt.IsNil)
+		c.Check(page.Results, qt.HasLen, 0)
+		c.Check(time.Since(start) < 2*time.Second, qt.IsTrue)
+	})
+}
+
 // Submit may report success only after the record is in the log, and a refusal only
 // if the job will never be accepted.
 func TestSubmitDuringStoreFault(t *testing.T) {
--- a/internal/node/jobs/operations.go
+++ b/internal/node/jobs/operations.go
@@ -162,6 +162,8 @@
 		case <-changed:
 		case <-timer.C:
 			wait = 0
+		case <-s.stopWaiting:
+			wait = 0
 		case <-ctx.Done():
 			return nil, fault.New(fault.Canceled, "the client left")
 		}
--- a/internal/node/jobs/service.go
+++ b/internal/node/jobs/service.go
@@ -100,6 +100,7 @@
 	storeOutage bool          // the last read of the index failed
 	syncLock    chan struct{} // has an element while a call of Sync reads
 	syncs       uint64        // number of completed syncs
+	stopWaiting chan struct{} // closed when clients should no longer wait for results
 	leaving     atomic.Bool
 	unhealthy   atomic.Bool
 }
@@ -109,7 +110,7 @@
 	if p.OnCrash == nil {
 		p.OnCrash = func(crash.Crash) {}
 	}
-	return &Service{Params: p, ix: joblog.New(), changed: make(chan struct{}), syncLock: make(chan struct{}, 1)}
+	return &Service{Params: p, ix: joblog.New(), changed: make(chan struct{}), syncLock: make(chan struct{}, 1), stopWaiting: make(chan struct{})}
 }
 
 // Run reads the index and sends heartbeats until the context ends.
@@ -380,6 +381,10 @@
 	return s.putHeartbeat(ctx, s.heartbeat())
 }
 
+// StopWaiting answers the clients that wait for results. A stopping node calls it once,
+// so that they ask another node.
+func (s *Service) StopWaiting() { close(s.stopWaiting) }
+
 // appendRecord appends a record to the index.
 func (s *Service) appendRecord(ctx context.Context, rec joblog.Record) error {
 	raw, err := index.Encode(rec)
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -38,6 +38,8 @@
 	// connections after the readiness probe fails: it probes once a second and
 	// needs two failures.
 	balancerDelay = 2500 * clock.Milli
+	// exitTime is the part of the grace period that is left for the process to end.
+	exitTime = 500 * clock.Milli
 	// drainShare is the share of the grace period in which items may complete. The
 	// rest is for handing over jobs and answering clients.
 	drainShare = 0.6
@@ -179,7 +181,7 @@
 	<-stop
 	leaving.Store(true)
 	p.log.Info().Msg("roles: stopping, no longer ready")
-	deadline := p.clock.Now() + settings.GracePeriod
+	deadline := p.clock.Now() + max(settings.GracePeriod/2, settings.GracePeriod-exitTime)
 	e.drain(ctx, ln, srv, stopWork, deadline)
 	p.log.Info().Msg("roles: stopped")
 	return nil
@@ -202,6 +204,7 @@
 	if err := ln.Close(); err != nil {
 		e.log.Info().Err(err).Msg("roles: closing the listener failed")
 	}
+	e.jobs.StopWaiting()
 	for e.work.InProgress() > 0 && e.clock.Now() < drainDeadline {
 		clock.Sleep(ctx, 50*clock.Milli)
 	}
