--- a/internal/node/work/reconcile_test.go
+++ b/internal/node/work/reconcile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
 	"github.com/jujuberamp/jujuberamp/internal/node/logs"
 	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
@@ -145,3 +147,35 @@
 		c.Check(b.jobs["j"].states[2].eventCount(), qt.Equals, 0)
 	})
 }
+
+// A large fleet loses an owner together with idle nodes, whose death is noticed only
+// after seconds. Nodes that are dead but still count as alive must not keep a living
+// node from taking the job over.
+func TestCandidatesAreDeadToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s, net := topic.New(), &fakeNetwork{nodes: make(map[string]*Worker)}
+		ownerCtx, stopOwner := context.WithCancel(ctx)
+		a := startTestNode(ownerCtx, s, net, "a")
+		w := startTestNode(ctx, s, net, "b")
+		const deadNodes = 6
+		for i := range deadNodes {
+			name := fmt.Sprint("dead-", i)
+			raw, err := index.EncodeHeartbeat(joblog.Heartbeat{Node: joblog.Node{Name: name, Boot: "x"}, Addr: name, Idle: true})
+			c.Assert(err, qt.IsNil)
+			s.Write("nodes", name, raw)
+		}
+		time.Sleep(time.Second)
+		c.Assert(a.Jobs.Submit(ctx, &joblog.Spec{ID: "j", Host: "h", Path: "/p/", Items: []joblog.Item{{ID: "i"}}}), qt.IsNil)
+		time.Sleep(time.Second)
+		stopOwner()
+		net.set("a", nil)
+		time.Sleep((jobs.SuspectTimeout + deadNodes*takeoverStagger + clock.Second).Duration())
+		w.Jobs.View(func(ix *joblog.Index, _ bool) {
+			c.Check(ix.LiveNodes(w.Clock.Now(), jobs.FailureTimeout, jobs.IdleFailureTimeout), qt.HasLen, deadNodes+1)
+			c.Check(ix.Job("j").Owner.Name, qt.Equals, "b")
+		})
+	})
+}
