--- a/internal/node/jobs/service.go
+++ b/internal/node/jobs/service.go
@@ -331,7 +331,7 @@
 }
 
 // sendHeartbeats sends heartbeats until the context ends: often while this node owns
-// an open job, and at once when its state changes.
+// an open job, and with the next tick when its state has changed.
 func (s *Service) sendHeartbeats(ctx context.Context) {
 	var last joblog.Heartbeat
 	var sentAt clock.Millis
