--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -309,6 +309,33 @@
 	})
 }
 
+// A stream whose events come slowly must run to its end. One that has no event for the
+// stall timeout must end, also if its engine reports its state and sends bytes that are
+// no event: only events count as progress.
+func TestSlowAndStalledStreams(t *testing.T) {
+	tests := map[string]struct {
+		eventDelay time.Duration
+		want       runs.Code
+		events     int
+	}{
+		"slow but sound": {stallTimeout.Duration() - 200*time.Millisecond, runs.Done, 4},
+		"stalled":        {stallTimeout.Duration() + 200*time.Millisecond, runs.Broken, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			withTestEnv(t, func(env *testEnv) {
+				env.engine.set(func(e *fakeEngine) {
+					e.eventDelay = test.eventDelay
+					e.events = []plat.Event{event(1, 1), event(2, 0), event(3, 0), event(4, 0)}
+				})
+				versions, last := env.runItem(runs.Run{Item: "x", Instance: "i-1", Model: "m", MinVersion: 1})
+				env.c.Check(last.Code, qt.Equals, test.want, qt.Commentf("%s", last.Detail))
+				env.c.Check(versions, qt.HasLen, test.events)
+			})
+		})
+	}
+}
+
 // The run must end when its entry disconnects.
 func TestEntryDisconnects(t *testing.T) {
 	withTestEnv(t, func(env *testEnv) {
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -100,7 +100,7 @@
 	{
 		ID:       WholeAnswer,
 		Text:     "each caller gets the whole answer to its own request",
-		Packages: []string{"internal/edge/httpd", "internal/node/agent", "internal/node/calls", "internal/node/front", "internal/node/work", "platform"},
+		Packages: []string{"internal/edge/httpd", "internal/node/agent", "internal/node/calls", "internal/node/front", "internal/node/side", "internal/node/work", "platform"},
 		Tests: []string{
 			"internal/node/calls TestDo",
 			"internal/node/calls TestEntryPausedInMidRequest",
@@ -112,7 +112,12 @@
 			"internal/node/work TestPromoteSuccessor",
 			"internal/proof/demo TestTrainersApart",
 			"internal/proof/procs TestProcesses",
+			"internal/node/front TestEventWithoutEnd",
+			"internal/node/front TestLongServerError",
+			"internal/node/side TestSlowAndStalledStreams",
+			"platform TestBytesWithoutEnd",
 			"platform TestReadEvents",
+			"platform TestSecondCopyOfAnAnswer",
 			"platform TestSend",
 			"platform TestWriteResults",
 			"platform/soak TestSoak",
@@ -130,6 +135,7 @@
 			"internal/node/claims TestAtMostOnce",
 			"internal/node/claims TestRefusalHoldsForConcurrentSends",
 			"internal/node/front TestServe",
+			"internal/node/jobs TestLaggingNodeKnowsNoEnd",
 			"internal/node/jobs TestSubmitDuringStoreFault",
 			"internal/node/jobs TestUnknownJob",
 			"internal/node/logs TestGivenUp",
@@ -169,6 +175,7 @@
 		Tests: []string{
 			"internal/node/claims TestShutdownMigrates",
 			"internal/node/claims TestShutdownWaits",
+			"internal/node/jobs TestStopAnswersWaitingClients",
 			"internal/prod/roles TestTerminatedTwice",
 			"internal/proof/procs TestProcesses",
 			"platform TestJobOutlivesItsOwner",
