--- a/internal/node/jobs/jobs_test.go
+++ b/internal/node/jobs/jobs_test.go
@@ -429,6 +429,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Second) // Reads in progress end.
 		defer cancel()
 		b := startService(ctx, remoteStore{topic.New()}, "a", "1")
 		time.Sleep(time.Second)
--- a/internal/node/work/finish_test.go
+++ b/internal/node/work/finish_test.go
@@ -100,14 +100,19 @@
 		j := &job{ctx: ctx, id: "j", items: []joblog.Item{{ID: "i"}}, states: make([]itemState, 1)}
 		j.states[0] = itemState{phase: inFlight, current: &attempt{cancel: func() {}, events: testEvents("e", eventsPerCheckpoint+1)}}
 		w.jobs["j"] = j
+		checkpointed := func() int {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return j.states[0].checkpointed
+		}
 		store.SetFaultMode(topic.Busy)
 		w.saveDueCheckpoints(ctx)
 		time.Sleep(time.Minute)
 		store.SetFaultMode(topic.NoFault)
-		c.Assert(j.states[0].checkpointed, qt.Equals, 0)
+		c.Assert(checkpointed(), qt.Equals, 0)
 		w.saveDueCheckpoints(ctx)
 		time.Sleep(time.Second)
-		c.Check(j.states[0].checkpointed, qt.Equals, eventsPerCheckpoint+1)
+		c.Check(checkpointed(), qt.Equals, eventsPerCheckpoint+1)
 		c.Check(w.dueCheckpoints(1, inFlight), qt.HasLen, 0)
 	})
 }
