Share reads to the end by one piece: base/flight

node/jobs Sync repeated what node/claims sync did. Both also had a gap, found by reading: a call that took the lock just after a read that had begun before the call ended counted that read as its own. One type serves both now and numbers the reads at their start. Fewer reads after a failed one in claims; nothing else changes. Tests: base/flight TestDo, TestCanceledWait (the gap itself is not forced by a test); TestStartUnderLoad and the claims tests as they were.

--- a/internal/node/claims/stream.go
+++ b/internal/node/claims/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/flight"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/claim"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
@@ -38,14 +39,13 @@
 	c    *Claims
 	name string
 
-	readLock chan struct{} // has an element while a goroutine reads the stream
-	urgent   chan struct{} // has an element if a caller waits for an append
+	reads  *flight.Flight // of the stream to its end
+	urgent chan struct{}  // has an element if a caller waits for an append
 
 	mu         sync.Mutex
 	state      *claim.State
 	next       ident.Offset                // of the next record to read
-	readCount  uint64                      // number of completed reads to the end
-	lastReadAt clock.Millis                // when the last of these reads completed
+	lastReadAt clock.Millis                // when the last read to the end completed
 	results    map[uint64]chan claimResult // by sequence number of own claims not read back yet
 	unsent     map[uint64]int64            // key times of own abandoned claims, which were never sent, by sequence number
 	pending    []pendingRecord
@@ -63,14 +63,14 @@
 
 func newStream(c *Claims, name string) *stream {
 	return &stream{
-		c:        c,
-		name:     name,
-		readLock: make(chan struct{}, 1),
-		urgent:   make(chan struct{}, 1),
-		state:    claim.New(),
-		next:     1,
-		results:  make(map[uint64]chan claimResult),
-		unsent:   make(map[uint64]int64),
+		c:       c,
+		name:    name,
+		reads:   flight.New(),
+		urgent:  make(chan struct{}, 1),
+		state:   claim.New(),
+		next:    1,
+		results: make(map[uint64]chan claimResult),
+		unsent:  make(map[uint64]int64),
 	}
 }
 
@@ -96,32 +96,7 @@
 
 // sync reads the stream to its end at the time of the call, or further. Concurrent
 // calls share a read.
-func (s *stream) sync(ctx context.Context) error {
-	want := s.completedReads() + 1
-	select {
-	case s.readLock <- struct{}{}:
-	default:
-		want++ // The read in progress may have started before this call.
-		select {
-		case s.readLock <- struct{}{}:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	defer func() { <-s.readLock }()
-	for s.completedReads() < want {
-		if err := s.readToEnd(ctx); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (s *stream) completedReads() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.readCount
-}
+func (s *stream) sync(ctx context.Context) error { return s.reads.Do(ctx, s.readToEnd) }
 
 func (s *stream) nextOffset() ident.Offset {
 	s.mu.Lock()
@@ -163,7 +138,6 @@
 	if len(b.Records) >= maxReadRecords {
 		return false
 	}
-	s.readCount++
 	s.lastReadAt = now
 	s.prune(now)
 	return true
--- a/internal/node/jobs/service.go
+++ b/internal/node/jobs/service.go
@@ -24,6 +24,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/flight"
 	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
@@ -94,13 +95,12 @@
 	Params
 	mu          sync.Mutex
 	ix          *joblog.Index
-	changed     chan struct{} // closed and replaced when records were read
-	caughtUp    bool          // the index has been read to its end
-	lastAnswer  clock.Millis  // when the store last answered a read
-	storeOutage bool          // the last read of the index failed
-	syncLock    chan struct{} // has an element while a call of Sync reads
-	syncs       uint64        // number of completed syncs
-	stopWaiting chan struct{} // closed when clients should no longer wait for results
+	changed     chan struct{}  // closed and replaced when records were read
+	caughtUp    bool           // the index has been read to its end
+	lastAnswer  clock.Millis   // when the store last answered a read
+	storeOutage bool           // the last read of the index failed
+	reads       *flight.Flight // of the index to its end, for Sync
+	stopWaiting chan struct{}  // closed when clients should no longer wait for results
 	leaving     atomic.Bool
 	unhealthy   atomic.Bool
 }
@@ -110,7 +110,7 @@
 	if p.OnCrash == nil {
 		p.OnCrash = func(crash.Crash) {}
 	}
-	return &Service{Params: p, ix: joblog.New(), changed: make(chan struct{}), syncLock: make(chan struct{}, 1), stopWaiting: make(chan struct{})}
+	return &Service{Params: p, ix: joblog.New(), changed: make(chan struct{}), reads: flight.New(), stopWaiting: make(chan struct{})}
 }
 
 // Run reads the index and sends heartbeats until the context ends.
@@ -226,35 +226,7 @@
 // Sync reads the index up to its current end. It does not wait for records that
 // are appended in the meantime, because a busy index always has more. Concurrent
 // calls share a read.
-func (s *Service) Sync(ctx context.Context) error {
-	completed := func() uint64 {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.syncs
-	}
-	want := completed() + 1
-	select {
-	case s.syncLock <- struct{}{}:
-	default:
-		want++ // The read in progress may have started before this call.
-		select {
-		case s.syncLock <- struct{}{}:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	defer func() { <-s.syncLock }()
-	if completed() >= want {
-		return nil
-	}
-	if err := s.readToEnd(ctx); err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.syncs++
-	return nil
-}
+func (s *Service) Sync(ctx context.Context) error { return s.reads.Do(ctx, s.readToEnd) }
 
 func (s *Service) readToEnd(ctx context.Context) error {
 	end := int64(-1)
