--- a/internal/decide/permit/permit.go
+++ b/internal/decide/permit/permit.go
@@ -100,6 +100,3 @@
 	}
 	return now - e.confirmed.receivedAt
 }
-
-// NeedsConfirm reports whether a later stamp than the confirmed one was received.
-func (e *Evidence) NeedsConfirm() bool { return e.newest.receivedAt > e.confirmed.receivedAt }
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -191,11 +191,11 @@
 // Best returns the engine for an item, nil if the item should wait (rules 2, 3
 // and 6).
 func (p *Pool) Best(item Item) *Engine {
-	return p.best(item, func(e *Engine) bool { return !e.Unproven })
+	return p.best(item, false)
 }
 
-// best is Best among the engines that a condition holds for.
-func (p *Pool) best(item Item, allowed func(*Engine) bool) *Engine {
+// best is Best, also among unproven engines if withUnproven is set.
+func (p *Pool) best(item Item, withUnproven bool) *Engine {
 	remaining := Remaining(item.ExpectedEvents, item.Received)
 	var best *Engine
 	var bestDuration clock.Millis
@@ -204,7 +204,7 @@
 		anyFast = anyFast || !p.IsSlow(e)
 	}
 	for _, e := range p.engines {
-		if !allowed(e) || e.InBackoff || e.Running >= e.Slots || e.ID == item.Avoid && len(p.engines) > 1 {
+		if e.Unproven && !withUnproven || e.InBackoff || e.Running >= e.Slots || e.ID == item.Avoid && len(p.engines) > 1 {
 			continue
 		}
 		d := p.expectedDuration(e, remaining)
@@ -227,7 +227,7 @@
 	if !p.IsSlow(from) && (!from.SlowNow || remaining < lastItemRatio*longest) {
 		return nil
 	}
-	to := p.best(Item{ExpectedEvents: expected, Received: received, Avoid: from.ID}, func(*Engine) bool { return true })
+	to := p.best(Item{ExpectedEvents: expected, Received: received, Avoid: from.ID}, true)
 	if to == nil || to == from || to.SlowNow || p.IsSlow(to) {
 		return nil
 	}
--- a/internal/decide/sema/sema.go
+++ b/internal/decide/sema/sema.go
@@ -18,7 +18,7 @@
 // # Usage
 //
 //	s := sema.New()
-//	s.Apply(now, offset, "side-1", false)
+//	s.Apply(offset, "side-1", false)
 //	if s.MayLoad(now, offset, 2) { load() }
 package sema
 
--- a/internal/edge/plat/engine.go
+++ b/internal/edge/plat/engine.go
@@ -52,6 +52,10 @@
 	Send(ctx context.Context, to Target, r Request) (*Response, error)
 }
 
+// MaxEventBytes limits an event of a stream, which is held in memory until it is
+// complete.
+const MaxEventBytes = 1 << 20
+
 // Event is one event of a token stream.
 type Event struct {
 	ID      int
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -176,12 +176,9 @@
 	defer func() { c.proxy.finishAttempt(s.ID, startedAt, outcome) }()
 	a.response, a.err = c.send(ctx, s, startedAt, c.req.LastEventID)
 	if a.err != nil {
-		a.notExecuted = errors.Is(a.err, plat.ErrNotSent)
-		switch {
-		case ctx.Err() != nil:
+		c.handleSendError(ctx, a)
+		if ctx.Err() != nil {
 			outcome = pick.Canceled
-		case !a.notExecuted && !errors.Is(a.err, plat.ErrResponseMismatch):
-			c.proxy.Quarantine.RecordDisconnect(s.Incarnation(), c.fingerprint()) // rule 5
 		}
 		return a
 	}
@@ -203,6 +200,15 @@
 	return a
 }
 
+// handleSendError records whether an attempt without a response was executed, and
+// whether its server disconnected (rule 5).
+func (c *requestState) handleSendError(ctx context.Context, a *attempt) {
+	a.notExecuted = errors.Is(a.err, plat.ErrNotSent)
+	if ctx.Err() == nil && !a.notExecuted && !errors.Is(a.err, plat.ErrResponseMismatch) {
+		c.proxy.Quarantine.RecordDisconnect(a.server.Incarnation(), c.fingerprint())
+	}
+}
+
 func (c *requestState) send(
 	ctx context.Context, s *fleet.Server, now clock.Millis, lastEventID int,
 ) (*plat.Response, error) {
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -16,10 +16,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 )
 
-// maxEventBytes limits an event of a stream, which is held in memory until it is
-// complete.
-const maxEventBytes = 1 << 20
-
 // runStream forwards the events of a stream as they arrive. It forwards only
 // complete events, so that another server can resume after the last one if the
 // route allows it. If the response has started and the stream can't be
@@ -73,11 +69,8 @@
 	outcome := pick.Served
 	switch {
 	case a.err != nil:
-		a.notExecuted = errors.Is(a.err, plat.ErrNotSent)
+		c.handleSendError(ctx, a)
 		outcome = pick.Failed
-		if ctx.Err() == nil && !a.notExecuted && !errors.Is(a.err, plat.ErrResponseMismatch) {
-			c.proxy.Quarantine.RecordDisconnect(s.Incarnation(), c.fingerprint()) // rule 5
-		}
 	case a.response.NotExecuted:
 		a.notExecuted = true
 		a.response.Body.Close()
@@ -101,7 +94,7 @@
 	var event []byte
 	id := last
 	for {
-		line, err := lines.Read(r, maxEventBytes-len(event))
+		line, err := lines.Read(r, plat.MaxEventBytes-len(event))
 		event = append(event, line...)
 		if err == io.EOF && len(bytes.TrimSpace(event)) == 0 {
 			return last, nil
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -151,6 +151,19 @@
 	return err == nil || errors.As(err, &gone) || errors.As(err, &seq)
 }
 
+// callDirect runs a call over the direct connection. It reports whether the answer is
+// the store's result.
+func (s *Store) callDirect(ctx context.Context, c *call) (*answer, bool) {
+	a := callStore(ctx, s.direct, c)
+	if !isStoreResult(a.err()) {
+		return a, false
+	}
+	if s.directFailedAt.Swap(0) != 0 {
+		s.log.Info().Msg("relay: the direct connection to the store works again")
+	}
+	return a, true
+}
+
 // execute runs a call over the direct connection or through peers.
 func (s *Store) execute(ctx context.Context, c *call) *answer {
 	notApplied := true
@@ -159,11 +172,8 @@
 	var a *answer
 	useDirect := failedAt == 0 || now-failedAt >= directBackoff // rule 1
 	if useDirect {
-		a = callStore(ctx, s.direct, c)
-		if isStoreResult(a.err()) {
-			if s.directFailedAt.Swap(0) != 0 {
-				s.log.Info().Msg("relay: the direct connection to the store works again")
-			}
+		var ok bool
+		if a, ok = s.callDirect(ctx, c); ok {
 			return a
 		}
 		if s.directFailedAt.Swap(int64(s.clock.Now())) == 0 {
@@ -191,9 +201,8 @@
 		s.recordPeerResult(false)
 	}
 	if a == nil {
-		a = callStore(ctx, s.direct, c)
-		if isStoreResult(a.err()) {
-			s.directFailedAt.Store(0)
+		var ok bool
+		if a, ok = s.callDirect(ctx, c); ok {
 			return a
 		}
 		notApplied = a.NotDone
--- a/internal/node/work/engines.go
+++ b/internal/node/work/engines.go
@@ -122,6 +122,9 @@
 	if unconfirmed {
 		w.confirmEvidence(now)
 	}
+	if items <= 0 {
+		return false
+	}
 	// The engines that were not asked for longest come first. The random order of
 	// the others spreads the requests of several nodes.
 	rand.Shuffle(len(outdated), func(i, k int) { outdated[i], outdated[k] = outdated[k], outdated[i] })
