--- a/internal/edge/plat/engine.go
+++ b/internal/edge/plat/engine.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/option"
 )
 
 // Target is the backend server to which a request is sent.
@@ -38,6 +39,14 @@
 	Stamp         string // proof that the server produced the response
 	NotExecuted   bool   // the server proves that it did not run the request
 	Misdirected   bool   // another server now has the address
+	RateLimit     RateLimit
+}
+
+// RateLimit is what an answer states about the rate of requests that the server takes
+// from all nodes together.
+type RateLimit struct {
+	PerSecond option.Option[float64] // absent if the answer states no limit
+	Malformed string                 // a statement that can't be decoded, empty for none
 }
 
 // Errors of [Sender.Send]. After any other error it is unknown whether the request
@@ -78,6 +87,7 @@
 	Waiting        int
 	Running        int
 	Versions       map[string]int64 // loaded version of each model
+	RateLimit      RateLimit
 }
 
 // LoadOrder orders an engine to load a version of a model.
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -24,6 +24,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
+	"github.com/jujuberamp/jujuberamp/internal/decide/rate"
 	"github.com/jujuberamp/jujuberamp/internal/decide/speed"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
@@ -107,6 +108,7 @@
 	active           map[*run]struct{}
 	detector         speed.Detector
 	speedState       speed.State
+	rateLimit        rate.Limit // of requests to the engine
 }
 
 // New returns an agent.
@@ -257,6 +259,7 @@
 
 func (x *run) readEvents(ctx context.Context) (runs.Code, string) {
 	a := x.agent
+	sentAt := a.Clock.Now()
 	resp, err := a.Sender.Send(ctx, plat.Target{ID: x.Instance, Addr: a.EngineAddr}, plat.Request{
 		ID: x.Item, Method: http.MethodPost, URI: x.Path, Host: x.Host, Header: x.Header, Body: x.Body, Timeout: runTimeout, LastEventID: x.After,
 	})
@@ -264,6 +267,9 @@
 		return runs.Broken, err.Error()
 	}
 	defer resp.Body.Close()
+	if !resp.Misdirected {
+		a.observeRateLimit(sentAt, resp.RateLimit)
+	}
 	switch {
 	case resp.Misdirected:
 		return runs.WrongInstance, "another engine has the address"
@@ -481,6 +487,22 @@
 	return ""
 }
 
+// observeRateLimit records what an answer of the engine states about its rate limit.
+func (a *Agent) observeRateLimit(sentAt clock.Millis, stated plat.RateLimit) {
+	if stated.Malformed != "" {
+		a.Log.Warn().Str("addr", a.EngineAddr).Str("limit", stated.Malformed).
+			Msg("side: rate limit of the engine can't be decoded, the previous one stays in force")
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.rateLimit.Observe(a.Clock.Now(), sentAt, stated.PerSecond) {
+		a.Count("rate-limit", "changed")
+		a.Log.Info().Str("addr", a.EngineAddr).Float64("per-second", a.rateLimit.PerSecond()).Int("running", a.running).
+			Msg("side: rate limit of the engine changed")
+	}
+}
+
 func withError(text string, err error) string {
 	if err == nil {
 		return text
--- a/internal/node/side/weights.go
+++ b/internal/node/side/weights.go
@@ -60,8 +60,12 @@
 // reconcile reads the engine's report once and sends the load order that is due.
 func (m *weightManager) reconcile(ctx context.Context) {
 	a := m.agent
+	askedAt := a.Clock.Now()
 	state, err := a.EngineControl.State(ctx, plat.Target{Addr: a.EngineAddr})
 	now := a.Clock.Now()
+	if err == nil {
+		a.observeRateLimit(askedAt, state.RateLimit)
+	}
 	a.mu.Lock()
 	lastReport := a.lastReport
 	if unreachable := err != nil; a.unreachable != unreachable {
