Agents keep requests within the rate that their engine states

Cause: no code read the statement. An agent admitted runs as long as slots were free, and entries gave it up to 8 items at once. Change: the agent grants runs by the engine's limit (decide/rate), tells entries in its frames when the next run may start, and admits nothing before the engine's first report, so that a restarted agent knows the limit before its first run. Entries give a limited engine one item at a time and move none to it. Why it works: the agent is the only sender of items, and its engine's report, read every 100 ms on the same VM, states the limit too.

--- a/internal/decide/rate/rate.go
+++ b/internal/decide/rate/rate.go
@@ -77,6 +77,10 @@
 	next float64
 }
 
+// Start records that requests count from now on, if that was not recorded yet (rule 2).
+// The other methods call it.
+func (b *Bucket) Start(now clock.Millis, perSecond float64) { b.wait(now, perSecond, 0) }
+
 // Take grants a request that may start after the returned wait, or refuses it if the
 // wait is longer than maxWait. The rank is that of this node among the granters
 // (rule 3).
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -7,20 +7,28 @@
 //     a group is complete only with its last item. The latest start is never
 //     before the job was accepted, so that an item that can't meet its deadline
 //     any more does not displace other items.
+//
 //  2. An item is assigned to the engine with a free slot on which it is expected
 //     to end first, by the engine's event interval, load and round-trip time.
+//
 //  3. A slow engine gets only items that are expected to end soon on it; longer
 //     items wait for another engine, unless all engines are slow.
+//
 //  4. An item on a slow engine, or on an engine in a transient slowdown, migrates
 //     to a faster engine with a free slot if no item is waiting and the
 //     migration saves enough time. The new engine processes the output so far as
 //     part of the prompt, which takes much less time than a transient slowdown.
+//
 //  5. During a transient slowdown, only items that may be the last of their job
 //     migrate: a migration costs a connection and prompt processing, and the
 //     other items end before the last one anyway.
+//
 //  6. An engine without a current measurement may be in a transient slowdown, so
 //     an engine that is known to be at its usual speed is preferred.
 //
+//  7. No item migrates to an engine that limits the rate of requests: the request is
+//     better spent on an item that waits.
+//
 // An engine is slow by comparison with the median of the known event intervals,
 // so that a change that slows all engines alike makes none of them slow.
 //
@@ -87,7 +95,8 @@
 	EventInterval float64 // ms between two events of a stream, 0 if not known
 	RoundTrip     clock.Millis
 	Unproven      bool // its agent would refuse to start an item now; see package permit
-	InBackoff     bool // gets no items for now, after a refusal or failure or while it loads
+	InBackoff     bool // gets no items for now, after a refusal or failure, while it loads, or by its rate limit
+	Limited       bool // it limits the rate of requests
 	SlowNow       bool // in a transient slowdown
 	SteadyNow     bool // its streams show that it is not in a transient slowdown
 	Fresh         bool // the other fields are up to date
@@ -194,8 +203,9 @@
 	return p.best(item, false)
 }
 
-// best is Best, also among unproven engines if withUnproven is set.
-func (p *Pool) best(item Item, withUnproven bool) *Engine {
+// best is Best or, if migrating is set, chooses also among unproven engines and not
+// among limited ones (rule 7).
+func (p *Pool) best(item Item, migrating bool) *Engine {
 	remaining := Remaining(item.ExpectedEvents, item.Received)
 	var best *Engine
 	var bestDuration clock.Millis
@@ -204,7 +214,7 @@
 		anyFast = anyFast || !p.IsSlow(e)
 	}
 	for _, e := range p.engines {
-		if e.Unproven && !withUnproven || e.InBackoff || e.Running >= e.Slots || e.ID == item.Avoid && len(p.engines) > 1 {
+		if e.Unproven && !migrating || e.Limited && migrating || e.InBackoff || e.Running >= e.Slots || e.ID == item.Avoid && len(p.engines) > 1 {
 			continue
 		}
 		d := p.expectedDuration(e, remaining)
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -100,6 +100,10 @@
 	Steady  bool         // the engine's streams show that it is in no transient slowdown
 	Since   clock.Millis // time since the run's last event, or since its start
 	Loading bool         // the engine loads a version and accepts no runs
+	// StartInterval is the time between two runs that the engine's rate limit allows, 0
+	// if there is no limit. StartIn is the time until the next one may start.
+	StartInterval clock.Millis
+	StartIn       clock.Millis
 }
 
 // Writer writes frames to an HTTP response and flushes each of them.
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -108,7 +108,8 @@
 	active           map[*run]struct{}
 	detector         speed.Detector
 	speedState       speed.State
-	rateLimit        rate.Limit // of requests to the engine
+	rateLimit        rate.Limit  // of requests to the engine
+	starts           rate.Bucket // grants requests to the engine while it has a limit
 }
 
 // New returns an agent.
@@ -158,14 +159,29 @@
 		return runs.Full, "the engine loads a version"
 	case a.running >= a.slots():
 		return runs.Full, "all slots are taken"
-	case a.lastReport > 0 && a.state.Versions[r.Model] < r.MinVersion:
+	case a.lastReport == 0: // The engine may have a rate limit.
+		return runs.Full, "the engine has not reported yet"
+	case a.state.Versions[r.Model] < r.MinVersion:
 		return runs.StaleWeights, "the engine has an older version"
 	}
+	if _, ok := a.takeStart(0, 0); !ok {
+		a.Count("rate-limit", "refused")
+		return runs.Full, "the engine limits the rate of requests"
+	}
 	a.running++
 	a.idleSince = 0
 	return runs.InProgress, ""
 }
 
+// takeStart grants a request to the engine that may start after the returned wait, or
+// refuses it if the wait is longer than maxWait. The caller holds the lock.
+func (a *Agent) takeStart(rank int, maxWait clock.Millis) (wait clock.Millis, ok bool) {
+	if a.rateLimit.PerSecond() == 0 {
+		return 0, true
+	}
+	return a.starts.Take(a.Clock.Now(), a.rateLimit.PerSecond(), rank, maxWait)
+}
+
 func (a *Agent) releaseSlot() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -187,6 +203,9 @@
 		Steady:  a.speedState == speed.Steady && !a.loading,
 		Loading: a.loading || a.unreachable,
 	}
+	if limit := a.rateLimit.PerSecond(); limit > 0 {
+		f.StartInterval, f.StartIn = rate.Interval(limit), a.starts.Wait(a.Clock.Now(), limit)
+	}
 	known := a.intervalCount >= minIntervalCount || a.intervalCount >= 1 && a.intervalSum >= minIntervalSum
 	if known && (a.running > 0 || a.Clock.Now()-a.decayedAt <= intervalRetention) {
 		f.Pace = a.intervalSum / a.intervalCount
@@ -496,7 +515,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.rateLimit.Observe(a.Clock.Now(), sentAt, stated.PerSecond) {
+	now := a.Clock.Now()
+	if a.rateLimit.Observe(now, sentAt, stated.PerSecond) {
+		a.starts.Start(now, a.rateLimit.PerSecond())
 		a.Count("rate-limit", "changed")
 		a.Log.Info().Str("addr", a.EngineAddr).Float64("per-second", a.rateLimit.PerSecond()).Int("running", a.running).
 			Msg("side: rate limit of the engine changed")
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -44,6 +44,7 @@
 	loseReplies  bool
 	orderDelay   time.Duration
 	unresponsive bool // state reports fail
+	rateLimit    plat.RateLimit
 }
 
 // set changes the script.
@@ -56,7 +57,7 @@
 func (e *fakeEngine) Send(ctx context.Context, to plat.Target, _ plat.Request) (*plat.Response, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a := &plat.Response{Status: e.status, NotExecuted: e.notRun, Misdirected: to.ID != e.id, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
+	a := &plat.Response{Status: e.status, NotExecuted: e.notRun, Misdirected: to.ID != e.id, RateLimit: e.rateLimit, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
 	return a, ctx.Err()
 }
 
@@ -85,7 +86,7 @@
 	if e.unresponsive {
 		return plat.EngineState{}, errors.New("no report")
 	}
-	return plat.EngineState{AcceptedOrders: e.orders, Versions: map[string]int64{"m": e.version}}, nil
+	return plat.EngineState{AcceptedOrders: e.orders, Versions: map[string]int64{"m": e.version}, RateLimit: e.rateLimit}, nil
 }
 
 func (e *fakeEngine) Load(_ context.Context, to plat.Target, o plat.LoadOrder) (plat.LoadResult, error) {
--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -81,6 +81,7 @@
 		}
 		for _, same := range sameEngine[e.ID] {
 			same.Running++
+			same.InBackoff = same.InBackoff || same.Limited
 		}
 		st := &p.job.states[it.Index]
 		st.phase, st.current = inFlight, nil
@@ -169,7 +170,8 @@
 			SteadyNow: e.steady && recent,
 			Fresh:     recent,
 			Unproven:  !w.mayStart(e, now),
-			InBackoff: now < e.backoffUntil || now < e.staleUntil[j.model] || e.loading && now-e.lastSeen < loadingBackoff,
+			Limited:   e.startInterval > 0,
+			InBackoff: now < e.backoffUntil || now < e.staleUntil[j.model] || now < e.startAt || e.loading && now-e.lastSeen < loadingBackoff,
 		})
 		byID[s.ID] = s
 	}
--- a/internal/node/work/engines.go
+++ b/internal/node/work/engines.go
@@ -69,6 +69,8 @@
 	slowUntil     clock.Millis // end of a transient slowdown, 0 for none
 	steady        bool         // its streams run at their usual speed
 	loading       bool
+	startInterval clock.Millis // time between two runs that its rate limit allows, 0 for no limit
+	startAt       clock.Millis // earliest start of the next run under the limit
 	backoffUntil  clock.Millis
 	staleUntil    map[string]clock.Millis // by model: it has no usable version until then
 	evidence      permit.Evidence
@@ -99,6 +101,16 @@
 		e.slowUntil = now + slowdownTTL
 	}
 	e.steady, e.loading = f.Steady, f.Loading
+	e.startInterval, e.startAt = f.StartInterval, now+f.StartIn
+}
+
+// runStarted records that this node sends a run to the engine. Until the agent's next
+// frame says otherwise, no other run may start within the engine's rate limit.
+func (e *engine) runStarted(now clock.Millis) {
+	e.ownRuns++
+	if e.startInterval > 0 {
+		e.startAt = max(e.startAt, now) + e.startInterval
+	}
 }
 
 // requestStates requests the states of as many engines with an outdated state as
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -50,7 +50,7 @@
 	st, it := &j.states[i], &j.items[i]
 	ctx, cancel := context.WithCancel(j.ctx)
 	a := &attempt{server: s, cancel: cancel, resumeAfter: st.eventCount()}
-	w.engine(s).ownRuns++
+	w.engine(s).runStarted(w.Clock.Now())
 	run := &runs.Run{
 		Job: j.id, Item: it.ID, Instance: s.ID, Model: j.model, MinVersion: j.minVersion, OneModel: r.SingleVersion,
 		Host: j.host, Path: it.Path, Header: it.Header, Body: it.Body, After: a.resumeAfter, Version: st.lastVersion(),
