--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -42,6 +42,7 @@
 	Slots          int
 	Leaving        bool
 	StartedAt      int64            // start of the incarnation; compare for equality only
+	Software       string           // version of its software, not of its weights; may be empty
 	LoadedVersions map[string]int64 // loaded version by model; may be out of date
 }
 
--- a/internal/node/conf/conf.go
+++ b/internal/node/conf/conf.go
@@ -179,7 +179,7 @@
 	f.servers.Put(s)
 	if old == nil || old.Leaving != s.Leaving || old.StartedAt != s.StartedAt || old.Addr != s.Addr {
 		f.log.Info().Str("server", s.ID).Str("service", s.Service).Str("addr", s.Addr).Str("zone", s.Zone).
-			Bool("leaving", s.Leaving).Int64("offset", k.Offset).Msg("conf: server listed")
+			Str("software", s.Software).Bool("leaving", s.Leaving).Int64("offset", k.Offset).Msg("conf: server listed")
 	}
 }
 
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -107,7 +107,7 @@
 	if st.successor == a && len(f.Events) > 0 {
 		from := st.current.server
 		w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", from.ID).Str("to", a.server.ID).
-			Int("events", a.resumeAfter).Int("dropped", st.eventCount()-a.resumeAfter).Msg("work: item moved")
+			Str("from-software", from.Software).Str("to-software", a.server.Software).Int("events", a.resumeAfter).Int("dropped", st.eventCount()-a.resumeAfter).Msg("work: item moved")
 		st.current.cancel()
 		st.promoteSuccessor()
 	}
@@ -140,8 +140,8 @@
 	if code == runs.Full || code == runs.StaleWeights || code == runs.Unproven {
 		st.refusals++ // Not logged here: the log line of a later outcome has their number.
 	} else {
-		w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", s.ID).Str("code", string(code)).Str("why", detail).
-			Int("events", st.eventCount()).Int("refusals", st.refusals).Int("fails", st.failures).Int("breaks", st.interruptions).Bool("move", st.successor == a).Msg("work: run ended")
+		w.Log.Info().Str("job", j.id).Str("item", j.items[i].ID).Str("engine", s.ID).Str("software", s.Software).Str("code", string(code)).Str("why", detail).
+			Int("after", a.resumeAfter).Int("events", st.eventCount()).Int("refusals", st.refusals).Int("fails", st.failures).Int("breaks", st.interruptions).Bool("move", st.successor == a).Msg("work: run ended")
 	}
 	if st.successor == a { // It sent no event; the current attempt continues.
 		st.successor = nil
