Texts of items go on only at engines with the software that began them

Change: an item's output names the software that made it; decide/sched lets the item go on only there, also after migration, breaks and takeover (checkpoints carry it). An agent refuses a run for another start of its engine. An item whose engines are all busy waits as long as its output would take once more, then starts over at any free engine: at most twice the work, and no text waits forever.

--- a/internal/decide/joblog/joblog.go
+++ b/internal/decide/joblog/joblog.go
@@ -103,6 +103,7 @@
 	JobID    string
 	Item     int
 	Events   int      // number of events in the output
+	Software string   // version of the software of the engines that made them
 	OutputAt Location // of the stored record
 	Size     int      // of the stored record in bytes
 }
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -26,7 +26,12 @@
 //  6. An engine without a current measurement may be in a transient slowdown, so
 //     an engine that is known to be at its usual speed is preferred.
 //
-//  7. No item migrates to an engine that limits the rate of requests: the request is
+//  7. An item goes on only at engines with the software that began its output. If none
+//     of them has a free slot, the item waits at most as long as it would take to
+//     generate its output so far once more. Then, or if no such engine is left, it
+//     starts over as soon as any engine is free.
+//
+//  8. No item migrates to an engine that limits the rate of requests: the request is
 //     better spent on an item that waits.
 //
 // An engine is slow by comparison with the median of the known event intervals,
@@ -94,12 +99,13 @@
 	Slots         int
 	EventInterval float64 // ms between two events of a stream, 0 if not known
 	RoundTrip     clock.Millis
-	Unproven      bool // its agent would refuse to start an item now; see package permit
-	InBackoff     bool // gets no items for now, after a refusal or failure, while it loads, or by its rate limit
-	Limited       bool // it limits the rate of requests
-	SlowNow       bool // in a transient slowdown
-	SteadyNow     bool // its streams show that it is not in a transient slowdown
-	Fresh         bool // the other fields are up to date
+	Software      string // version of its software
+	Unproven      bool   // its agent would refuse to start an item now; see package permit
+	InBackoff     bool   // gets no items for now, after a refusal or failure, while it loads, or by its rate limit
+	Limited       bool   // it limits the rate of requests
+	SlowNow       bool   // in a transient slowdown
+	SteadyNow     bool   // its streams show that it is not in a transient slowdown
+	Fresh         bool   // the other fields are up to date
 }
 
 // Item is an item that needs an engine.
@@ -110,9 +116,14 @@
 	Index          int          // in its job
 	ExpectedEvents int          // estimated number of events in total, 0 if not known
 	Received       int          // number of events received so far
+	Software       string       // that made these events
+	WaitingFor     clock.Millis // time since the last attempt ended or the item was loaded
 	Avoid          string       // ID of the engine that gets the item only if there is no other, empty for none
 }
 
+// runsOn reports whether an item can go on, or start, at an engine (rule 7).
+func (it *Item) runsOn(e *Engine) bool { return it.Received == 0 || e.Software == it.Software }
+
 // LatestStart returns the latest start of an item, given an event interval in ms
 // (rule 1).
 func (it *Item) LatestStart(interval float64) clock.Millis {
@@ -204,17 +215,24 @@
 }
 
 // best is Best or, if migrating is set, chooses also among unproven engines and not
-// among limited ones (rule 7).
+// among limited ones (rule 8).
 func (p *Pool) best(item Item, migrating bool) *Engine {
 	remaining := Remaining(item.ExpectedEvents, item.Received)
 	var best *Engine
 	var bestDuration clock.Millis
-	anyFast := false // whether any engine, free or not, is not slow
+	candidates := 0
+	anyFast := false // whether any candidate, free or not, is not slow
 	for _, e := range p.engines {
-		anyFast = anyFast || !p.IsSlow(e)
+		if item.runsOn(e) {
+			candidates++
+			anyFast = anyFast || !p.IsSlow(e)
+		}
 	}
 	for _, e := range p.engines {
-		if e.Unproven && !migrating || e.Limited && migrating || e.InBackoff || e.Running >= e.Slots || e.ID == item.Avoid && len(p.engines) > 1 {
+		if !item.runsOn(e) {
+			continue
+		}
+		if e.Unproven && !migrating || e.Limited && migrating || e.InBackoff || e.Running >= e.Slots || e.ID == item.Avoid && candidates > 1 {
 			continue
 		}
 		d := p.expectedDuration(e, remaining)
@@ -228,6 +246,20 @@
 	return best
 }
 
+// BestToStartOver returns the engine at which an item should start over, nil if the item
+// should wait (rule 7).
+func (p *Pool) BestToStartOver(item Item) *Engine {
+	if item.Received == 0 {
+		return nil
+	}
+	served := slices.ContainsFunc(p.engines, item.runsOn)
+	if served && item.WaitingFor < clock.Millis(p.medianInterval*float64(item.Received)) {
+		return nil
+	}
+	item.Received = 0
+	return p.best(item, false)
+}
+
 // MigrationTarget returns the engine to which an item that runs on another engine
 // should migrate, nil if it should stay (rules 4 and 5). The caller has to bring an
 // unproven engine up to date before the migration. Longest is the number
@@ -237,7 +269,7 @@
 	if !p.IsSlow(from) && (!from.SlowNow || remaining < lastItemRatio*longest) {
 		return nil
 	}
-	to := p.best(Item{ExpectedEvents: expected, Received: received, Avoid: from.ID}, true)
+	to := p.best(Item{ExpectedEvents: expected, Received: received, Software: from.Software, Avoid: from.ID}, true)
 	if to == nil || to == from || to.SlowNow || p.IsSlow(to) {
 		return nil
 	}
--- a/internal/decide/sched/sched_test.go
+++ b/internal/decide/sched/sched_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 )
 
 func TestBest(t *testing.T) {
@@ -127,3 +129,58 @@
 		})
 	}
 }
+
+// TestItemStaysWithItsSoftware guards against an item that goes on at an engine with
+// other software than that which began its output, and against one that waits forever
+// although another engine could make its output once more.
+func TestItemStaysWithItsSoftware(t *testing.T) {
+	engine := func(id, software string, interval float64, running int) Engine {
+		return Engine{ID: id, Software: software, Slots: 2, EventInterval: interval, Running: running}
+	}
+	v1, v2 := engine("v1", "1", 40, 0), engine("v2", "2", 40, 0)
+	v1Full, slowV1 := engine("v1", "1", 40, 2), engine("v1", "1", 200, 0)
+	moreV2 := []Engine{v2, engine("v2b", "2", 40, 0)}
+	begun := Item{ExpectedEvents: 100, Received: 10, Software: "1"}
+	waited := func(it Item, d clock.Millis) Item { it.WaitingFor = d; return it }
+	tests := map[string]struct {
+		engines   []Engine
+		item      Item
+		best      string
+		startOver string
+	}{
+		"not begun":                             {[]Engine{v2}, Item{ExpectedEvents: 100}, "v2", ""},
+		"engine of its software":                {append(moreV2, v1), begun, "v1", ""},
+		"slow engine of its software":           {append(moreV2, slowV1), begun, "v1", ""},
+		"its engines are full":                  {[]Engine{v1Full, v2}, waited(begun, 399), "", ""},
+		"its engines are full for too long":     {[]Engine{v1Full, v2}, waited(begun, 400), "", "v2"},
+		"all engines are full":                  {[]Engine{v1Full, engine("v2", "2", 40, 2)}, waited(begun, 4000), "", ""},
+		"no engine of its software is left":     {[]Engine{v2}, begun, "", "v2"},
+		"the engine that it left is its last":   {[]Engine{v1, v2}, Item{ExpectedEvents: 100, Received: 10, Software: "1", Avoid: "v1"}, "v1", ""},
+		"engines that name no software are one": {[]Engine{engine("a", "", 40, 0)}, Item{ExpectedEvents: 100, Received: 10}, "a", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var engines []*Engine
+			for _, e := range test.engines {
+				engines = append(engines, &e)
+			}
+			p := New(engines)
+			id := func(e *Engine) string {
+				if e == nil {
+					return ""
+				}
+				return e.ID
+			}
+			c.Check(id(p.Best(test.item)), qt.Equals, test.best)
+			if test.best == "" {
+				c.Check(id(p.BestToStartOver(test.item)), qt.Equals, test.startOver)
+			}
+		})
+	}
+	from := engine("v1", "1", 200, 1)
+	p := New([]*Engine{&from, &v2, {ID: "limited", Software: "1", Slots: 2, EventInterval: 40, Limited: true}})
+	c := qt.New(t)
+	c.Check(p.MigrationTarget(&from, 100, 10, 100), qt.IsNil, qt.Commentf("migration to other software or a limited engine"))
+	c.Check(p.MigrationTarget(&from, 100, 0, 100), qt.Equals, &v2, qt.Commentf("before the first event"))
+}
--- a/internal/edge/plat/engine.go
+++ b/internal/edge/plat/engine.go
@@ -87,6 +87,7 @@
 	Waiting        int
 	Running        int
 	Versions       map[string]int64 // loaded version of each model
+	StartedAt      int64            // start of the engine's incarnation, 0 if not known; compare for equality only
 	RateLimit      RateLimit
 }
 
--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -56,6 +56,7 @@
 	Boot            string   `json:"boot,omitempty"`
 	EstimatedTokens int64    `json:"work,omitempty"`
 	Server          string   `json:"server,omitempty"`
+	Software        string   `json:"software,omitempty"`
 	Requests        []string `json:"requests,omitempty"`
 }
 
@@ -76,7 +77,7 @@
 		}
 	case joblog.Checkpoint:
 		w = record{
-			Kind: "part", Job: r.JobID, Item: r.Item, Events: r.Events,
+			Kind: "part", Job: r.JobID, Item: r.Item, Events: r.Events, Software: r.Software,
 			Partition: r.OutputAt.Partition, Offset: r.OutputAt.Offset, Size: r.Size,
 		}
 	case joblog.End:
@@ -111,7 +112,7 @@
 			JobID: w.Job, Item: w.Item, GivenUp: w.GivenUp, Versions: w.Versions, Score: w.Score, OutputAt: location, Size: w.Size,
 		}, nil
 	case "part":
-		return joblog.Checkpoint{JobID: w.Job, Item: w.Item, Events: w.Events, OutputAt: location, Size: w.Size}, nil
+		return joblog.Checkpoint{JobID: w.Job, Item: w.Item, Events: w.Events, Software: w.Software, OutputAt: location, Size: w.Size}, nil
 	case "end":
 		return joblog.End{JobID: w.Job}, nil
 	case "take":
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -48,6 +48,7 @@
 	Job        string
 	Item       string // ID that the engine echoes
 	Instance   string // ID of the engine in the registry
+	StartedAt  int64  // start of the engine's incarnation, 0 if not known; compare for equality only
 	Model      string
 	MinVersion int64
 	OneModel   bool // all events must come from one version
--- a/internal/node/jobs/operations.go
+++ b/internal/node/jobs/operations.go
@@ -339,8 +339,9 @@
 	return nil
 }
 
-// SaveCheckpoint stores the partial output of an item.
-func (s *Service) SaveCheckpoint(ctx context.Context, job string, item int, evs []runs.Event) error {
+// SaveCheckpoint stores the partial output of an item and the version of the software
+// that made it.
+func (s *Service) SaveCheckpoint(ctx context.Context, job string, item int, evs []runs.Event, software string) error {
 	raw, err := index.EncodeEvents(evs)
 	if err != nil {
 		return err
@@ -348,7 +349,7 @@
 	if len(raw) > s.StoreInfo.MaxRecordBytes {
 		return errors.Errorf("checkpoint of %d bytes is larger than a record of the store", len(raw))
 	}
-	cp := joblog.Checkpoint{JobID: job, Item: item, Events: len(evs), Size: len(raw), OutputAt: joblog.Location{Partition: s.partition(job)}}
+	cp := joblog.Checkpoint{JobID: job, Item: item, Events: len(evs), Software: software, Size: len(raw), OutputAt: joblog.Location{Partition: s.partition(job)}}
 	if cp.OutputAt.Offset, err = s.Writer.Append(ctx, index.BulkTopic, cp.OutputAt.Partition, raw); err != nil {
 		return err
 	}
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -162,6 +162,9 @@
 		return runs.Full, "all slots are taken"
 	case a.lastReport == 0: // The engine may have a rate limit.
 		return runs.Full, "the engine has not reported yet"
+	case r.StartedAt != 0 && a.state.StartedAt != 0 && r.StartedAt != a.state.StartedAt:
+		// An engine that restarts under its ID may have other software.
+		return runs.WrongInstance, "the engine has restarted"
 	case a.state.Versions[r.Model] < r.MinVersion:
 		return runs.StaleWeights, "the engine has an older version"
 	}
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -45,6 +45,7 @@
 	orderDelay   time.Duration
 	unresponsive bool // state reports fail
 	rateLimit    plat.RateLimit
+	startedAt    int64
 }
 
 // set changes the script.
@@ -86,7 +87,7 @@
 	if e.unresponsive {
 		return plat.EngineState{}, errors.New("no report")
 	}
-	return plat.EngineState{AcceptedOrders: e.orders, Versions: map[string]int64{"m": e.version}, RateLimit: e.rateLimit}, nil
+	return plat.EngineState{AcceptedOrders: e.orders, Versions: map[string]int64{"m": e.version}, StartedAt: e.startedAt, RateLimit: e.rateLimit}, nil
 }
 
 func (e *fakeEngine) Load(_ context.Context, to plat.Target, o plat.LoadOrder) (plat.LoadResult, error) {
@@ -265,6 +266,8 @@
 		"truncated":            {item, func(e *fakeEngine) { e.events, e.truncated = []plat.Event{event(1, 1)}, true }, runs.Broken, []int64{1}},
 		"no event at all":      {item, func(*fakeEngine) {}, runs.Broken, nil},
 		"an older version":     {runs.Run{Item: "x", Instance: "i-1", Model: "m", MinVersion: 2}, func(e *fakeEngine) { e.events = []plat.Event{event(1, 1)} }, runs.StaleWeights, nil},
+		"a restarted engine":   {runs.Run{Item: "x", Instance: "i-1", StartedAt: 7, Model: "m"}, func(e *fakeEngine) { e.startedAt = 8 }, runs.WrongInstance, nil},
+		"the same incarnation": {runs.Run{Item: "x", Instance: "i-1", StartedAt: 8, Model: "m"}, func(e *fakeEngine) { e.startedAt, e.events = 8, []plat.Event{event(1, 1)} }, runs.Done, []int64{1}},
 		"another engine":       {runs.Run{Item: "x", Instance: "i-0", Model: "m"}, func(*fakeEngine) {}, runs.WrongInstance, nil},
 		"the engine is full":   {item, func(e *fakeEngine) { e.status, e.notRun = 503, true }, runs.Full, nil},
 		"the engine fails":     {item, func(e *fakeEngine) { e.status = 500 }, runs.Failed, nil},
--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -74,7 +74,13 @@
 	sched.Sort(items, interval)
 	for _, it := range items {
 		p := plans[it.JobIndex]
+		st := &p.job.states[it.Index]
 		e := p.pool.Best(it)
+		if e == nil {
+			if e = p.pool.BestToStartOver(it); e != nil {
+				w.startOver(p.job, it, e)
+			}
+		}
 		if e == nil {
 			p.unassigned++
 			continue
@@ -83,7 +89,6 @@
 			same.Running++
 			same.InBackoff = same.InBackoff || same.Limited
 		}
-		st := &p.job.states[it.Index]
 		st.phase, st.current = inFlight, nil
 		st.current = w.startAttempt(p.job, it.Index, p.route, p.byID[e.ID])
 	}
@@ -94,6 +99,16 @@
 	}
 }
 
+// startOver drops the output of an item that goes to an engine with other software. The
+// caller holds the lock.
+func (w *Worker) startOver(j *job, it sched.Item, e *sched.Engine) {
+	w.Count("items", "started-over")
+	w.Log.Info().Str("job", j.id).Str("item", j.items[it.Index].ID).Str("engine", e.ID).Str("from-software", it.Software).
+		Str("to-software", e.Software).Int("events", it.Received).Int64("waited-ms", int64(it.WaitingFor)).
+		Msg("work: item starts over, no engine of its software is free")
+	j.states[it.Index].dropOutput()
+}
+
 // jobPlan is a job with the engines that can run it, for one call of assign.
 type jobPlan struct {
 	job            *job
@@ -165,7 +180,7 @@
 		}
 		recent := now-e.lastSeen <= migrationStateTTL
 		pool = append(pool, &sched.Engine{
-			ID: s.ID, Running: e.ownRuns + e.otherRuns, Slots: slots, EventInterval: e.eventInterval, RoundTrip: w.Locality.RoundTrip(s.Zone),
+			ID: s.ID, Running: e.ownRuns + e.otherRuns, Slots: slots, EventInterval: e.eventInterval, RoundTrip: w.Locality.RoundTrip(s.Zone), Software: s.Software,
 			SlowNow:   now < e.slowUntil,
 			SteadyNow: e.steady && recent,
 			Fresh:     recent,
--- a/internal/node/work/checkpoint.go
+++ b/internal/node/work/checkpoint.go
@@ -24,7 +24,8 @@
 	job      *job
 	item     int
 	events   []runs.Event
-	previous int // number of events in the checkpoint before
+	software string // version of the software that made them
+	previous int    // number of events in the checkpoint before
 }
 
 // dueCheckpoints returns checkpoints of the items in the given phases that have at
@@ -40,7 +41,7 @@
 			if !slices.Contains(phases, st.phase) || st.eventCount()-st.checkpointed < minEvents {
 				continue
 			}
-			cp := checkpoint{j, i, st.events(), st.checkpointed}
+			cp := checkpoint{j, i, st.events(), st.outputSoftware(), st.checkpointed}
 			st.checkpointed = len(cp.events)
 			out = append(out, cp)
 		}
@@ -72,7 +73,7 @@
 func (w *Worker) saveCheckpoint(ctx context.Context, cp checkpoint) {
 	ctx, cancel := context.WithTimeout(ctx, jobs.FailureTimeout.Duration())
 	defer cancel()
-	err := w.Jobs.SaveCheckpoint(ctx, cp.job.id, cp.item, cp.events)
+	err := w.Jobs.SaveCheckpoint(ctx, cp.job.id, cp.item, cp.events, cp.software)
 	if err == nil {
 		return
 	}
@@ -86,9 +87,15 @@
 	}
 }
 
+// loadedCheckpoint is a partial output that was read from the store.
+type loadedCheckpoint struct {
+	events   []runs.Event
+	software string // version of the software that made them
+}
+
 // loadCheckpoints reads the checkpoints of a job by item index. An item whose
 // checkpoint can't be read starts from the beginning.
-func (w *Worker) loadCheckpoints(ctx context.Context, id string) map[int][]runs.Event {
+func (w *Worker) loadCheckpoints(ctx context.Context, id string) map[int]loadedCheckpoint {
 	checkpoints := make(map[int]joblog.Checkpoint)
 	w.Jobs.View(func(ix *joblog.Index, _ bool) {
 		if j := ix.Job(id); j != nil {
@@ -101,7 +108,7 @@
 	})
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	out := make(map[int][]runs.Event)
+	out := make(map[int]loadedCheckpoint)
 	sem := make(chan struct{}, checkpointReaders)
 	for i, cp := range checkpoints {
 		sem <- struct{}{}
@@ -114,7 +121,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			out[i] = evs
+			out[i] = loadedCheckpoint{evs, cp.Software}
 		})
 	}
 	wg.Wait()
--- a/internal/node/work/finish_test.go
+++ b/internal/node/work/finish_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
@@ -98,7 +99,7 @@
 		svc := newService(ctx, store, joblog.Node{Name: "a"})
 		w := New(Params{Jobs: svc, Clock: clock.NewSystem(), Log: zerolog.Nop()})
 		j := &job{ctx: ctx, id: "j", items: []joblog.Item{{ID: "i"}}, states: make([]itemState, 1)}
-		j.states[0] = itemState{phase: inFlight, current: &attempt{cancel: func() {}, events: testEvents("e", eventsPerCheckpoint+1)}}
+		j.states[0] = itemState{phase: inFlight, current: &attempt{server: &fleet.Server{}, cancel: func() {}, events: testEvents("e", eventsPerCheckpoint+1)}}
 		w.jobs["j"] = j
 		checkpointed := func() int {
 			w.mu.Lock()
--- a/internal/node/work/fleet_test.go
+++ b/internal/node/work/fleet_test.go
@@ -137,21 +137,31 @@
 // below it.
 func startFleetWorkerOn(ctx context.Context, used plat.Store, store *topic.Store, agents *fakeFleet, n int) *Worker {
 	agents.running, agents.clock = make(map[string]int), clock.NewSystem()
-	self := joblog.Node{Name: "a", Boot: "boot-a"}
+	for i := range n {
+		store.Write("servers", fmt.Sprintf("i-%d", i), fmt.Appendf(nil, "10.0.%d.%d:80", i/250, i%250))
+	}
+	return startNode(ctx, used, store, agents, "a")
+}
+
+// startNode starts a worker on a node. The value of a server's record is its address and,
+// optionally, the version of its software and the time of its start.
+func startNode(ctx context.Context, used plat.Store, store *topic.Store, agents http.RoundTripper, name string) *Worker {
+	self := joblog.Node{Name: name, Boot: "boot-" + name}
 	cfg := router.New(1, router.Limits{}, []*router.Route{
 		{Host: "h", Prefix: "/p/", Kind: router.Rollout, Backends: []router.Backend{{Service: "s", Weight: 1}}, DueAfter: 7 * clock.Second, MaxAttempts: 3},
 	}, []*router.Service{{Name: "s", Slots: fakeSlots, Models: []string{"m"}}})
 	follower := conf.New(conf.Decoder{
 		OperatorTopic: "op", ServersTopic: "servers", PlansTopic: "plans", DecodeKeyed: topic.DecodeKeyed,
 		DecodeChange: func(string, []byte) (conf.Change, error) { return conf.Change{Config: cfg}, nil },
-		DecodeServer: func(id string, addr []byte) (*fleet.Server, error) {
-			return &fleet.Server{ID: id, Service: "s", Addr: string(addr), Slots: fakeSlots, LoadedVersions: map[string]int64{"m": 1}}, nil
+		DecodeServer: func(id string, value []byte) (*fleet.Server, error) {
+			s := &fleet.Server{ID: id, Service: "s", Slots: fakeSlots, LoadedVersions: map[string]int64{"m": 1}}
+			if _, err := fmt.Sscan(string(value), &s.Addr, &s.Software, &s.StartedAt); err != nil && s.Addr == "" {
+				return nil, err
+			}
+			return s, nil
 		},
 	}, clock.NewSystem(), zerolog.Nop())
 	store.Write("op", "config", []byte("c"))
-	for i := range n {
-		store.Write("servers", fmt.Sprintf("i-%d", i), fmt.Appendf(nil, "10.0.%d.%d:80", i/250, i%250))
-	}
 	svc := newService(ctx, used, self)
 	go follower.Run(ctx, store)
 	go svc.Run(ctx)
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -26,11 +26,13 @@
 type itemState struct {
 	phase    phase
 	received []runs.Event // events before those of the current attempt
+	software string       // version of the software of the engines that made them
 	current  *attempt
 	// successor runs the rest of the item on a faster engine. It replaces the
 	// current attempt when its first event arrives, so that a refusal by the
 	// faster engine costs nothing.
 	successor     *attempt
+	pendingSince  clock.Millis // when the last attempt ended or the item was loaded
 	retryAt       clock.Millis // earliest start of the next attempt
 	migrateAt     clock.Millis // earliest time of the next migration
 	avoidEngine   string       // ID of the engine whose attempt was just interrupted
@@ -72,10 +74,25 @@
 
 // endCurrent ends the current attempt and keeps its events.
 func (st *itemState) endCurrent() {
-	if st.current != nil {
-		st.received = st.events()
-		st.current = nil
+	if st.current == nil {
+		return
+	}
+	if len(st.current.events) > 0 {
+		st.software = st.current.server.Software
+	}
+	st.received = st.events()
+	st.current = nil
+}
+
+// dropOutput removes the events received so far, so that the item starts over.
+func (st *itemState) dropOutput() { st.received, st.software, st.checkpointed = nil, "", 0 }
+
+// outputSoftware returns the version of the software that made the events so far.
+func (st *itemState) outputSoftware() string {
+	if st.current != nil && len(st.current.events) > 0 {
+		return st.current.server.Software
 	}
+	return st.software
 }
 
 // events returns all events received so far, from the start of the output.
@@ -166,7 +183,10 @@
 	for i := range j.states {
 		st := &j.states[i]
 		if st.phase == pending && now >= st.retryAt {
-			out = append(out, sched.Item{Index: i, ExpectedEvents: j.items[i].LengthHint / tokensPerEvent, Received: len(st.received), Avoid: st.avoidEngine})
+			out = append(out, sched.Item{
+				Index: i, ExpectedEvents: j.items[i].LengthHint / tokensPerEvent, Received: len(st.received), Software: st.software,
+				WaitingFor: now - st.pendingSince, Avoid: st.avoidEngine,
+			})
 		}
 	}
 	return out
--- a/internal/node/work/job_test.go
+++ b/internal/node/work/job_test.go
@@ -100,7 +100,7 @@
 		svc.View(func(ix *joblog.Index, _ bool) { j = newJob(ctx, ix.Job("j")) })
 		j.start(w.Clock.Now(), make([]joblog.Item, 3))
 		stopped := false
-		j.states[0].phase, j.states[0].current = inFlight, &attempt{cancel: func() { stopped = true }}
+		j.states[0].phase, j.states[0].current = inFlight, &attempt{server: &fleet.Server{}, cancel: func() { stopped = true }}
 		w.mu.Lock()
 		w.expire(j)
 		w.expire(j) // The next pass can come before the records are read.
@@ -134,10 +134,10 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			st := &itemState{received: testEvents("h", test.received)}
-			st.current = &attempt{cancel: nop, resumeAfter: st.eventCount()}
+			st.current = &attempt{server: &fleet.Server{}, cancel: nop, resumeAfter: st.eventCount()}
 			all := testEvents("c", test.current+test.later)
 			st.current.events = append(st.current.events, all[:test.current]...)
-			st.successor = &attempt{cancel: nop, resumeAfter: st.eventCount()}
+			st.successor = &attempt{server: &fleet.Server{}, cancel: nop, resumeAfter: st.eventCount()}
 			st.current.events = append(st.current.events, all[test.current:]...)
 			st.promoteSuccessor()
 			st.current.events = append(st.current.events, testEvents("n", test.successor)...)
@@ -154,7 +154,7 @@
 	c.Check(st.lastVersion(), qt.Equals, int64(0))
 	st.received = []runs.Event{{Version: 3}, {Version: 4}}
 	c.Check(st.lastVersion(), qt.Equals, int64(4))
-	st.current = &attempt{resumeAfter: 2}
+	st.current = &attempt{server: &fleet.Server{}, resumeAfter: 2}
 	c.Check(st.lastVersion(), qt.Equals, int64(4))
 	st.current.events = []runs.Event{{Version: 5}}
 	c.Check(st.lastVersion(), qt.Equals, int64(5))
@@ -169,7 +169,7 @@
 	j := newJob(context.Background(), ix.Job("j"))
 	j.start(1, make([]joblog.Item, 2))
 	stopped := false
-	j.states[1] = itemState{phase: inFlight, current: &attempt{cancel: func() { stopped = true }}}
+	j.states[1] = itemState{phase: inFlight, current: &attempt{server: &fleet.Server{}, cancel: func() { stopped = true }}}
 	ix.Apply(1, 1, joblog.Done{JobID: "j", Item: 1})
 	j.applyResults(ix.Job("j"))
 	c.Check(stopped, qt.IsTrue)
--- a/internal/node/work/reconcile.go
+++ b/internal/node/work/reconcile.go
@@ -8,7 +8,6 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
-	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
 )
 
@@ -116,7 +115,7 @@
 // loadJob reads the items and checkpoints of a job from the store.
 func (w *Worker) loadJob(ctx context.Context, j *joblog.Job) {
 	items, err := w.Jobs.Items(ctx, j)
-	var checkpoints map[int][]runs.Event
+	var checkpoints map[int]loadedCheckpoint
 	if err == nil {
 		checkpoints = w.loadCheckpoints(ctx, j.JobID)
 	}
@@ -132,9 +131,10 @@
 		return
 	}
 	owned.start(w.Clock.Now(), items)
-	for i, evs := range checkpoints {
-		if st := &owned.states[i]; st.phase == pending && len(evs) > len(st.received) {
-			st.received, st.checkpointed = evs, len(evs)
+	for i, cp := range checkpoints {
+		if st := &owned.states[i]; st.phase == pending && len(cp.events) > len(st.received) {
+			st.received, st.software, st.checkpointed = cp.events, cp.software, len(cp.events)
+			st.pendingSince = owned.startedAt
 		}
 	}
 	w.Log.Info().Str("job", j.JobID).Int("items", len(items)).Int("listed", len(j.Results)).Int("texts", len(checkpoints)).Msg("work: job started from the store")
--- a/internal/node/work/reconcile_test.go
+++ b/internal/node/work/reconcile_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
@@ -132,7 +133,7 @@
 		time.Sleep(time.Second)
 		a.mu.Lock()
 		j := a.jobs["j"]
-		j.states[0].phase, j.states[0].current = inFlight, &attempt{cancel: func() {}, events: testEvents("e", eventsPerCheckpoint-1)}
+		j.states[0].phase, j.states[0].current = inFlight, &attempt{server: &fleet.Server{}, cancel: func() {}, events: testEvents("e", eventsPerCheckpoint-1)}
 		j.states[1].received = testEvents("h", 2) // pending
 		a.mu.Unlock()
 		a.StopAssigning()
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -52,7 +52,7 @@
 	a := &attempt{server: s, cancel: cancel, resumeAfter: st.eventCount()}
 	w.engine(s).runStarted(w.Clock.Now())
 	run := &runs.Run{
-		Job: j.id, Item: it.ID, Instance: s.ID, Model: j.model, MinVersion: j.minVersion, OneModel: r.SingleVersion,
+		Job: j.id, Item: it.ID, Instance: s.ID, StartedAt: s.StartedAt, Model: j.model, MinVersion: j.minVersion, OneModel: r.SingleVersion,
 		Host: j.host, Path: it.Path, Header: it.Header, Body: it.Body, After: a.resumeAfter, Version: st.lastVersion(),
 		OpenAt: w.engine(s).evidence.Stamp(),
 	}
@@ -150,7 +150,7 @@
 		return
 	}
 	st.endCurrent()
-	st.phase, st.avoidEngine = pending, ""
+	st.phase, st.avoidEngine, st.pendingSince = pending, "", now
 	if successor := st.successor; successor != nil {
 		if code == agentLost || code == runs.Broken || code == runs.Leaving {
 			st.promoteSuccessor()
@@ -172,12 +172,12 @@
 	case runs.StaleWeights:
 		e.staleUntil[j.model] = now + engineBackoff
 	case runs.MixedVersions:
-		st.received = nil
+		st.dropOutput()
 	case runs.Rejected:
 		w.giveUp(j, i, "the engine rejected it")
 	case runs.Failed:
 		st.failures++
-		st.received = nil
+		st.dropOutput()
 		if st.failures >= r.MaxAttempts {
 			w.giveUp(j, i, "each attempt failed")
 		}
