Clients' streams go on only at the software that began them

Cause: nothing kept the software, nor on a weighted route the service, of a stream. Change: before its first event is forwarded, the origin of a stream is recorded at three entries by rendezvous hashing of the attempt's ID (node/origin, inner/resume); an entry that gets Resumes asks five of them. Stopping entries hand their records over. An unknown origin is assumed only while one version was listed for two minutes; else the client is refused as not run. The entry stays with that software within an answer, too. Why it works: an origin is written once, before anything of it can be taken up, and is never guessed while two versions may have served.

--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -59,6 +59,9 @@
 // are leaving.
 func (v *View) ByService(service string) []*Server { return v.byService[service] }
 
+// Services returns the servers by service, which must not be changed.
+func (v *View) Services() map[string][]*Server { return v.byService }
+
 // ByID returns the server with an ID, nil if none is listed.
 func (v *View) ByID(id string) *Server { return v.byID[id] }
 
--- a/internal/decide/spread/spread.go
+++ b/internal/decide/spread/spread.go
@@ -55,6 +55,27 @@
 	return out
 }
 
+// Peer is a node with its inner address.
+type Peer struct {
+	Name ident.Node
+	Addr string
+}
+
+// TopPeers is [Top] for peers.
+func TopPeers(key string, peers []Peer, n int) []Peer {
+	byName := make(map[ident.Node]Peer, len(peers))
+	names := make([]ident.Node, 0, len(peers))
+	for _, p := range peers {
+		byName[p.Name] = p
+		names = append(names, p.Name)
+	}
+	out := make([]Peer, 0, min(n, len(peers)))
+	for _, name := range Top(key, names, n) {
+		out = append(out, byName[name])
+	}
+	return out
+}
+
 // Owner returns the node with the highest weight for a key.
 func Owner(key string, nodes []ident.Node) (ident.Node, bool) {
 	var best rankedNode
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -15,7 +15,10 @@
 //  6. A server that limits the rate of requests gets only requests for which a
 //     start was acquired; see package rates. If all servers are limited, a request
 //     waits only as long as it can still be answered within its latency objective.
-//  7. When no attempt is left, the client gets an error immediately. The error
+//  7. A stream goes on only at servers of the service and with the software that made
+//     its first event, within one answer and when a client takes it up again at any
+//     entry; see package node/origin.
+//  8. When no attempt is left, the client gets an error immediately. The error
 //     says "not run" only if that is proven for every attempt.
 //
 // # Usage
@@ -41,6 +44,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
 	"github.com/jujuberamp/jujuberamp/internal/node/conf"
 )
 
@@ -76,6 +80,7 @@
 	Body        []byte
 	Deadline    clock.Millis // when the client stops waiting, 0 if unknown
 	LastEventID int          // last event that the client received, 0 for none
+	Resumes     string       // ID of the attempt that brought the first event, if LastEventID is set
 }
 
 // Quarantine detects requests that crash servers and refuses them. It identifies
@@ -93,12 +98,19 @@
 	Observe(s *fleet.Server, sentAt clock.Millis, stated plat.RateLimit)
 }
 
+// Origins remembers where streams began; see package node/origin.
+type Origins interface {
+	Record(ctx context.Context, e resume.Origin)
+	Find(ctx context.Context, stream, service string) (resume.Origin, bool)
+}
+
 // Params are the dependencies of a [Proxy].
 type Params struct {
 	Conf       *conf.Follower
 	Sender     plat.Sender
 	Quarantine Quarantine
 	Rates      RateLimiter
+	Origins    Origins
 	Locality   pick.Locality
 	Clock      clock.Clock
 	Log        zerolog.Logger
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -25,6 +25,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
 	"github.com/jujuberamp/jujuberamp/internal/node/conf"
 	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
 )
@@ -76,6 +77,15 @@
 	q.answers++
 }
 
+// mapOrigins keeps the origins of streams in a map.
+type mapOrigins map[string]resume.Origin
+
+func (m mapOrigins) Record(_ context.Context, o resume.Origin) { m[o.Stream] = o }
+func (m mapOrigins) Find(_ context.Context, stream, _ string) (resume.Origin, bool) {
+	o, ok := m[stream]
+	return o, ok
+}
+
 // noLimits limits no server.
 type noLimits struct{}
 
@@ -145,26 +155,31 @@
 }
 
 func newProxy(ctx context.Context, c *qt.C, s *scriptedSender, kind router.Kind, resumable bool) *Proxy {
+	return newMixedProxy(ctx, c, s, kind, resumable, "s", "s", "s", "s")
+}
+
+// newMixedProxy is newProxy with the versions of the software of the four servers.
+func newMixedProxy(ctx context.Context, c *qt.C, s *scriptedSender, kind router.Kind, resumable bool, software ...string) *Proxy {
 	store := topic.New()
 	cfg := router.New(7, router.Limits{}, []*router.Route{{
 		Name: "r", Host: "h", Prefix: "/", Kind: kind, Backends: []router.Backend{{Service: "s", Weight: 1}}, Resumable: resumable,
 		Timeout: 2000, LatencyTarget: 200, MaxAttempts: 3,
 	}}, nil)
 	store.Write("op", "config", []byte("c"))
-	for _, id := range []string{"a", "b", "c", "d"} {
-		store.Write("servers", id, []byte("s"))
+	for i, id := range []string{"a", "b", "c", "d"} {
+		store.Write("servers", id, []byte(software[i]))
 	}
 	f := conf.New(conf.Decoder{
 		OperatorTopic: "op", ServersTopic: "servers", PlansTopic: "plans", DecodeKeyed: topic.DecodeKeyed,
 		DecodeChange: func(string, []byte) (conf.Change, error) { return conf.Change{Config: cfg}, nil },
-		DecodeServer: func(id string, _ []byte) (*fleet.Server, error) {
-			return &fleet.Server{ID: id, Service: "s", Addr: id, Slots: 4}, nil
+		DecodeServer: func(id string, software []byte) (*fleet.Server, error) {
+			return &fleet.Server{ID: id, Service: "s", Addr: id, Slots: 4, Software: string(software)}, nil
 		},
 	}, clock.NewSystem(), zerolog.Nop())
 	go f.Run(ctx, store)
 	synctest.Wait()
 	c.Assert(f.Config(), qt.IsNotNil)
-	return New(Params{Conf: f, Sender: s, Quarantine: &fakeQuarantine{}, Rates: noLimits{}, Locality: pick.Locality{}, Clock: clock.NewSystem(), Log: zerolog.Nop()})
+	return New(Params{Conf: f, Sender: s, Quarantine: &fakeQuarantine{}, Rates: noLimits{}, Origins: mapOrigins{}, Locality: pick.Locality{}, Clock: clock.NewSystem(), Log: zerolog.Nop()})
 }
 
 func okReply(body string) scriptedReply { return scriptedReply{status: 200, body: body} }
@@ -405,7 +420,7 @@
 			c := qt.New(t)
 			body := &endlessReader{}
 			w := httptest.NewRecorder()
-			_, err := copyEvents(w, io.MultiReader(strings.NewReader(start), body), 0)
+			_, err := copyEvents(w, io.MultiReader(strings.NewReader(start), body), 0, func() {})
 			c.Check(errors.Is(err, lines.ErrTooLong), qt.IsTrue, qt.Commentf("%v", err))
 			c.Check(body.n <= 2*plat.MaxEventBytes, qt.IsTrue, qt.Commentf("%d bytes read", body.n))
 			c.Check(w.Body.Len(), qt.Equals, 0)
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -12,6 +12,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/base/option"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
@@ -31,10 +32,11 @@
 	deadline    clock.Millis
 	tried       map[string]bool
 	attempts    int
-	mayHaveRun  bool         // at least one attempt may have been executed
-	lastFailure *attempt     // last attempt that ended with a server error
-	failures    int          // attempts that ended with a server error
-	rateWait    clock.Millis // how long the last attempt would have waited for a start, 0 if no server was limited
+	mayHaveRun  bool                  // at least one attempt may have been executed
+	lastFailure *attempt              // last attempt that ended with a server error
+	failures    int                   // attempts that ended with a server error
+	software    option.Option[string] // of the servers at which the stream may go on (rule 7)
+	rateWait    clock.Millis          // how long the last attempt would have waited for a start, 0 if no server was limited
 }
 
 // attempt is the result of sending the request to one server.
@@ -98,6 +100,11 @@
 func (c *requestState) acquireServer(ctx context.Context, mayAcquire bool) *fleet.Server {
 	rates := c.proxy.Rates
 	excluded := maps.Clone(c.tried)
+	if software, ok := c.software.Get(); ok {
+		for _, s := range c.proxy.Conf.Servers().ByService(c.service) {
+			excluded[s.ID] = excluded[s.ID] || s.Software != software
+		}
+	}
 	var first *fleet.Server
 	var firstWait clock.Millis
 	for {
@@ -330,7 +337,7 @@
 	}
 }
 
-// respondFailure ends a request that has no attempt left (rule 7).
+// respondFailure ends a request that has no attempt left (rule 8).
 func (c *requestState) respondFailure(ctx context.Context, w http.ResponseWriter) (string, error) {
 	switch {
 	case c.lastFailure != nil:
@@ -339,6 +346,9 @@
 	case !c.mayHaveRun && c.rateWait > 0:
 		return "rate-limited", fault.New(fault.Overloaded, "each server of "+c.service+" that takes work limits the rate of requests").
 			WithRetryAfter(max(retryAfter, c.rateWait))
+	case !c.mayHaveRun && c.attempts == 0 && c.software != option.None[string]():
+		return "no-server", fault.New(fault.NoBackend, "no server of service "+c.service+" with the software that began the stream takes work").
+			WithRetryAfter(retryAfter)
 	case !c.mayHaveRun && c.attempts == 0:
 		return "no-server", fault.New(fault.NoBackend, "no server of service "+c.service+" takes work").
 			WithRetryAfter(retryAfter)
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -6,14 +6,19 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/pkg/errors"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/lines"
+	"github.com/jujuberamp/jujuberamp/internal/base/option"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
+	"github.com/jujuberamp/jujuberamp/internal/decide/router"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
 )
 
 // runStream forwards the events of a stream as they arrive. It forwards only
@@ -21,6 +26,9 @@
 // route allows it. If the response has started and the stream can't be
 // completed, the client's connection is closed.
 func (c *requestState) runStream(ctx context.Context, w http.ResponseWriter) (string, error) {
+	if c.req.LastEventID > 0 && c.route.Resumable && !c.findOrigin(ctx) {
+		return "no-origin", fault.New(fault.NotReady, "it is not known which server began the stream").WithRetryAfter(retryAfter)
+	}
 	started := false
 	last := c.req.LastEventID // last event that was forwarded to the client
 	for {
@@ -41,7 +49,7 @@
 			copyHeader(w, a.response)
 			w.WriteHeader(a.response.Status)
 		}
-		n, err := copyEvents(w, a.response.Body, last)
+		n, err := copyEvents(w, a.response.Body, last, func() { c.recordOrigin(ctx, s) })
 		a.response.Body.Close()
 		last = n
 		if err == nil {
@@ -60,6 +68,32 @@
 	return c.respondFailure(ctx, w)
 }
 
+// findOrigin restricts a stream that the client takes up again to the servers at which it
+// may go on. It returns false if they are not known, or if the route no longer sends
+// requests to their service (rule 7).
+func (c *requestState) findOrigin(ctx context.Context) bool {
+	assumed := "" // The service, unless it may have been another one.
+	if len(c.route.Backends) == 1 {
+		assumed = c.service
+	}
+	from, ok := c.proxy.Origins.Find(ctx, c.req.Resumes, assumed)
+	if !ok || !slices.ContainsFunc(c.route.Backends, func(b router.Backend) bool { return b.Service == from.Service }) {
+		return false
+	}
+	c.service, c.software = from.Service, option.Some(from.Software)
+	return true
+}
+
+// recordOrigin restricts the rest of a stream to the software of the server that made its
+// first event.
+func (c *requestState) recordOrigin(ctx context.Context, s *fleet.Server) {
+	if _, known := c.software.Get(); known || !c.route.Resumable {
+		return
+	}
+	c.software = option.Some(s.Software)
+	c.proxy.Origins.Record(ctx, resume.Origin{Stream: c.req.ID, Service: c.service, Software: s.Software})
+}
+
 // startStream sends the request to one server and returns once the response
 // header has been read. If the status is a server error, it also reads the body.
 func (c *requestState) startStream(ctx context.Context, s *fleet.Server, last int) *attempt {
@@ -87,8 +121,8 @@
 }
 
 // copyEvents forwards complete events and returns the ID of the last one. The
-// error is nil if the stream is complete.
-func copyEvents(w http.ResponseWriter, body io.Reader, last int) (int, error) {
+// error is nil if the stream is complete. The function is called before each event.
+func copyEvents(w http.ResponseWriter, body io.Reader, last int, beforeEvent func()) (int, error) {
 	r := bufio.NewReader(body)
 	controller := http.NewResponseController(w)
 	var event []byte
@@ -113,6 +147,7 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
+		beforeEvent()
 		if _, err := w.Write(event); err != nil {
 			return last, errors.Wrap(err, "client")
 		}
--- a/internal/node/jobs/service.go
+++ b/internal/node/jobs/service.go
@@ -25,8 +25,10 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/flight"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
+	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/node/logs"
@@ -268,7 +270,7 @@
 	var out []string
 	peers, _ := s.LivePeers()
 	for _, p := range peers {
-		if p.Node.Name != s.Self.Name {
+		if p.Name != ident.Node(s.Self.Name) {
 			out = append(out, p.Addr)
 		}
 	}
@@ -277,14 +279,14 @@
 
 // LivePeers returns the nodes, including this one, that are not leaving and were alive
 // when heartbeats were last read. It returns false if heartbeats were not read yet.
-func (s *Service) LivePeers() ([]joblog.Peer, bool) {
+func (s *Service) LivePeers() ([]spread.Peer, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	readAt := s.ix.HeartbeatsReadAt()
-	var out []joblog.Peer
+	var out []spread.Peer
 	s.ix.EachPeer(func(p *joblog.Peer) {
 		if !p.Leaving && readAt-p.LastSeen <= IdleFailureTimeout {
-			out = append(out, *p)
+			out = append(out, spread.Peer{Name: ident.Node(p.Node.Name), Addr: p.Addr})
 		}
 	})
 	return out, readAt > 0
--- /dev/null
+++ b/internal/node/origin/origin.go
@@ -0,0 +1,299 @@
+// Package origin remembers which service, with which version of its software, began
+// each resumable stream of a client, so that any entry can let the stream go on there.
+//
+//  1. Before an entry forwards the first event of a stream, it records the origin at a
+//     few entries that are chosen by rendezvous hashing of the stream's ID. An origin
+//     never changes.
+//  2. An entry that a client asks to go on with a stream asks these entries, and the
+//     next ones by rank, since entries may have arrived in the meantime.
+//  3. If no entry knows the origin, the stream goes on only if all servers that were
+//     listed within the lifetime of a stream have one version of the software, as far
+//     as the asked entries know.
+//  4. An entry that stops hands its origins to the next entries by rank.
+//
+// Origins are kept in memory for the lifetime of a stream. A stream whose origin is
+// lost with all entries that knew it ends; it never goes on at other software.
+//
+// # Usage
+//
+//	s := origin.New(origin.Params{...})
+//	s.Record(ctx, resume.Origin{Stream: id, Service: service, Software: software})
+//	o, ok := s.Find(ctx, id, service)
+package origin
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/base/sets"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
+	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
+)
+
+const (
+	// copies is the number of entries that keep an origin, and searched the number of
+	// entries that are asked for it.
+	copies   = 3
+	searched = 5
+	// recordTimeout bounds the delay of the first event: two round trips between regions.
+	recordTimeout = 60 * clock.Milli
+	// findTimeout bounds the search for an origin.
+	findTimeout = 300 * clock.Milli
+	// lifetime is longer than any stream that a client still takes up.
+	lifetime = 2 * clock.Minute
+	// handOverTimeout bounds the handing over of the origins of a stopping entry.
+	handOverTimeout = 500 * clock.Milli
+)
+
+// Params are the dependencies of a [Store].
+type Params struct {
+	Self ident.Node
+	// Peers returns the entries that live, including this one unless it is leaving. It
+	// returns false while they are not known.
+	Peers     func() ([]spread.Peer, bool)
+	Servers   func() *fleet.View
+	Transport http.RoundTripper
+	Clock     clock.Clock
+	Log       zerolog.Logger
+}
+
+// kept is an origin with the time until which it is kept.
+type kept struct {
+	resume.Origin
+	until clock.Millis
+}
+
+// Store keeps the origins of streams.
+type Store struct {
+	Params
+	http      *http.Client
+	startedAt clock.Millis
+
+	mu       sync.Mutex
+	origins  map[string]kept                    // by stream
+	listed   map[string]sets.Set[string]        // by service: versions of the software, as of the last observation
+	lastSeen map[string]map[string]clock.Millis // by service and version: when it was last listed
+}
+
+// New returns an empty store.
+func New(p Params) *Store {
+	return &Store{
+		Params: p, http: &http.Client{Transport: p.Transport}, startedAt: p.Clock.Now(), origins: make(map[string]kept),
+		listed: make(map[string]sets.Set[string]), lastSeen: make(map[string]map[string]clock.Millis),
+	}
+}
+
+// ObserveServers records which versions of the software are listed. It is called after
+// each change of the list of servers.
+func (s *Store) ObserveServers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	listed := make(map[string]sets.Set[string])
+	for service, servers := range s.Servers().Services() {
+		listed[service] = make(sets.Set[string])
+		for _, server := range servers {
+			listed[service].Add(server.Software)
+		}
+	}
+	for _, observed := range []map[string]sets.Set[string]{s.listed, listed} {
+		for service, versions := range observed {
+			if s.lastSeen[service] == nil {
+				s.lastSeen[service] = make(map[string]clock.Millis)
+			}
+			for v := range versions {
+				s.lastSeen[service][v] = now
+			}
+		}
+	}
+	s.listed = listed
+}
+
+// softwareOf returns the versions of the software of a service that were listed within
+// the lifetime of a stream. The caller holds the lock.
+func (s *Store) softwareOf(service string) []string {
+	var out []string
+	for v, at := range s.lastSeen[service] {
+		if s.listed[service].Has(v) || s.Clock.Now()-at <= lifetime {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// holders returns up to n entries that keep the origin of a stream, by rank.
+func (s *Store) holders(stream string, n int) []spread.Peer {
+	peers, _ := s.Peers()
+	return spread.TopPeers("stream/"+stream, peers, n)
+}
+
+// Keep keeps origins that another entry recorded. The first origin of a stream counts.
+func (s *Store) Keep(origins []resume.Origin) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := s.Clock.Now() + lifetime
+	for _, o := range origins {
+		if k, ok := s.origins[o.Stream]; ok {
+			o = k.Origin
+		}
+		s.origins[o.Stream] = kept{o, until}
+	}
+}
+
+// Record records the origin of a stream (rule 1). It returns when another entry keeps
+// it as well, or after recordTimeout.
+func (s *Store) Record(ctx context.Context, o resume.Origin) {
+	s.Keep([]resume.Origin{o})
+	// The origin is needed most if the client has left or this attempt has failed.
+	sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), findTimeout.Duration())
+	answers := make(chan error, copies)
+	var sending sync.WaitGroup
+	sent := 0
+	for _, h := range s.holders(o.Stream, copies) {
+		if h.Name != s.Self {
+			sent++
+			sending.Go(func() { answers <- s.send(sendCtx, h, []resume.Origin{o}) })
+		}
+	}
+	go func() {
+		sending.Wait()
+		cancel()
+	}()
+	timeout := time.NewTimer(recordTimeout.Duration())
+	defer timeout.Stop()
+	for range sent {
+		select {
+		case err := <-answers:
+			if err == nil {
+				return
+			}
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Store) send(ctx context.Context, to spread.Peer, origins []resume.Origin) error {
+	err := resume.Record(ctx, s.http, to.Addr, origins)
+	if err != nil {
+		s.Log.Info().Str("to", string(to.Name)).Int("streams", len(origins)).Err(err).Msg("origin: origins of streams not recorded at an entry")
+	}
+	return err
+}
+
+// Answer answers a query of another entry.
+func (s *Store) Answer(q resume.Query) resume.Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k, ok := s.origins[q.Stream]
+	return resume.Reply{Known: ok, Origin: k.Origin, Mixed: len(s.softwareOf(q.Service)) > 1}
+}
+
+// Find returns the origin of a stream (rules 2 and 3). If no entry knows it, the given
+// service is assumed. It returns false if the stream must not go on.
+func (s *Store) Find(ctx context.Context, stream, service string) (resume.Origin, bool) {
+	q := resume.Query{Stream: stream, Service: service}
+	own := s.Answer(q)
+	if own.Known {
+		return own.Origin, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout.Duration())
+	defer cancel()
+	holders := s.holders(stream, searched)
+	type answer struct {
+		resume.Reply
+		err error
+	}
+	replies := make(chan answer, len(holders))
+	for _, h := range holders {
+		go func() {
+			if h.Name == s.Self {
+				replies <- answer{Reply: own}
+				return
+			}
+			r, err := resume.Find(ctx, s.http, h.Addr, q)
+			if err != nil && ctx.Err() == nil {
+				s.Log.Info().Str("stream", stream).Str("from", string(h.Name)).Err(err).Msg("origin: an entry does not answer")
+			}
+			replies <- answer{r, err}
+		}()
+	}
+	mixed, asked := own.Mixed, 0
+	for range holders {
+		r := <-replies
+		if r.err == nil {
+			asked++
+		}
+		if r.Known {
+			s.Record(ctx, r.Origin) // Entries that kept it may be gone.
+			return r.Origin, true
+		}
+		mixed = mixed || r.Mixed
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := s.softwareOf(service)
+	// Only entries that did not answer may know what was listed before this process started.
+	uncertain := asked < len(holders) && s.Clock.Now()-s.startedAt < lifetime
+	if mixed || uncertain || len(versions) != 1 { // rule 3
+		s.Log.Warn().Str("stream", stream).Str("service", service).Strs("software", versions).Int("answers", asked).
+			Int("asked", len(holders)).Msg("origin: origin of a stream is not known, it can't go on")
+		return resume.Origin{}, false
+	}
+	return resume.Origin{Stream: stream, Service: service, Software: versions[0]}, true
+}
+
+// HandOver sends the origins that this entry keeps to the entries that keep them once
+// it has stopped (rule 4).
+func (s *Store) HandOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout.Duration())
+	defer cancel()
+	s.mu.Lock()
+	all := maps.Clone(s.origins)
+	s.mu.Unlock()
+	byPeer := make(map[spread.Peer][]resume.Origin)
+	for stream, k := range all {
+		for _, h := range s.holders(stream, copies+1) {
+			if h.Name != s.Self {
+				byPeer[h] = append(byPeer[h], k.Origin)
+			}
+		}
+	}
+	var wg sync.WaitGroup
+	for h, origins := range byPeer {
+		wg.Go(func() {
+			for part := range slices.Chunk(origins, resume.MaxOrigins) {
+				if s.send(ctx, h, part) != nil {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	s.Log.Info().Int("streams", len(all)).Int("entries", len(byPeer)).Err(ctx.Err()).Msg("origin: origins of streams handed over")
+}
+
+// Prune removes what is older than the lifetime of a stream.
+func (s *Store) Prune() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	maps.DeleteFunc(s.origins, func(_ string, k kept) bool { return now >= k.until })
+	for service, versions := range s.lastSeen {
+		maps.DeleteFunc(versions, func(v string, at clock.Millis) bool { return !s.listed[service].Has(v) && now-at > lifetime })
+		if len(versions) == 0 {
+			delete(s.lastSeen, service)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/origin/origin_test.go
@@ -0,0 +1,230 @@
+package origin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
+	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
+	"github.com/jujuberamp/jujuberamp/internal/stand/vnet"
+)
+
+// cluster is a set of entries.
+type cluster struct {
+	ctx     context.Context
+	clock   clock.Clock
+	net     *vnet.Net
+	servers *fleet.List
+	listed  []spread.Peer // live entries
+	nodes   map[string]*vnet.Node
+	stores  map[string]*Store
+}
+
+func newCluster(ctx context.Context, entries int) *cluster {
+	c := &cluster{
+		ctx: ctx, clock: clock.NewSystem(), net: vnet.New(25 * time.Millisecond), servers: fleet.New(),
+		nodes: make(map[string]*vnet.Node), stores: make(map[string]*Store),
+	}
+	for i := range entries {
+		c.start(fmt.Sprint("e-", i))
+	}
+	return c
+}
+
+// start starts or restarts an entry.
+func (c *cluster) start(name string) {
+	mux := http.NewServeMux()
+	c.nodes[name] = c.net.Start(name, mux)
+	s := New(Params{
+		Self: ident.Node(name), Peers: func() ([]spread.Peer, bool) { return c.listed, true }, Servers: c.servers.View,
+		Transport: c.nodes[name], Clock: c.clock, Log: zerolog.Nop(),
+	})
+	mux.Handle(resume.RecordPath, resume.RecordHandler(s.Keep, zerolog.Nop()))
+	mux.Handle(resume.FindPath, resume.FindHandler(s.Answer, zerolog.Nop()))
+	c.stores[name] = s
+	s.ObserveServers()
+	if !slices.ContainsFunc(c.listed, func(p spread.Peer) bool { return string(p.Name) == name }) {
+		c.listed = append(c.listed, spread.Peer{Name: ident.Node(name), Addr: name + ":1"})
+	}
+}
+
+// unlist removes an entry from the list of live ones.
+func (c *cluster) unlist(name string) {
+	c.listed = slices.DeleteFunc(slices.Clone(c.listed), func(p spread.Peer) bool { return string(p.Name) == name })
+}
+
+// setServers replaces the listed servers by one of each of the given versions.
+func (c *cluster) setServers(software ...string) {
+	c.servers.Retain(c.clock.Now(), nil)
+	for i, v := range software {
+		c.servers.Put(&fleet.Server{ID: fmt.Sprint("i-", i, v), Service: "s", Software: v})
+	}
+	for _, s := range c.stores {
+		s.ObserveServers()
+	}
+}
+
+// maxAsked is the number of entries at which a test takes up each stream.
+const maxAsked = 10
+
+// found returns how many of n streams every entry finds with the software that began
+// them, and how many some entry finds with other software.
+func (c *cluster) found(n int) (right, wrong int) {
+	for i := range n {
+		isRight, isWrong := true, false
+		for k, p := range c.listed {
+			if k >= maxAsked {
+				break
+			}
+			s := c.stores[string(p.Name)]
+			o, ok := s.Find(c.ctx, streamID(i), "s")
+			isRight = isRight && ok && o.Software == softwareOf(i)
+			isWrong = isWrong || ok && o.Software != softwareOf(i)
+		}
+		if isRight {
+			right++
+		}
+		if isWrong {
+			wrong++
+		}
+	}
+	return right, wrong
+}
+
+func streamID(i int) string { return fmt.Sprint("stream-", i) }
+
+func softwareOf(i int) string { return [...]string{"v1", "v2"}[i%2] }
+
+// TestStreamGoesOnWhereItBegan guards against a stream that goes on at other software
+// than that which began it when its client takes it up at any entry, and against streams
+// that end although servers of their software serve: after kills, restarts, planned stops,
+// cuts and arrivals of entries.
+func TestStreamGoesOnWhereItBegan(t *testing.T) {
+	const streams = 60
+	tests := map[string]struct {
+		entries int
+		fault   func(c *cluster)
+		share   float64 // of the streams that must go on
+	}{
+		"no fault":   {entries: 7, fault: func(*cluster) {}, share: 1},
+		"one entry":  {entries: 1, fault: func(*cluster) {}, share: 1},
+		"hundreds":   {entries: 133, fault: func(*cluster) {}, share: 1},
+		"two killed": {entries: 7, fault: func(c *cluster) { c.start("e-1"); c.start("e-4") }, share: 1},
+		"four of seven are killed": {entries: 7, fault: func(c *cluster) {
+			for i := range 4 {
+				c.start(fmt.Sprint("e-", i))
+			}
+		}, share: 0.5},
+		"all are stopped and started in turn": {entries: 7, fault: func(c *cluster) {
+			for i := range 7 {
+				name := fmt.Sprint("e-", i)
+				c.unlist(name)
+				c.stores[name].HandOver(c.ctx)
+				c.net.Stop(name)
+				c.start(name)
+			}
+		}, share: 1},
+		"entries arrive": {entries: 3, fault: func(c *cluster) {
+			c.start("new-1")
+			c.start("new-2")
+		}, share: 1},
+		"one is frozen": {entries: 7, fault: func(c *cluster) { c.nodes["e-2"].SetSilent(true) }, share: 1},
+		"all are killed": {entries: 7, fault: func(c *cluster) {
+			for i := range 7 {
+				c.start(fmt.Sprint("e-", i))
+			}
+		}, share: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				c := newCluster(ctx, test.entries)
+				c.setServers("v1", "v2")
+				for i := range streams {
+					name := string(c.listed[i%len(c.listed)].Name)
+					c.stores[name].Record(ctx, resume.Origin{Stream: streamID(i), Service: "s", Software: softwareOf(i)})
+				}
+				time.Sleep(time.Second)
+				test.fault(c)
+				right, wrong := c.found(streams)
+				check := qt.New(t)
+				check.Check(wrong, qt.Equals, 0, qt.Commentf("streams that go on at other software"))
+				check.Check(float64(right) >= test.share*streams, qt.IsTrue, qt.Commentf("%d of %d streams go on", right, streams))
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestUnknownOrigin guards against a stream that goes on at other software because the
+// only known version is taken for the one that began it. A stream without a known origin
+// goes on only if all servers have had one version for the lifetime of a stream.
+func TestUnknownOrigin(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(c *cluster)
+		want    string // software, empty if the stream must not go on
+	}{
+		"one version":       {func(c *cluster) { c.setServers("v1") }, "v1"},
+		"one for long":      {func(c *cluster) { c.setServers("v1"); time.Sleep(time.Hour); c.prune() }, "v1"},
+		"two versions":      {func(c *cluster) { c.setServers("v1", "v2") }, ""},
+		"no server":         {func(*cluster) {}, ""},
+		"two, a minute ago": {func(c *cluster) { c.setServers("v1", "v2"); c.setServers("v2"); time.Sleep(time.Minute) }, ""},
+		"two, an hour ago":  {func(c *cluster) { c.setServers("v1", "v2"); c.setServers("v2"); time.Sleep(time.Hour) }, "v2"},
+		"another version replaced all at once": {func(c *cluster) {
+			c.setServers("v1")
+			time.Sleep(time.Hour)
+			c.setServers("v2")
+		}, ""},
+		"two, a minute ago, as the others know": {func(c *cluster) {
+			c.setServers("v1", "v2")
+			c.setServers("v2")
+			time.Sleep(time.Minute)
+			c.start("e-0")
+		}, ""},
+		"started just now, and others don't answer": {func(c *cluster) {
+			c.setServers("v2")
+			c.start("e-0")
+			c.nodes["e-1"].SetSilent(true)
+		}, ""},
+		"all started just now": {func(c *cluster) {
+			c.setServers("v2")
+			c.start("e-0")
+			c.start("e-1")
+			c.start("e-2")
+		}, "v2"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				c := newCluster(ctx, 3)
+				test.prepare(c)
+				o, ok := c.stores["e-0"].Find(ctx, "x", "s")
+				check := qt.New(t)
+				check.Check(ok, qt.Equals, test.want != "")
+				check.Check(o.Software, qt.Equals, test.want)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+func (c *cluster) prune() {
+	for _, s := range c.stores {
+		s.Prune()
+	}
+}
--- a/internal/node/rates/rates.go
+++ b/internal/node/rates/rates.go
@@ -46,18 +46,12 @@
 	retention = clock.Minute
 )
 
-// Granter is a node that can be asked for grants.
-type Granter struct {
-	Name string
-	Addr string // inner address
-}
-
 // Params are the dependencies and settings of a [Limiter].
 type Params struct {
-	Self string // name of this node
+	Self ident.Node
 	// Entries returns the entries that live, including this one unless it is leaving. It
 	// returns false while they are not known.
-	Entries   func() ([]Granter, bool)
+	Entries   func() ([]spread.Peer, bool)
 	AgentPort int // port of every agent
 	Transport http.RoundTripper
 	Clock     clock.Clock
@@ -193,30 +187,19 @@
 }
 
 // granters returns the granters of a server in order of their rank.
-func (l *Limiter) granters(to *fleet.Server) []Granter {
+func (l *Limiter) granters(to *fleet.Server) []spread.Peer {
 	if len(to.LoadedVersions) > 0 {
 		host, _, err := net.SplitHostPort(to.Addr)
 		if err != nil {
 			host = to.Addr // Asking this address fails, and the error is logged.
 		}
-		return []Granter{{Addr: net.JoinHostPort(host, strconv.Itoa(l.AgentPort))}}
+		return []spread.Peer{{Addr: net.JoinHostPort(host, strconv.Itoa(l.AgentPort))}}
 	}
 	entries, known := l.Entries()
 	if !known {
 		return nil
 	}
-	byName := make(map[ident.Node]Granter, len(entries))
-	names := make([]ident.Node, 0, len(entries))
-	for _, e := range entries {
-		byName[ident.Node(e.Name)] = e
-		names = append(names, ident.Node(e.Name))
-	}
-	top := spread.Top("rate/"+to.ID, names, rate.Granters)
-	out := make([]Granter, 0, len(top))
-	for _, n := range top {
-		out = append(out, byName[n])
-	}
-	return out
+	return spread.TopPeers("rate/"+to.ID, entries, rate.Granters)
 }
 
 // Grant decides on a request for a grant as the granter of a server.
--- a/internal/node/rates/rates_test.go
+++ b/internal/node/rates/rates_test.go
@@ -4,22 +4,22 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"net/http/httptest"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/base/option"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/grant"
+	"github.com/jujuberamp/jujuberamp/internal/stand/vnet"
 )
 
 const (
@@ -30,6 +30,7 @@
 // cluster is a set of entries that send requests to one limited server.
 type cluster struct {
 	clock  clock.Clock
+	net    *vnet.Net
 	nodes  map[string]*node
 	listed []string // names of the entries in the list of live ones
 	starts []clock.Millis
@@ -38,39 +39,22 @@
 
 // node is one entry.
 type node struct {
+	*vnet.Node
 	cluster *cluster
 	name    string
 	limiter *Limiter
-	silent  bool // it is frozen or dead: calls to it are not answered
-	cut     bool // no call from it or to it arrives
-}
-
-// RoundTrip implements [http.RoundTripper] for the calls of a node to another one.
-func (n *node) RoundTrip(req *http.Request) (*http.Response, error) {
-	to := n.cluster.nodes[req.URL.Hostname()]
-	time.Sleep(roundTrip / 2)
-	if to == nil {
-		return nil, errors.New("connection refused")
-	}
-	if n.cut || to.cut || to.silent {
-		<-req.Context().Done()
-		return nil, req.Context().Err()
-	}
-	rec := httptest.NewRecorder()
-	grant.Handler(to.limiter.Grant, zerolog.Nop()).ServeHTTP(rec, req)
-	time.Sleep(roundTrip / 2)
-	return rec.Result(), req.Context().Err()
 }
 
 // start starts or restarts an entry.
 func (c *cluster) start(name string) {
 	n := &node{cluster: c, name: name}
+	n.Node = c.net.Start(name, grant.Handler(func(r grant.Request) grant.Reply { return n.limiter.Grant(r) }, zerolog.Nop()))
 	n.limiter = New(Params{
-		Self: name, Clock: c.clock, Log: zerolog.Nop(), Transport: n, AgentPort: 1,
-		Entries: func() ([]Granter, bool) {
-			var out []Granter
+		Self: ident.Node(name), Clock: c.clock, Log: zerolog.Nop(), Transport: n, AgentPort: 1,
+		Entries: func() ([]spread.Peer, bool) {
+			var out []spread.Peer
 			for _, name := range c.listed {
-				out = append(out, Granter{Name: name, Addr: name + ":1"})
+				out = append(out, spread.Peer{Name: ident.Node(name), Addr: name + ":1"})
 			}
 			return out, true
 		},
@@ -85,12 +69,12 @@
 
 // send sends a request to the server if the entry may, and observes the answer.
 func (n *node) send() {
-	if n.silent {
+	if n.IsSilent() {
 		return
 	}
 	c := n.cluster
 	wait, ok := n.limiter.Acquire(context.Background(), plainServer, 100)
-	if !ok || !clock.Sleep(context.Background(), wait) || n.silent {
+	if !ok || !clock.Sleep(context.Background(), wait) || n.IsSilent() {
 		return
 	}
 	sentAt := c.clock.Now()
@@ -101,7 +85,7 @@
 
 // granter returns the entry that ranks first for the server.
 func (c *cluster) granter() *node {
-	return c.nodes[c.nodes["e-0"].limiter.granters(plainServer)[0].Name]
+	return c.nodes[string(c.nodes["e-0"].limiter.granters(plainServer)[0].Name)]
 }
 
 // most returns the largest number of requests in any four seconds from a time on.
@@ -130,10 +114,12 @@
 		"no fault":          {entries: 7, limit: 8},
 		"one in 2 s":        {entries: 7, limit: 0.5},
 		"hundreds":          {entries: 133, limit: 8},
-		"granter is frozen": {entries: 7, limit: 8, fault: func(c *cluster, step int) { c.granter().silent = step%60 < 25 }},
+		"granter is frozen": {entries: 7, limit: 8, fault: func(c *cluster, step int) { c.granter().SetSilent(step%60 < 25) }},
 		"granter is gone": {entries: 7, limit: 8, fault: func(c *cluster, step int) {
 			if step == 0 {
-				delete(c.nodes, c.granter().name)
+				gone := c.granter().name
+				c.net.Stop(gone)
+				delete(c.nodes, gone)
 			}
 			if step == 120 { // The others notice.
 				c.listed = slices.DeleteFunc(c.listed, func(n string) bool { return c.nodes[n] == nil })
@@ -144,7 +130,7 @@
 				c.start(c.granter().name)
 			}
 		}},
-		"granter is cut off": {entries: 7, limit: 8, fault: func(c *cluster, step int) { c.granter().cut = step%80 < 50 }},
+		"granter is cut off": {entries: 7, limit: 8, fault: func(c *cluster, step int) { c.granter().SetCut(step%80 < 50) }},
 		"entries arrive": {entries: 3, limit: 8, fault: func(c *cluster, step int) {
 			if step%20 == 0 && step < 200 {
 				c.start(fmt.Sprint("new-", step))
@@ -154,7 +140,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := &cluster{clock: clock.NewSystem(), nodes: make(map[string]*node), limit: test.limit}
+				c := &cluster{clock: clock.NewSystem(), net: vnet.New(roundTrip), nodes: make(map[string]*node), limit: test.limit}
 				for i := range test.entries {
 					c.start(fmt.Sprint("e-", i))
 				}
@@ -192,13 +178,13 @@
 func TestAgentGrantsForModelEngines(t *testing.T) {
 	l := New(Params{AgentPort: 7660, Clock: clock.NewSystem()})
 	got := l.granters(&fleet.Server{ID: "i-2", Addr: "10.0.0.2:8501", LoadedVersions: map[string]int64{"m": 1}})
-	qt.New(t).Check(got, qt.DeepEquals, []Granter{{Addr: "10.0.0.2:7660"}})
+	qt.New(t).Check(got, qt.DeepEquals, []spread.Peer{{Addr: "10.0.0.2:7660"}})
 }
 
 // TestNoGrantBeforeEntriesAreKnown guards against an entry that has just started and,
 // since it knows no other one, grants itself the whole rate.
 func TestNoGrantBeforeEntriesAreKnown(t *testing.T) {
-	l := New(Params{Self: "e-1", Entries: func() ([]Granter, bool) { return nil, false }, Clock: clock.NewSystem(), Log: zerolog.Nop()})
+	l := New(Params{Self: "e-1", Entries: func() ([]spread.Peer, bool) { return nil, false }, Clock: clock.NewSystem(), Log: zerolog.Nop()})
 	l.Observe(plainServer, l.Clock.Now(), plat.RateLimit{PerSecond: option.Some(5.0)})
 	_, ok := l.Acquire(context.Background(), plainServer, clock.Second)
 	qt.New(t).Check(ok, qt.IsFalse)
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -12,16 +12,20 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
+	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
 	"github.com/jujuberamp/jujuberamp/internal/edge/dial"
 	"github.com/jujuberamp/jujuberamp/internal/edge/listen"
 	"github.com/jujuberamp/jujuberamp/internal/inner/grant"
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
+	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
 	"github.com/jujuberamp/jujuberamp/internal/node/front"
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
+	"github.com/jujuberamp/jujuberamp/internal/node/origin"
 	"github.com/jujuberamp/jujuberamp/internal/node/quar"
 	"github.com/jujuberamp/jujuberamp/internal/node/rates"
 	"github.com/jujuberamp/jujuberamp/internal/node/relay"
@@ -58,9 +62,10 @@
 // entry serves clients' requests. It implements [platform.Frontend].
 type entry struct {
 	*process
-	front *front.Proxy
-	jobs  *jobs.Service
-	work  *work.Worker
+	front   *front.Proxy
+	jobs    *jobs.Service
+	work    *work.Worker
+	origins *origin.Store
 }
 
 func (e *entry) Route(host, path string) (*router.Route, error) { return e.front.Route(host, path) }
@@ -128,12 +133,16 @@
 	}), func(server string) bool {
 		return p.conf.Servers().HasIncarnation(server)
 	}, func(ctx context.Context, c crash.Crash) error { return e.jobs.ReportCrash(ctx, c) })
+	origins := origin.New(origin.Params{
+		Self: ident.Node(p.self.Name), Peers: e.livePeers, Servers: p.conf.Servers, Transport: p.innerTransport, Clock: p.clock, Log: p.log,
+	})
+	e.origins = origins
 	limiter := rates.New(rates.Params{
-		Self: p.self.Name, Entries: e.liveEntries, AgentPort: settings.InnerPort,
+		Self: ident.Node(p.self.Name), Entries: e.livePeers, AgentPort: settings.InnerPort,
 		Transport: p.innerTransport, Clock: p.clock, Log: p.log, Count: p.countEvent,
 	})
 	e.front = front.New(front.Params{
-		Conf: p.conf, Sender: client, Quarantine: crashDetector, Rates: limiter, Locality: locality, Clock: p.clock, Log: p.log,
+		Conf: p.conf, Sender: client, Quarantine: crashDetector, Rates: limiter, Origins: origins, Locality: locality, Clock: p.clock, Log: p.log,
 		Observe: func(route, outcome string, duration clock.Millis) {
 			p.countEvent("requests", outcome)
 			latency.Record(ctx, duration.Seconds(), metric.WithAttributes(attribute.String("route", route)))
@@ -154,6 +163,7 @@
 	srv := listen.New(platform.NewIngress(e, p.log), p.log)
 	p.conf.OnChange(func() {
 		srv.SetLimits(e.Limits())
+		origins.ObserveServers()
 		e.work.Wake()
 	})
 	var leaving atomic.Bool
@@ -164,6 +174,8 @@
 	mux.Handle(relay.Prefix, relay.Handler(p.directStore, p.log))
 	mux.HandleFunc("GET "+work.IncarnationPath, e.work.ServeIncarnation)
 	mux.Handle(grant.Path, grant.Handler(limiter.Grant, p.log))
+	mux.Handle(resume.RecordPath, resume.RecordHandler(origins.Keep, p.log))
+	mux.Handle(resume.FindPath, resume.FindHandler(origins.Answer, p.log))
 	if err := p.serveInner(mux); err != nil {
 		return err
 	}
@@ -185,6 +197,7 @@
 	go e.work.RunPlanner(workCtx)
 	go clock.Every(ctx, pruneInterval, e.front.PruneServers)
 	go clock.Every(ctx, pruneInterval, limiter.Prune)
+	go clock.Every(ctx, pruneInterval, origins.Prune)
 
 	<-stop
 	leaving.Store(true)
@@ -195,16 +208,8 @@
 	return nil
 }
 
-// liveEntries returns the entries that may grant requests to limited servers. It returns
-// false while they are not known.
-func (e *entry) liveEntries() ([]rates.Granter, bool) {
-	peers, known := e.jobs.LivePeers()
-	out := make([]rates.Granter, 0, len(peers))
-	for _, p := range peers {
-		out = append(out, rates.Granter{Name: p.Node.Name, Addr: p.Addr})
-	}
-	return out, known
-}
+// livePeers is set before the jobs are, and called after.
+func (e *entry) livePeers() ([]spread.Peer, bool) { return e.jobs.LivePeers() }
 
 // drain waits for items in progress, hands over the remaining ones and waits until
 // all clients have been answered.
@@ -219,6 +224,7 @@
 	if err := e.jobs.AnnounceLeaving(shutdownCtx); err != nil {
 		e.log.Warn().Err(err).Msg("roles: leaving not announced, other nodes notice the missing heartbeats")
 	}
+	e.origins.HandOver(shutdownCtx)
 	clock.Sleep(ctx, min(balancerDelay, drainDeadline-e.clock.Now()))
 	if err := ln.Close(); err != nil {
 		e.log.Info().Err(err).Msg("roles: closing the listener failed")
--- a/internal/prod/roles/operations_test.go
+++ b/internal/prod/roles/operations_test.go
@@ -3,7 +3,11 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -136,3 +140,28 @@
 	}
 	r.Close() // Ends the write that still waits for the reader.
 }
+
+// The log lines that docs/OPERATIONS.md quotes are written by the program.
+func TestQuotedMessages(t *testing.T) {
+	c := qt.New(t)
+	root := "../../.."
+	page, err := os.ReadFile(filepath.Join(root, "docs/OPERATIONS.md"))
+	c.Assert(err, qt.IsNil)
+	var source strings.Builder
+	for _, dir := range []string{"internal", "platform"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			b, err := os.ReadFile(path)
+			source.Write(b)
+			return err
+		})
+		c.Assert(err, qt.IsNil)
+	}
+	quoted := regexp.MustCompile(`"message":"([^"]+)"`).FindAllStringSubmatch(string(page), -1)
+	c.Assert(len(quoted) > 0, qt.IsTrue)
+	for _, q := range quoted {
+		c.Check(strings.Contains(source.String(), strconv.Quote(q[1])), qt.IsTrue, qt.Commentf("no code writes %q", q[1]))
+	}
+}
