Items whose engines crashed are placed again, and their scoring calls are sent

Cause: from six crashes on the entry held an item back for good, and from three on the front refused its scoring call for two minutes: items shared the containment of clients' requests that crash servers. Ruled out: a backoff without bound (it ends at 4 s). Change: items and the system's own calls are exempt from containment; an item is placed again after up to 4 s, however many engines crashed.

--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -11,7 +11,7 @@
 //     large to buffer. If a streamed response is truncated, the client's
 //     connection is closed, so that the client never takes it for complete.
 //  5. A request that made several servers disconnect without an answer is
-//     refused immediately, at every entry.
+//     refused immediately, at every entry. The system's own calls are exempt.
 //  6. A server that limits the rate of requests gets only requests for which a
 //     start was acquired; see package rates. If all servers are limited, a request
 //     waits only as long as it can still be answered within its latency objective.
@@ -193,6 +193,10 @@
 
 // Serve answers one request. The error is nil once a response was started.
 func (p *Proxy) Serve(ctx context.Context, r *Request, w http.ResponseWriter) error {
+	return p.serve(ctx, r, w, p.Quarantine)
+}
+
+func (p *Proxy) serve(ctx context.Context, r *Request, w http.ResponseWriter, quarantine Quarantine) error {
 	route, err := p.Route(r.Host, r.Path)
 	if err != nil {
 		p.Log.Info().Str("request", r.ID).Str("host", r.Host).Str("path", r.Path).Err(err).
@@ -200,7 +204,7 @@
 		return err
 	}
 	fingerprint := func() string { return crash.Fingerprint(ident.Class(r.Host+r.URI), r.Body) }
-	if err := p.Quarantine.Check(fingerprint); err != nil { // rule 5
+	if err := quarantine.Check(fingerprint); err != nil { // rule 5
 		p.Observe(route.Name, "quarantined", 0)
 		p.Log.Warn().Str("request", r.ID).Str("route", route.Name).Err(err).
 			Msg("front: request refused, it crashes servers")
@@ -219,6 +223,7 @@
 	p.depositHedgeBudget()
 	state := &requestState{
 		proxy:       p,
+		quarantine:  quarantine,
 		req:         r,
 		fingerprint: fingerprint,
 		route:       route,
@@ -247,11 +252,19 @@
 	MaxAttempts int    // maximum that the route allows
 }
 
+// exempt is the quarantine of requests that the system owes: they are neither refused
+// nor suspects, since servers crash by chance while they run them.
+type exempt struct{}
+
+func (exempt) Check(func() string) error       { return nil }
+func (exempt) RecordDisconnect(string, string) {}
+func (exempt) RecordAnswer(func() string)      {}
+
 // Do serves a request without a client and returns its result. The reply is
-// nil if no server answered.
+// nil if no server answered. The request is exempt from the quarantine.
 func (p *Proxy) Do(ctx context.Context, r *Request) (*Reply, error) {
 	rec := &responseRecorder{header: make(http.Header)}
-	err := p.Serve(ctx, r, rec)
+	err := p.serve(ctx, r, rec, exempt{})
 	if err != nil || rec.response == nil {
 		return nil, err
 	}
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -470,3 +470,23 @@
 		})
 	}
 }
+
+// TestOwnCallsAreNotQuarantined guards against a scoring call that is refused for minutes
+// because servers crashed in a burst while they ran it: the item that it belongs to would
+// never get its score. A client's request like it is refused.
+func TestOwnCallsAreNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		proxy := newProxy(ctx, c, &scriptedSender{replies: []scriptedReply{disconnected, okReply("x")}}, router.Idempotent, false)
+		quarantine := &fakeQuarantine{refuse: true}
+		proxy.Quarantine = quarantine
+		reply, err := proxy.Do(ctx, &Request{ID: "s", Method: http.MethodPost, Host: "h", Path: "/", URI: "/"})
+		c.Assert(err, qt.IsNil)
+		c.Check(reply.Status, qt.Equals, http.StatusOK)
+		c.Check(quarantine.disconnects, qt.HasLen, 0, qt.Commentf("an own call counted as a suspect"))
+		err = proxy.Serve(ctx, &Request{ID: "r", Method: http.MethodPost, Host: "h", Path: "/", URI: "/"}, httptest.NewRecorder())
+		c.Check(fault.Is(err, fault.Quarantined), qt.IsTrue)
+	})
+}
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -24,6 +24,7 @@
 // requestState is the state of one request in progress.
 type requestState struct {
 	proxy       *Proxy
+	quarantine  Quarantine
 	req         *Request
 	fingerprint func() string // of the request, for crash detection
 	route       *router.Route
@@ -247,7 +248,7 @@
 		}
 		return a
 	}
-	c.proxy.Quarantine.RecordAnswer(c.fingerprint)
+	c.quarantine.RecordAnswer(c.fingerprint)
 	a.notExecuted = a.response.NotExecuted
 	a.overloaded = a.notExecuted && !a.response.Misdirected
 	a.body, a.complete, a.err = readUpTo(a.response.Body, maxBufferedBytes)
@@ -270,7 +271,7 @@
 func (c *requestState) handleSendError(ctx context.Context, a *attempt) {
 	a.notExecuted = errors.Is(a.err, plat.ErrNotSent)
 	if ctx.Err() == nil && !a.notExecuted && !errors.Is(a.err, plat.ErrResponseMismatch) {
-		c.proxy.Quarantine.RecordDisconnect(a.server.Incarnation(), c.fingerprint())
+		c.quarantine.RecordDisconnect(a.server.Incarnation(), c.fingerprint())
 	}
 }
 
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -114,7 +114,7 @@
 		outcome = pick.Failed
 	}
 	if a.response != nil {
-		c.proxy.Quarantine.RecordAnswer(c.fingerprint)
+		c.quarantine.RecordAnswer(c.fingerprint)
 	}
 	c.proxy.finishAttempt(s.ID, startedAt, outcome)
 	return a
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -4,8 +4,6 @@
 	"context"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
-	"github.com/jujuberamp/jujuberamp/internal/base/ident"
-	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/decide/sched"
@@ -17,9 +15,8 @@
 const (
 	pending phase = iota
 	inFlight
-	finishing   // being scored or stored, or waiting for its record
-	quarantined // not run again, because it crashes engines
-	recorded    // its result, or that it was given up, is in the job log
+	finishing // being scored or stored, or waiting for its record
+	recorded  // its result, or that it was given up, is in the job log
 )
 
 // itemState is the progress of one item.
@@ -160,12 +157,6 @@
 
 func (j *job) start(now clock.Millis, items []joblog.Item) { j.items, j.startedAt = items, now }
 
-// crashFingerprint returns the fingerprint of an item that package crash uses.
-func (j *job) crashFingerprint(i int) string {
-	it := &j.items[i]
-	return crash.Fingerprint(ident.Class(j.host+it.Path), it.Body)
-}
-
 func (j *job) inProgress() int {
 	n := 0
 	for i := range j.states {
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -20,15 +20,11 @@
 
 const (
 	// minBackoff is the delay before an item whose run was interrupted is started
-	// again. It doubles with each interruption, up to maxBackoff.
+	// again. It doubles with each interruption, up to maxBackoff. An item is never
+	// given up for the crashes of engines that ran it: several engines may crash by
+	// chance, and an accepted item is owed.
 	minBackoff = 50 * clock.Milli
 	maxBackoff = 4 * clock.Second
-	// An item that several engines dropped before its first event may crash them.
-	// After crashBackoffThreshold such runs the item is retried only every
-	// maxBackoff, and after maxCrashes it is no longer run. Fewer such runs can
-	// also be due to engines that fail by chance.
-	crashBackoffThreshold = 3
-	maxCrashes            = 6
 	// frameTimeout is how long an agent may send nothing. It sends a frame every
 	// 150 ms, but a link between regions may be temporarily slow.
 	frameTimeout = 1200 * clock.Milli
@@ -163,7 +159,6 @@
 	}
 	switch code {
 	case runs.Done:
-		w.Quarantine.RecordAnswer(func() string { return j.crashFingerprint(i) })
 		st.phase = finishing
 		go w.finish(j, i, st.received)
 		st.received = nil
@@ -186,24 +181,6 @@
 		st.avoidEngine = s.ID
 		e.backoffUntil = now + engineBackoff
 		st.retryAt = now + min(maxBackoff, minBackoff<<min(st.interruptions-1, 10))
-		if code == runs.Broken && len(a.events) == 0 {
-			w.recordCrash(j, i, s, now)
-		}
-	}
-}
-
-// recordCrash records that an engine dropped an item before its first event. The
-// caller holds the lock.
-func (w *Worker) recordCrash(j *job, i int, s *fleet.Server, now clock.Millis) {
-	st := &j.states[i]
-	id := j.crashFingerprint(i)
-	w.Quarantine.RecordDisconnect(s.Incarnation(), id)
-	switch n := w.Quarantine.CrashCount(id); {
-	case n >= maxCrashes:
-		st.phase = quarantined
-		w.Log.Warn().Str("job", j.id).Str("item", j.items[i].ID).Int("crashes", n).Msg("work: item held back, it crashes engines")
-	case n >= crashBackoffThreshold:
-		st.retryAt = max(st.retryAt, now+maxBackoff)
 	}
 }
 
--- a/internal/node/work/work.go
+++ b/internal/node/work/work.go
@@ -31,14 +31,6 @@
 	engineBackoff = 150 * clock.Milli
 )
 
-// Quarantine counts the crashes that items cause, by server incarnation and item
-// fingerprint.
-type Quarantine interface {
-	RecordDisconnect(server, id string)
-	RecordAnswer(id func() string)
-	CrashCount(id string) int
-}
-
 // Caller sends the service's own calls through a route; see [front.Proxy].
 type Caller interface {
 	Do(ctx context.Context, r *front.Request) (*front.Reply, error)
@@ -46,17 +38,16 @@
 
 // Params are the dependencies and settings of a Worker.
 type Params struct {
-	Self       joblog.Node
-	Jobs       *jobs.Service
-	Proxy      Caller
-	Quarantine Quarantine
-	Conf       *conf.Follower
-	Locality   pick.Locality
-	AgentPort  int // port of every agent
-	Transport  http.RoundTripper
-	Clock      clock.Clock
-	Log        zerolog.Logger
-	Count      func(name, label string) // increments a counter; optional
+	Self      joblog.Node
+	Jobs      *jobs.Service
+	Proxy     Caller
+	Conf      *conf.Follower
+	Locality  pick.Locality
+	AgentPort int // port of every agent
+	Transport http.RoundTripper
+	Clock     clock.Clock
+	Log       zerolog.Logger
+	Count     func(name, label string) // increments a counter; optional
 }
 
 // Worker runs the items of the jobs that its node owns.
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -156,7 +156,7 @@
 	})
 	p.peerAddrs = func() []string { return append(p.configuredPeers(), e.jobs.PeerAddrs()...) }
 	e.work = work.New(work.Params{
-		Self: p.self, Jobs: e.jobs, Proxy: e.front, Quarantine: crashDetector, Conf: p.conf,
+		Self: p.self, Jobs: e.jobs, Proxy: e.front, Conf: p.conf,
 		Locality: locality, AgentPort: settings.InnerPort,
 		Transport: p.innerTransport, Clock: p.clock, Log: p.log, Count: p.countEvent,
 	})
