Samples of rounds are not quarantined

A sample of a round is owed like an item of a job; it keeps running apart from other suspects, so a server runs at most one of them at a time. Before: TestSampleWhoseServersCrashedIsStillOwed/sample: refused as quarantined.

--- a/internal/node/quar/quar.go
+++ b/internal/node/quar/quar.go
@@ -70,7 +70,8 @@
 
 // Admit is the admission check for [calls.Params]. If attempts of the work ended
 // in crashes, it first waits for the reports of these crashes, which name the
-// requests that were running, so that the decision considers all of them.
+// requests that were running, so that the decision considers all of them. A sample of
+// a round is never refused.
 func (q *Quarantine) Admit(ctx context.Context, w calls.Work, crashes int) (bool, error) {
 	if crashes == 0 && !q.hasCrashes.Load() {
 		return false, nil
@@ -85,7 +86,7 @@
 		}
 		known, refused = q.lookup(id)
 	}
-	if refused {
+	if refused && w.Sample.Round == "" { // An accepted sample is owed: servers crash by chance while they run it.
 		return true, quarantinedError(id)
 	}
 	return crashes > 0 || known > 0, nil
