The delay of an interrupted item counts from the start of its attempt

After trouble an item could be at no engine for 5.3 s although all was calm and engines had room, over the users' bound of 5 s. Cause: the delay of up to 4 s began when an attempt ended, and an attempt whose agent does not answer ends after 1.2 s. Change: the delay counts from the start of the attempt. The rate of starts stays bounded as before (TestItemWhoseEnginesCrashedIsStillOwed).

--- a/internal/node/work/fleet_test.go
+++ b/internal/node/work/fleet_test.go
@@ -318,3 +318,45 @@
 		}
 	})
 }
+
+// silentAgents wraps agents that do not answer runs for a time.
+type silentAgents struct {
+	*fakeFleet
+	until time.Time
+}
+
+func (a silentAgents) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Path == runs.RunPath && time.Now().Before(a.until) {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return a.fakeFleet.RoundTrip(r)
+}
+
+// TestItemIsPlacedSoonAfterCalm guards against an item that is at no engine for longer than
+// users accept although all is calm and engines have room: its last attempt of the trouble
+// may still be waiting for an answer, and the delay after it comes on top.
+func TestItemIsPlacedSoonAfterCalm(t *testing.T) {
+	const maxUnplaced = 5 * time.Second // the users' bound
+	for trouble := 5 * time.Second; trouble < 25*time.Second; trouble += time.Second {
+		t.Run(trouble.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer time.Sleep(time.Minute)
+				defer cancel()
+				agents := &fakeFleet{delay: time.Millisecond, runTime: time.Second}
+				agents.running, agents.clock = make(map[string]int), clock.NewSystem()
+				calm := time.Now().Add(trouble)
+				store := topic.New()
+				for i := range 3 {
+					store.Write("servers", fmt.Sprintf("i-%d", i), fmt.Appendf(nil, "10.0.0.%d:80", i))
+				}
+				w := startNode(ctx, store, store, silentAgents{agents, calm}, "a")
+				c.Assert(submit(ctx, w, "j", 1), qt.IsNil)
+				time.Sleep(time.Until(calm) + maxUnplaced)
+				c.Check(agents.runCount(), qt.Equals, 1)
+			})
+		})
+	}
+}
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -43,6 +43,7 @@
 // attempt is one execution of an item on one engine.
 type attempt struct {
 	server      *fleet.Server
+	startedAt   clock.Millis
 	cancel      func()
 	resumeAfter int // number of events received before it started
 	events      []runs.Event
--- a/internal/node/work/job_test.go
+++ b/internal/node/work/job_test.go
@@ -48,7 +48,7 @@
 					}
 					starts++
 					st := &j.states[0]
-					st.phase, st.current = inFlight, &attempt{server: s, cancel: func() {}, resumeAfter: st.eventCount(), events: testEvents("e", test.events)}
+					st.phase, st.current = inFlight, &attempt{server: s, startedAt: w.Clock.Now(), cancel: func() {}, resumeAfter: st.eventCount(), events: testEvents("e", test.events)}
 					w.attemptEnded(j, 0, &router.Route{MaxAttempts: 3}, st.current, test.code, "")
 				}
 				c.Check(starts <= test.maxStarts, qt.IsTrue, qt.Commentf("%d starts", starts))
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// minBackoff is the delay before an item whose run was interrupted is started
-	// again. It doubles with each interruption, up to maxBackoff. An item is never
+	// minBackoff is the time between two starts of an item whose run was interrupted.
+	// It doubles with each interruption, up to maxBackoff. An item is never
 	// given up for the crashes of engines that ran it: several engines may crash by
 	// chance, and an accepted item is owed.
 	minBackoff = 50 * clock.Milli
@@ -45,7 +45,7 @@
 func (w *Worker) startAttempt(j *job, i int, r *router.Route, s *fleet.Server) *attempt {
 	st, it := &j.states[i], &j.items[i]
 	ctx, cancel := context.WithCancel(j.ctx)
-	a := &attempt{server: s, cancel: cancel, resumeAfter: st.eventCount()}
+	a := &attempt{server: s, startedAt: w.Clock.Now(), cancel: cancel, resumeAfter: st.eventCount()}
 	w.engine(s).runStarted(w.Clock.Now())
 	run := &runs.Run{
 		Job: j.id, Item: it.ID, Instance: s.ID, StartedAt: s.StartedAt, Model: j.model, MinVersion: j.minVersion, OneModel: r.SingleVersion,
@@ -180,7 +180,8 @@
 		st.interruptions++
 		st.avoidEngine = s.ID
 		e.backoffUntil = now + engineBackoff
-		st.retryAt = now + min(maxBackoff, minBackoff<<min(st.interruptions-1, 10))
+		// The delay counts from the start of the attempt, which may have taken most of it.
+		st.retryAt = max(now+minBackoff, a.startedAt+min(maxBackoff, minBackoff<<min(st.interruptions-1, 10)))
 	}
 }
 
