Limited engines don't count as free slots when states are requested

While items wait, an entry asks idle engines for their state only if the engines that it knows have too few free slots; it counted all slots of an engine that takes one run in some hundred ms. Change: such an engine counts as one start, or as none before its next one. Before: TestLimitedEnginesAreNoFreeSlots failed in the two cases with a limit.

--- a/internal/node/work/engines.go
+++ b/internal/node/work/engines.go
@@ -128,7 +128,7 @@
 			outdated = append(outdated, candidate)
 			continue
 		}
-		items -= max(0, candidate.Slots-candidate.Running)
+		items -= freeStarts(candidate)
 		unconfirmed = unconfirmed || !w.mayStart(e, now)
 	}
 	if unconfirmed {
@@ -148,13 +148,25 @@
 		if items <= 0 {
 			break
 		}
-		items -= max(1, candidate.Slots-candidate.Running)
+		items -= max(1, freeStarts(candidate))
 		w.requestState(byID[candidate.ID], j.model, now)
 		waiting = waiting || w.engine(byID[candidate.ID]).asking
 	}
 	return waiting && now-j.startedAt < stateWaitTimeout
 }
 
+// freeStarts returns how many items can start at an engine now.
+func freeStarts(e *sched.Engine) int {
+	free := max(0, e.Slots-e.Running)
+	switch {
+	case e.Limited && e.InBackoff:
+		return 0
+	case e.Limited:
+		return min(1, free)
+	}
+	return free
+}
+
 // mayStart reports whether the agent of an engine is expected to start a run: this
 // node can show that its jobs are still open. While the index can't be read, the
 // agent may start runs without that.
--- a/internal/node/work/fleet_test.go
+++ b/internal/node/work/fleet_test.go
@@ -23,6 +23,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
+	"github.com/jujuberamp/jujuberamp/internal/decide/sched"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
@@ -360,3 +361,46 @@
 		})
 	}
 }
+
+// TestLimitedEnginesAreNoFreeSlots guards against items that wait for engines that limit
+// the rate of requests while idle engines are not asked for their state, because the free
+// slots of the limited ones seem to be enough.
+func TestLimitedEnginesAreNoFreeSlots(t *testing.T) {
+	tests := map[string]struct {
+		known sched.Engine // state of the two engines that reported just now
+		asked bool         // the third engine is asked for its state
+	}{
+		"free":                            {sched.Engine{Slots: 8}, false},
+		"full":                            {sched.Engine{Slots: 8, Running: 8}, true},
+		"limited, one start each":         {sched.Engine{Slots: 8, Limited: true}, true},
+		"limited, no start for some time": {sched.Engine{Slots: 8, Limited: true, InBackoff: true}, true},
+		"refused a run a short time ago":  {sched.Engine{Slots: 8, InBackoff: true}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				agents := &fakeFleet{delay: time.Millisecond, running: make(map[string]int), clock: clock.NewSystem()}
+				w := New(Params{Transport: agents, AgentPort: 81, Clock: agents.clock, Log: zerolog.Nop()})
+				now := w.Clock.Now()
+				byID := make(map[string]*fleet.Server)
+				var engines []*sched.Engine
+				for i := range 3 {
+					e := test.known
+					e.ID = fmt.Sprintf("i-%d", i)
+					byID[e.ID] = &fleet.Server{ID: e.ID, Addr: fmt.Sprintf("10.0.0.%d:80", i)}
+					if i < 2 {
+						w.engine(byID[e.ID]).lastSeen = now
+					} else {
+						e = sched.Engine{ID: e.ID, Slots: 8}
+					}
+					engines = append(engines, &e)
+				}
+				w.mu.Lock()
+				w.requestStates(&job{model: "m"}, sched.New(engines), byID, 4, now)
+				w.mu.Unlock()
+				time.Sleep(time.Second)
+				qt.New(t).Check(agents.fetches > 0, qt.Equals, test.asked)
+			})
+		})
+	}
+}
