sched, roles: wording of two comments

The list of rules in package sched had got blank lines from the formatter, and a comment in roles told an order of calls instead of what the function returns.

--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -7,30 +7,23 @@
 //     a group is complete only with its last item. The latest start is never
 //     before the job was accepted, so that an item that can't meet its deadline
 //     any more does not displace other items.
-//
 //  2. An item is assigned to the engine with a free slot on which it is expected
 //     to end first, by the engine's event interval, load and round-trip time.
-//
 //  3. A slow engine gets only items that are expected to end soon on it; longer
 //     items wait for another engine, unless all engines are slow.
-//
 //  4. An item on a slow engine, or on an engine in a transient slowdown, migrates
 //     to a faster engine with a free slot if no item is waiting and the
 //     migration saves enough time. The new engine processes the output so far as
 //     part of the prompt, which takes much less time than a transient slowdown.
-//
 //  5. During a transient slowdown, only items that may be the last of their job
 //     migrate: a migration costs a connection and prompt processing, and the
 //     other items end before the last one anyway.
-//
 //  6. An engine without a current measurement may be in a transient slowdown, so
 //     an engine that is known to be at its usual speed is preferred.
-//
 //  7. An item goes on only at engines with the software that began its output. If none
 //     of them has a free slot, the item waits at most as long as it would take to
 //     generate its output so far once more. Then, or if no such engine is left, it
 //     starts over as soon as any engine is free.
-//
 //  8. No item migrates to an engine that limits the rate of requests: the request is
 //     better spent on an item that waits.
 //
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -208,7 +208,7 @@
 	return nil
 }
 
-// livePeers is set before the jobs are, and called after.
+// livePeers returns the live entries; see [jobs.Service.LivePeers].
 func (e *entry) livePeers() ([]spread.Peer, bool) { return e.jobs.LivePeers() }
 
 // drain waits for items in progress, hands over the remaining ones and waits until
