Restarts of entries don't raise the rate of requests to a limited server

Change: entries stay candidates while they leave; a granter goes by its own rank if that is lower; an entry asks the granter before its first request to a server. TestRecentPeersKeepLeavingNodes and TestGranterGoesByItsOwnRank have no code to fail on before.

--- a/internal/inner/grant/grant.go
+++ b/internal/inner/grant/grant.go
@@ -30,7 +30,7 @@
 // Request asks for one request to a server.
 type Request struct {
 	Server    string  // incarnation of the server
-	PerSecond float64 // limit that the server has stated to the asking node
+	PerSecond float64 // limit that the server has stated to the asking node, 0 if that has no answer yet
 	Rank      int     // of the asked node among the granters; see package rate
 	MaxWait   clock.Millis
 }
@@ -38,8 +38,9 @@
 // Reply is the answer. A granted request may start after Wait. For a refused one, Wait
 // is how long it would have to wait.
 type Reply struct {
-	Granted bool
-	Wait    clock.Millis
+	Granted   bool
+	Wait      clock.Millis
+	PerSecond float64 // limit of the server, 0 if the asked node knows none
 }
 
 // Ask sends a request to the node at an inner address.
--- a/internal/node/jobs/jobs_test.go
+++ b/internal/node/jobs/jobs_test.go
@@ -515,3 +515,19 @@
 		c.Check(jobState(b, "j").IsOpen(), qt.IsTrue)
 	})
 }
+
+// TestRecentPeersKeepLeavingNodes guards against nodes that choose different granters for
+// a server while others are restarted one after the other.
+func TestRecentPeersKeepLeavingNodes(t *testing.T) {
+	withTwoNodes(t, func(c *qt.C, ctx context.Context, _ *topic.Store, a, b *Service) {
+		time.Sleep(time.Second)
+		c.Assert(b.AnnounceLeaving(ctx), qt.IsNil)
+		time.Sleep(time.Second)
+		live, known := a.LivePeers()
+		c.Check(known, qt.IsTrue)
+		c.Check(live, qt.HasLen, 1)
+		recent, known := a.RecentPeers()
+		c.Check(known, qt.IsTrue)
+		c.Check(recent, qt.HasLen, 2)
+	})
+}
--- a/internal/node/jobs/service.go
+++ b/internal/node/jobs/service.go
@@ -279,13 +279,19 @@
 
 // LivePeers returns the nodes, including this one, that are not leaving and were alive
 // when heartbeats were last read. It returns false if heartbeats were not read yet.
-func (s *Service) LivePeers() ([]spread.Peer, bool) {
+func (s *Service) LivePeers() ([]spread.Peer, bool) { return s.peers(false) }
+
+// RecentPeers is LivePeers with the nodes that are leaving or have left a short time ago.
+// Its result changes less often: it does not change when nodes are restarted.
+func (s *Service) RecentPeers() ([]spread.Peer, bool) { return s.peers(true) }
+
+func (s *Service) peers(withLeaving bool) ([]spread.Peer, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	readAt := s.ix.HeartbeatsReadAt()
 	var out []spread.Peer
 	s.ix.EachPeer(func(p *joblog.Peer) {
-		if !p.Leaving && readAt-p.LastSeen <= IdleFailureTimeout {
+		if (withLeaving || !p.Leaving) && readAt-p.LastSeen <= IdleFailureTimeout {
 			out = append(out, spread.Peer{Name: ident.Node(p.Node.Name), Addr: p.Addr})
 		}
 	})
--- a/internal/node/rates/rates.go
+++ b/internal/node/rates/rates.go
@@ -1,10 +1,15 @@
 // Package rates keeps the requests that all nodes send to a backend server within the
 // rate that the server states; see package rate for the rules.
 //
-// A node sends requests to a server freely until the server states a limit to it. From
-// then on it asks the server's granter before each request. The granter of a server with
-// a model is the agent beside it. That of any other server is the live entry that ranks
-// first by rendezvous hashing, or a further one if that is not reached.
+// A node that has no answer of a server yet asks the server's granter whether the server
+// is limited, so that a node which has just started does not exceed the limit. It then
+// sends requests freely until the server states a limit to it. From then on it asks the
+// granter before each request.
+//
+// The granter of a server with a model is the agent beside it. That of any other server
+// is the entry that ranks first by rendezvous hashing, or a further one if that is not
+// reached. A node that is asked goes by its own rank if that is lower, so that two nodes
+// with different lists of entries don't both grant the whole rate.
 //
 // # Usage
 //
@@ -28,6 +33,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/base/option"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/rate"
 	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
@@ -44,13 +50,17 @@
 	noGranterDelay = 300 * clock.Milli
 	// retention is how long the state of a server that is not used is kept.
 	retention = clock.Minute
+	// askedLimitTTL is how long a limit that another node named counts. Nodes name it with
+	// each request that they send, every four seconds at the lowest rate.
+	askedLimitTTL = 10 * clock.Second
 )
 
 // Params are the dependencies and settings of a [Limiter].
 type Params struct {
 	Self ident.Node
-	// Entries returns the entries that live, including this one unless it is leaving. It
-	// returns false while they are not known.
+	// Entries returns the entries, including this one and those that are leaving: they
+	// grant until they are gone, and come back soon if they are restarted. It returns false
+	// while the entries are not known.
 	Entries   func() ([]spread.Peer, bool)
 	AgentPort int // port of every agent
 	Transport http.RoundTripper
@@ -62,6 +72,9 @@
 // server is what this node knows about one incarnation of a server.
 type server struct {
 	limit       rate.Limit
+	answered    bool         // this node has an answer of the server, or was told that it has no limit
+	askedLimit  float64      // limit that another node named
+	askedAt     clock.Millis // when that was
 	refusedTill clock.Millis // by the last refusal, no request may start before
 	starts      rate.Bucket  // for the requests that this node grants
 	usedAt      clock.Millis
@@ -107,61 +120,71 @@
 			Msg("rates: rate limit can't be decoded, the previous one stays in force")
 		return
 	}
-	_, isStated := stated.PerSecond.Get()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !isStated && l.servers[to.Incarnation()] == nil {
-		return
-	}
 	s := l.server(to.Incarnation())
+	s.answered = true
 	if s.limit.Observe(l.Clock.Now(), sentAt, stated.PerSecond) {
 		l.Count("rate-limit", "changed")
 		l.Log.Info().Str("server", to.ID).Float64("per-second", s.limit.PerSecond()).Msg("rates: rate limit of a server changed")
 	}
 }
 
-// IsLimited reports whether a server has stated a limit to this node.
+// IsLimited reports whether a server has, or may have, a limit.
 func (l *Limiter) IsLimited(to *fleet.Server) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.servers[to.Incarnation()]
-	return s != nil && s.limit.PerSecond() > 0
+	return s == nil || !s.answered || s.limit.PerSecond() > 0
 }
 
-// Acquire asks for one request to a limited server. The request may start after the
+// Acquire asks for one request to a server that is or may be limited. The request may start after the
 // returned wait. It is refused if the wait is longer than maxWait.
 func (l *Limiter) Acquire(ctx context.Context, to *fleet.Server, maxWait clock.Millis) (wait clock.Millis, ok bool) {
 	r := grant.Request{Server: to.Incarnation(), MaxWait: maxWait}
 	l.mu.Lock()
 	s := l.server(r.Server)
 	r.PerSecond = s.limit.PerSecond()
+	answered := s.answered
 	wait = s.refusedTill - l.Clock.Now()
 	l.mu.Unlock()
-	if r.PerSecond == 0 {
+	if answered && r.PerSecond == 0 {
 		return 0, true
 	}
 	if wait > maxWait {
 		l.Count("rate-limit", "refused")
 		return wait, false
 	}
-	reply := l.ask(ctx, to, r)
+	askedAt := l.Clock.Now()
+	reply, asked := l.ask(ctx, to, r)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !answered { // A limit is learned from the granter, or from the first answer.
+		if !asked {
+			return 0, true
+		}
+		s.answered = true
+		if reply.PerSecond > 0 {
+			s.limit.Observe(l.Clock.Now(), askedAt, option.Some(reply.PerSecond))
+		}
+	}
 	if reply.Granted {
-		l.Count("rate-limit", "granted")
+		if reply.PerSecond > 0 {
+			l.Count("rate-limit", "granted")
+		}
 		return reply.Wait, true
 	}
 	l.Count("rate-limit", "refused")
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	s.refusedTill = l.Clock.Now() + reply.Wait
 	return reply.Wait, false
 }
 
-// ask asks the first granter of a server that answers.
-func (l *Limiter) ask(ctx context.Context, to *fleet.Server, r grant.Request) grant.Reply {
+// ask asks the first granter of a server that answers. It returns false if there is none.
+func (l *Limiter) ask(ctx context.Context, to *fleet.Server, r grant.Request) (grant.Reply, bool) {
 	for rank, g := range l.granters(to) {
 		r.Rank = rank
 		if g.Name == l.Self {
-			return l.Grant(r)
+			return l.Grant(r), true
 		}
 		l.mu.Lock()
 		skipped := l.Clock.Now() < l.skip[g.Addr]
@@ -173,7 +196,7 @@
 		reply, err := grant.Ask(askCtx, l.http, g.Addr, r)
 		cancel()
 		if err == nil {
-			return reply
+			return reply, true
 		}
 		if ctx.Err() != nil {
 			break
@@ -183,7 +206,7 @@
 		l.skip[g.Addr] = l.Clock.Now() + granterBackoff
 		l.mu.Unlock()
 	}
-	return grant.Reply{Wait: noGranterDelay}
+	return grant.Reply{Wait: noGranterDelay}, false
 }
 
 // granters returns the granters of a server in order of their rank.
@@ -199,15 +222,40 @@
 	if !known {
 		return nil
 	}
-	return spread.TopPeers("rate/"+to.ID, entries, rate.Granters)
+	return spread.TopPeers(granterKey(to.Incarnation()), entries, rate.Granters)
 }
 
+// granterKey returns the key by which the granters of a server's incarnation are chosen.
+func granterKey(incarnation string) string { return "rate/" + incarnation }
+
 // Grant decides on a request for a grant as the granter of a server.
 func (l *Limiter) Grant(r grant.Request) grant.Reply {
+	rank := max(r.Rank, l.ownRank(r.Server))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	wait, ok := l.server(r.Server).starts.Take(l.Clock.Now(), r.PerSecond, r.Rank, r.MaxWait)
-	return grant.Reply{Granted: ok, Wait: wait}
+	s, now := l.server(r.Server), l.Clock.Now()
+	if r.PerSecond > 0 {
+		s.askedLimit, s.askedAt = r.PerSecond, now
+	} else if r.PerSecond = s.limit.PerSecond(); r.PerSecond == 0 && now-s.askedAt <= askedLimitTTL {
+		r.PerSecond = s.askedLimit
+	}
+	if r.PerSecond == 0 {
+		return grant.Reply{Granted: true}
+	}
+	wait, ok := s.starts.Take(now, r.PerSecond, rank, r.MaxWait)
+	return grant.Reply{Granted: ok, Wait: wait, PerSecond: r.PerSecond}
+}
+
+// ownRank returns the rank of this node among the granters of a server, as far as this
+// node knows the entries.
+func (l *Limiter) ownRank(incarnation string) int {
+	entries, _ := l.Entries()
+	for rank, g := range spread.TopPeers(granterKey(incarnation), entries, rate.Granters-1) {
+		if g.Name == l.Self {
+			return rank
+		}
+	}
+	return rate.Granters - 1
 }
 
 // Prune removes the state of servers that are no longer used.
--- a/internal/node/rates/rates_test.go
+++ b/internal/node/rates/rates_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -34,7 +35,8 @@
 	nodes  map[string]*node
 	listed []string // names of the entries in the list of live ones
 	starts []clock.Millis
-	limit  float64 // that the server states
+	limit  float64       // that the server states
+	answer time.Duration // until the server answers
 }
 
 // node is one entry.
@@ -73,13 +75,15 @@
 		return
 	}
 	c := n.cluster
-	wait, ok := n.limiter.Acquire(context.Background(), plainServer, 100)
-	if !ok || !clock.Sleep(context.Background(), wait) || n.IsSilent() {
-		return
+	if n.limiter.IsLimited(plainServer) {
+		wait, ok := n.limiter.Acquire(context.Background(), plainServer, 100)
+		if !ok || !clock.Sleep(context.Background(), wait) || n.IsSilent() {
+			return
+		}
 	}
 	sentAt := c.clock.Now()
 	c.starts = append(c.starts, sentAt)
-	time.Sleep(20 * time.Millisecond)
+	time.Sleep(c.answer)
 	n.limiter.Observe(plainServer, sentAt, plat.RateLimit{PerSecond: option.Some(c.limit)})
 }
 
@@ -110,6 +114,7 @@
 		entries int
 		limit   float64
 		fault   func(c *cluster, step int) // called every 100 ms from 6 s on
+		answer  time.Duration              // of the server, if it is slow
 	}{
 		"no fault":          {entries: 7, limit: 8},
 		"one in 2 s":        {entries: 7, limit: 0.5},
@@ -131,6 +136,11 @@
 			}
 		}},
 		"granter is cut off": {entries: 7, limit: 8, fault: func(c *cluster, step int) { c.granter().SetCut(step%80 < 50) }},
+		"entries are restarted, slow answers": {entries: 7, limit: 8, answer: 1500 * time.Millisecond, fault: func(c *cluster, step int) {
+			if step%10 == 0 {
+				c.start(fmt.Sprint("e-", step/10%7))
+			}
+		}},
 		"entries arrive": {entries: 3, limit: 8, fault: func(c *cluster, step int) {
 			if step%20 == 0 && step < 200 {
 				c.start(fmt.Sprint("new-", step))
@@ -140,7 +150,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := &cluster{clock: clock.NewSystem(), net: vnet.New(roundTrip), nodes: make(map[string]*node), limit: test.limit}
+				c := &cluster{clock: clock.NewSystem(), net: vnet.New(roundTrip), nodes: make(map[string]*node), limit: test.limit, answer: max(test.answer, 20*time.Millisecond)}
 				for i := range test.entries {
 					c.start(fmt.Sprint("e-", i))
 				}
@@ -189,3 +199,22 @@
 	_, ok := l.Acquire(context.Background(), plainServer, clock.Second)
 	qt.New(t).Check(ok, qt.IsFalse)
 }
+
+// TestGranterGoesByItsOwnRank guards against two nodes that both grant the whole rate of a
+// server because the node that asks knows other entries than the one that is asked.
+func TestGranterGoesByItsOwnRank(t *testing.T) {
+	c := &cluster{clock: clock.NewSystem(), net: vnet.New(roundTrip), nodes: make(map[string]*node), limit: 8}
+	for i := range 5 {
+		c.start(fmt.Sprint("e-", i))
+	}
+	check := qt.New(t)
+	for rank, g := range c.nodes["e-0"].limiter.granters(plainServer) {
+		l := c.nodes[string(g.Name)].limiter
+		r := grant.Request{Server: plainServer.Incarnation(), PerSecond: 0.5, MaxWait: clock.Hour}
+		l.Grant(r)
+		first := l.Grant(r).Wait
+		second := l.Grant(r).Wait
+		want := 2 * clock.Second * clock.Millis(math.Pow(3, float64(rank)))
+		check.Check(second-first >= want-1 && second-first <= want+1, qt.IsTrue, qt.Commentf("rank %d grants every %v", rank, second-first))
+	}
+}
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -195,7 +195,7 @@
 		return grant.Reply{Wait: reportInterval}
 	}
 	wait, ok := a.takeStart(r.Rank, r.MaxWait)
-	return grant.Reply{Granted: ok, Wait: wait}
+	return grant.Reply{Granted: ok, Wait: wait, PerSecond: a.rateLimit.PerSecond()}
 }
 
 func (a *Agent) releaseSlot() {
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -138,7 +138,7 @@
 	})
 	e.origins = origins
 	limiter := rates.New(rates.Params{
-		Self: ident.Node(p.self.Name), Entries: e.livePeers, AgentPort: settings.InnerPort,
+		Self: ident.Node(p.self.Name), Entries: e.recentPeers, AgentPort: settings.InnerPort,
 		Transport: p.innerTransport, Clock: p.clock, Log: p.log, Count: p.countEvent,
 	})
 	e.front = front.New(front.Params{
@@ -211,6 +211,9 @@
 // livePeers returns the live entries; see [jobs.Service.LivePeers].
 func (e *entry) livePeers() ([]spread.Peer, bool) { return e.jobs.LivePeers() }
 
+// recentPeers returns the entries; see [jobs.Service.RecentPeers].
+func (e *entry) recentPeers() ([]spread.Peer, bool) { return e.jobs.RecentPeers() }
+
 // drain waits for items in progress, hands over the remaining ones and waits until
 // all clients have been answered.
 func (e *entry) drain(ctx context.Context, ln net.Listener, srv *listen.Server, stopWork func(), deadline clock.Millis) {
