An entry that knows no granter probes a server until its first answer

Cause: an entry that has just started and can't read the list of entries sent freely to a server until the first answer, which may take a second and more. Change: it sends one request in a second to such a server. A statement that can't be decoded counts as an answer, so it no longer makes an entry ask before each request.

--- a/internal/node/rates/rates.go
+++ b/internal/node/rates/rates.go
@@ -48,6 +48,9 @@
 	granterBackoff = 2 * clock.Second
 	// noGranterDelay is the wait that is told while no granter answers.
 	noGranterDelay = 300 * clock.Milli
+	// probeInterval is the time between two requests to a server while neither an answer
+	// nor a granter tells whether it is limited.
+	probeInterval = clock.Second
 	// retention is how long the state of a server that is not used is kept.
 	retention = clock.Minute
 	// askedLimitTTL is how long a limit that another node named counts. Nodes name it with
@@ -75,7 +78,7 @@
 	answered    bool         // this node has an answer of the server, or was told that it has no limit
 	askedLimit  float64      // limit that another node named
 	askedAt     clock.Millis // when that was
-	refusedTill clock.Millis // by the last refusal, no request may start before
+	refusedTill clock.Millis // no request may start before: by the last refusal or probe
 	starts      rate.Bucket  // for the requests that this node grants
 	usedAt      clock.Millis
 }
@@ -115,15 +118,17 @@
 // Observe records what an answer of a server states. The request of the answer was sent
 // at sentAt.
 func (l *Limiter) Observe(to *fleet.Server, sentAt clock.Millis, stated plat.RateLimit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.server(to.Incarnation())
+	if !s.answered {
+		s.answered, s.refusedTill = true, 0
+	}
 	if stated.Malformed != "" {
 		l.Log.Warn().Str("server", to.ID).Str("limit", stated.Malformed).
 			Msg("rates: rate limit can't be decoded, the previous one stays in force")
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.server(to.Incarnation())
-	s.answered = true
 	if s.limit.Observe(l.Clock.Now(), sentAt, stated.PerSecond) {
 		l.Count("rate-limit", "changed")
 		l.Log.Info().Str("server", to.ID).Float64("per-second", s.limit.PerSecond()).Msg("rates: rate limit of a server changed")
@@ -161,6 +166,7 @@
 	defer l.mu.Unlock()
 	if !answered { // A limit is learned from the granter, or from the first answer.
 		if !asked {
+			s.refusedTill = l.Clock.Now() + probeInterval
 			return 0, true
 		}
 		s.answered = true
--- a/internal/node/rates/rates_test.go
+++ b/internal/node/rates/rates_test.go
@@ -45,6 +45,7 @@
 	cluster *cluster
 	name    string
 	limiter *Limiter
+	knows   clock.Millis // when it knows the entries
 }
 
 // start starts or restarts an entry.
@@ -58,7 +59,7 @@
 			for _, name := range c.listed {
 				out = append(out, spread.Peer{Name: ident.Node(name), Addr: name + ":1"})
 			}
-			return out, true
+			return out, c.clock.Now() >= n.knows
 		},
 	})
 	c.nodes[name] = n
@@ -141,6 +142,13 @@
 				c.start(fmt.Sprint("e-", step/10%7))
 			}
 		}},
+		"entries are restarted and don't know the others, slow answers": {entries: 7, limit: 8, answer: 1500 * time.Millisecond, fault: func(c *cluster, step int) {
+			if step%10 == 0 {
+				name := fmt.Sprint("e-", step/10%7)
+				c.start(name)
+				c.nodes[name].knows = c.clock.Now() + 2*clock.Second
+			}
+		}},
 		"entries arrive": {entries: 3, limit: 8, fault: func(c *cluster, step int) {
 			if step%20 == 0 && step < 200 {
 				c.start(fmt.Sprint("new-", step))
@@ -218,3 +226,16 @@
 		check.Check(second-first >= want-1 && second-first <= want+1, qt.IsTrue, qt.Commentf("rank %d grants every %v", rank, second-first))
 	}
 }
+
+// TestMalformedStatement guards against a statement that can't be decoded and ends a limit,
+// or makes an entry ask before each request.
+func TestMalformedStatement(t *testing.T) {
+	l := New(Params{Clock: clock.NewSystem(), Log: zerolog.Nop()})
+	check := qt.New(t)
+	check.Check(l.IsLimited(plainServer), qt.IsTrue, qt.Commentf("no answer yet"))
+	l.Observe(plainServer, l.Clock.Now(), plat.RateLimit{Malformed: "x"})
+	check.Check(l.IsLimited(plainServer), qt.IsFalse)
+	l.Observe(plainServer, l.Clock.Now(), plat.RateLimit{PerSecond: option.Some(5.0)})
+	l.Observe(plainServer, l.Clock.Now(), plat.RateLimit{Malformed: "x"})
+	check.Check(l.IsLimited(plainServer), qt.IsTrue)
+}
