The waiting time of an item with output counts from its last event

What callers would see: an item that can go on only at engines of one software version, and that these refuse again and again (rate limit, slots taken by other nodes), waited forever instead of starting over elsewhere. Cause: each refusal began the waiting time anew. Change: only an attempt with events does. Before: TestRefusedItemCanStartOver: waiting time 0 s after 4 s of refusals.

--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -110,7 +110,7 @@
 	ExpectedEvents int          // estimated number of events in total, 0 if not known
 	Received       int          // number of events received so far
 	Software       string       // that made these events
-	WaitingFor     clock.Millis // time since the last attempt ended or the item was loaded
+	WaitingFor     clock.Millis // time since the last attempt with events ended, or the item was loaded
 	Avoid          string       // ID of the engine that gets the item only if there is no other, empty for none
 }
 
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -29,7 +29,7 @@
 	// current attempt when its first event arrives, so that a refusal by the
 	// faster engine costs nothing.
 	successor     *attempt
-	pendingSince  clock.Millis // when the last attempt ended or the item was loaded
+	progressAt    clock.Millis // when the last attempt with events ended, or the item was loaded
 	retryAt       clock.Millis // earliest start of the next attempt
 	migrateAt     clock.Millis // earliest time of the next migration
 	avoidEngine   string       // ID of the engine whose attempt was just interrupted
@@ -177,7 +177,7 @@
 		if st.phase == pending && now >= st.retryAt {
 			out = append(out, sched.Item{
 				Index: i, ExpectedEvents: j.items[i].LengthHint / tokensPerEvent, Received: len(st.received), Software: st.software,
-				WaitingFor: now - st.pendingSince, Avoid: st.avoidEngine,
+				WaitingFor: now - st.progressAt, Avoid: st.avoidEngine,
 			})
 		}
 	}
--- a/internal/node/work/job_test.go
+++ b/internal/node/work/job_test.go
@@ -179,3 +179,30 @@
 	c.Check(reassignedEngines(map[string]int{"a": 6, "b": 3}, map[string]int{"a": 5, "b": 4}), qt.Equals, 1)
 	c.Check(reassignedEngines(map[string]int{"a": 3}, map[string]int{"a": 3}), qt.Equals, 0)
 }
+
+// TestRefusedItemCanStartOver guards against an item that waits forever for an engine of its
+// software because each refusal begins its waiting time anew: engines that seem free may
+// refuse it again and again, such as those that limit the rate of requests.
+func TestRefusedItemCanStartOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := New(Params{Clock: clock.NewSystem(), Log: zerolog.Nop()})
+		j := &job{ctx: t.Context(), items: make([]joblog.Item, 1), states: make([]itemState, 1)}
+		st := &j.states[0]
+		attemptWith := func(n int, code runs.Code) {
+			st.phase, st.current = inFlight, &attempt{
+				server: &fleet.Server{ID: "i", Software: "v1"}, startedAt: w.Clock.Now(), cancel: func() {}, resumeAfter: st.eventCount(), events: testEvents("e", n),
+			}
+			w.attemptEnded(j, 0, &router.Route{MaxAttempts: 3}, st.current, code, "")
+		}
+		attemptWith(3, runs.Broken)
+		for range 20 {
+			time.Sleep(200 * time.Millisecond)
+			attemptWith(0, runs.Full)
+		}
+		got := j.startable(w.Clock.Now(), 1)
+		c.Assert(got, qt.HasLen, 1)
+		c.Check(got[0].Software, qt.Equals, "v1")
+		c.Check(got[0].WaitingFor, qt.Equals, 4*clock.Second)
+	})
+}
--- a/internal/node/work/reconcile.go
+++ b/internal/node/work/reconcile.go
@@ -134,7 +134,7 @@
 	for i, cp := range checkpoints {
 		if st := &owned.states[i]; st.phase == pending && len(cp.events) > len(st.received) {
 			st.received, st.software, st.checkpointed = cp.events, cp.software, len(cp.events)
-			st.pendingSince = owned.startedAt
+			st.progressAt = owned.startedAt
 		}
 	}
 	w.Log.Info().Str("job", j.JobID).Int("items", len(items)).Int("listed", len(j.Results)).Int("texts", len(checkpoints)).Msg("work: job started from the store")
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -146,7 +146,10 @@
 		return
 	}
 	st.endCurrent()
-	st.phase, st.avoidEngine, st.pendingSince = pending, "", now
+	st.phase, st.avoidEngine = pending, ""
+	if len(a.events) > 0 {
+		st.progressAt = now
+	}
 	if successor := st.successor; successor != nil {
 		if code == agentLost || code == runs.Broken || code == runs.Leaving {
 			st.promoteSuccessor()
