--- a/internal/node/rates/rates_test.go
+++ b/internal/node/rates/rates_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,9 +31,11 @@
 
 // cluster is a set of entries that send requests to one limited server.
 type cluster struct {
-	clock  clock.Clock
-	net    *vnet.Net
-	nodes  map[string]*node
+	clock clock.Clock
+	net   *vnet.Net
+	nodes map[string]*node
+
+	mu     sync.Mutex
 	listed []string // names of the entries in the list of live ones
 	starts []clock.Millis
 	limit  float64       // that the server states
@@ -55,6 +58,8 @@
 	n.limiter = New(Params{
 		Self: ident.Node(name), Clock: c.clock, Log: zerolog.Nop(), Transport: n, AgentPort: 1,
 		Entries: func() ([]spread.Peer, bool) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
 			var out []spread.Peer
 			for _, name := range c.listed {
 				out = append(out, spread.Peer{Name: ident.Node(name), Addr: name + ":1"})
@@ -63,6 +68,8 @@
 		},
 	})
 	c.nodes[name] = n
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !slices.Contains(c.listed, name) {
 		c.listed = append(c.listed, name)
 	}
@@ -83,7 +90,9 @@
 		}
 	}
 	sentAt := c.clock.Now()
+	c.mu.Lock()
 	c.starts = append(c.starts, sentAt)
+	c.mu.Unlock()
 	time.Sleep(c.answer)
 	n.limiter.Observe(plainServer, sentAt, plat.RateLimit{PerSecond: option.Some(c.limit)})
 }
@@ -95,6 +104,8 @@
 
 // most returns the largest number of requests in any four seconds from a time on.
 func (c *cluster) most(from clock.Millis) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	most := 0
 	slices.Sort(c.starts)
 	for i, at := range c.starts {
@@ -128,6 +139,8 @@
 				delete(c.nodes, gone)
 			}
 			if step == 120 { // The others notice.
+				c.mu.Lock()
+				defer c.mu.Unlock()
 				c.listed = slices.DeleteFunc(c.listed, func(n string) bool { return c.nodes[n] == nil })
 			}
 		}},
@@ -146,6 +159,8 @@
 			if step%10 == 0 {
 				name := fmt.Sprint("e-", step/10%7)
 				c.start(name)
+				c.mu.Lock()
+				defer c.mu.Unlock()
 				c.nodes[name].knows = c.clock.Now() + 2*clock.Second
 			}
 		}},
@@ -185,6 +200,8 @@
 				most, allowed := c.most(begin+known), 1.5*windowSize.Seconds()*test.limit+5
 				check := qt.New(t)
 				check.Check(float64(most) <= allowed, qt.IsTrue, qt.Commentf("%d requests in 4 s, %.0f are allowed", most, allowed))
+				c.mu.Lock()
+				defer c.mu.Unlock()
 				check.Check(float64(len(c.starts)) >= 0.3*36*test.limit, qt.IsTrue, qt.Commentf("%d requests in 36 s", len(c.starts)))
 			})
 		})
--- a/internal/node/work/fleet_test.go
+++ b/internal/node/work/fleet_test.go
@@ -399,6 +399,8 @@
 				w.requestStates(&job{model: "m"}, sched.New(engines), byID, 4, now)
 				w.mu.Unlock()
 				time.Sleep(time.Second)
+				agents.mu.Lock()
+				defer agents.mu.Unlock()
 				qt.New(t).Check(agents.fetches > 0, qt.Equals, test.asked)
 			})
 		})
--- a/internal/node/work/software_test.go
+++ b/internal/node/work/software_test.go
@@ -132,8 +132,9 @@
 		f.restart++
 	}
 	in, out := io.Pipe()
+	number := f.runs[run.Item]
 	go func() {
-		err := f.stream(r.Context(), out, host, e, &run, f.runs[run.Item])
+		err := f.stream(r.Context(), out, host, e, &run, number)
 		_ = out.CloseWithError(err) // It always returns nil.
 		f.mu.Lock()
 		defer f.mu.Unlock()
