One piece for messages between nodes, for an agent's address and for a server's granters

The granters of a server and a node's own rank among them were derived twice. quar.Quarantine.CrashCount has had no caller since items are exempt from containment.

--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -22,6 +22,7 @@
 import (
 	"cmp"
 	"maps"
+	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -49,6 +50,16 @@
 // Incarnation returns an ID of the server's current incarnation.
 func (s *Server) Incarnation() string { return s.ID + "/" + strconv.FormatInt(s.StartedAt, 10) }
 
+// AgentAddr returns the inner address of the agent on the server's VM, given the port of
+// all agents.
+func (s *Server) AgentAddr(port int) string {
+	host, _, err := net.SplitHostPort(s.Addr)
+	if err != nil {
+		host = s.Addr // Dialing this address fails, and the error is logged.
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
 // View is an immutable snapshot of the list.
 type View struct {
 	byService map[string][]*Server
--- a/internal/inner/grant/grant.go
+++ b/internal/inner/grant/grant.go
@@ -8,17 +8,14 @@
 package grant
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
-	"io"
 	"net/http"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/rate"
+	"github.com/jujuberamp/jujuberamp/internal/inner/post"
 )
 
 // Path is the path at which a node answers.
@@ -45,41 +42,24 @@
 
 // Ask sends a request to the node at an inner address.
 func Ask(ctx context.Context, c *http.Client, addr string, r Request) (Reply, error) {
-	var buf bytes.Buffer
-	if err := gob.NewEncoder(&buf).Encode(&r); err != nil {
-		return Reply{}, errors.Wrap(err, "grant")
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+Path, &buf)
-	if err != nil {
-		return Reply{}, errors.Wrap(err, "grant")
-	}
-	resp, err := c.Do(req)
-	if err != nil {
-		return Reply{}, errors.Wrap(err, "grant")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return Reply{}, errors.Errorf("grant: status %d from %s", resp.StatusCode, addr)
-	}
 	var reply Reply
-	err = gob.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(&reply)
-	return reply, errors.Wrap(err, "grant")
+	err := post.Send(ctx, c, "http://"+addr+Path, &r, &reply, maxBodyBytes)
+	return reply, err
 }
 
 // Handler answers requests by the decision of this node.
 func Handler(decide func(Request) Reply, log zerolog.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		var r Request
-		err := gob.NewDecoder(io.LimitReader(req.Body, maxBodyBytes)).Decode(&r)
-		if err != nil || !(r.PerSecond >= 0) || r.Rank < 0 || r.Rank >= rate.Granters {
-			log.Warn().Err(err).Str("from", req.RemoteAddr).Float64("per-second", r.PerSecond).Int("rank", r.Rank).
-				Msg("grant: request can't be decoded")
+		if !post.Read(w, req, &r, maxBodyBytes, log) {
+			return
+		}
+		if !(r.PerSecond >= 0) || r.Rank < 0 || r.Rank >= rate.Granters {
+			log.Warn().Str("from", req.RemoteAddr).Float64("per-second", r.PerSecond).Int("rank", r.Rank).Msg("grant: request is not valid")
 			http.Error(w, "not a request for a grant", http.StatusBadRequest)
 			return
 		}
 		reply := decide(r)
-		if err := gob.NewEncoder(w).Encode(&reply); err != nil {
-			log.Info().Str("server", r.Server).Err(err).Msg("grant: reply not sent")
-		}
+		post.Reply(w, &reply, log)
 	})
 }
--- a/internal/inner/resume/resume.go
+++ b/internal/inner/resume/resume.go
@@ -9,14 +9,12 @@
 package resume
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
-	"io"
 	"net/http"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/inner/post"
 )
 
 // Paths at which an entry answers.
@@ -53,56 +51,21 @@
 
 // Record sends origins to the node at an inner address.
 func Record(ctx context.Context, c *http.Client, addr string, origins []Origin) error {
-	return call(ctx, c, "http://"+addr+RecordPath, origins, nil)
+	return post.Send(ctx, c, "http://"+addr+RecordPath, origins, nil, maxBodyBytes)
 }
 
 // Find asks the node at an inner address.
 func Find(ctx context.Context, c *http.Client, addr string, q Query) (Reply, error) {
 	var reply Reply
-	err := call(ctx, c, "http://"+addr+FindPath, q, &reply)
+	err := post.Send(ctx, c, "http://"+addr+FindPath, q, &reply, maxBodyBytes)
 	return reply, err
 }
 
-func call(ctx context.Context, c *http.Client, url string, message, reply any) error {
-	var buf bytes.Buffer
-	if err := gob.NewEncoder(&buf).Encode(message); err != nil {
-		return errors.Wrap(err, "stream origin")
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, &buf)
-	if err != nil {
-		return errors.Wrap(err, "stream origin")
-	}
-	resp, err := c.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "stream origin")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("stream origin: status %d from %s", resp.StatusCode, url)
-	}
-	body := io.LimitReader(resp.Body, maxBodyBytes)
-	if reply == nil {
-		_, err = io.Copy(io.Discard, body) // The connection can then be reused.
-		return errors.Wrap(err, "stream origin")
-	}
-	return errors.Wrap(gob.NewDecoder(body).Decode(reply), "stream origin")
-}
-
-// decode reads a message of a request. It answers the request if that fails.
-func decode(w http.ResponseWriter, req *http.Request, message any, log zerolog.Logger) bool {
-	err := gob.NewDecoder(io.LimitReader(req.Body, maxBodyBytes)).Decode(message)
-	if err != nil {
-		log.Warn().Err(err).Str("from", req.RemoteAddr).Str("path", req.URL.Path).Msg("resume: message can't be decoded")
-		http.Error(w, "not a message about the origin of streams", http.StatusBadRequest)
-	}
-	return err == nil
-}
-
 // RecordHandler passes the origins of messages to a function.
 func RecordHandler(record func([]Origin), log zerolog.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		var origins []Origin
-		if decode(w, req, &origins, log) {
+		if post.Read(w, req, &origins, maxBodyBytes, log) {
 			record(origins)
 		}
 	})
@@ -112,12 +75,9 @@
 func FindHandler(find func(Query) Reply, log zerolog.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		var q Query
-		if !decode(w, req, &q, log) {
-			return
-		}
-		reply := find(q)
-		if err := gob.NewEncoder(w).Encode(&reply); err != nil {
-			log.Info().Str("stream", q.Stream).Err(err).Msg("resume: reply not sent")
+		if post.Read(w, req, &q, maxBodyBytes, log) {
+			reply := find(q)
+			post.Reply(w, &reply, log)
 		}
 	})
 }
--- a/internal/node/quar/quar.go
+++ b/internal/node/quar/quar.go
@@ -109,15 +109,6 @@
 	return nil
 }
 
-// CrashCount returns the number of crashes during which a request was running.
-func (q *Quarantine) CrashCount(id string) int {
-	if !q.hasCrashes.Load() {
-		return 0
-	}
-	n, _ := q.lookup(id)
-	return n
-}
-
 // RecordAnswer clears a request of all crashes so far, because it got an answer.
 // It computes the fingerprint of the request only if crashes are recorded.
 func (q *Quarantine) RecordAnswer(fingerprint func() string) {
--- a/internal/node/rates/rates.go
+++ b/internal/node/rates/rates.go
@@ -24,9 +24,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"strconv"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -218,21 +216,21 @@
 // granters returns the granters of a server in order of their rank.
 func (l *Limiter) granters(to *fleet.Server) []spread.Peer {
 	if len(to.LoadedVersions) > 0 {
-		host, _, err := net.SplitHostPort(to.Addr)
-		if err != nil {
-			host = to.Addr // Asking this address fails, and the error is logged.
-		}
-		return []spread.Peer{{Addr: net.JoinHostPort(host, strconv.Itoa(l.AgentPort))}}
+		return []spread.Peer{{Addr: to.AgentAddr(l.AgentPort)}}
 	}
-	entries, known := l.Entries()
+	entries, known := l.entryGranters(to.Incarnation())
 	if !known {
 		return nil
 	}
-	return spread.TopPeers(granterKey(to.Incarnation()), entries, rate.Granters)
+	return entries
 }
 
-// granterKey returns the key by which the granters of a server's incarnation are chosen.
-func granterKey(incarnation string) string { return "rate/" + incarnation }
+// entryGranters returns the entries that grant requests to an incarnation of a server in
+// order of their rank, and whether the entries are known.
+func (l *Limiter) entryGranters(incarnation string) ([]spread.Peer, bool) {
+	entries, known := l.Entries()
+	return spread.TopPeers("rate/"+incarnation, entries, rate.Granters), known
+}
 
 // Grant decides on a request for a grant as the granter of a server.
 func (l *Limiter) Grant(r grant.Request) grant.Reply {
@@ -255,8 +253,8 @@
 // ownRank returns the rank of this node among the granters of a server, as far as this
 // node knows the entries.
 func (l *Limiter) ownRank(incarnation string) int {
-	entries, _ := l.Entries()
-	for rank, g := range spread.TopPeers(granterKey(incarnation), entries, rate.Granters-1) {
+	entries, _ := l.entryGranters(incarnation)
+	for rank, g := range entries {
 		if g.Name == l.Self {
 			return rank
 		}
--- a/internal/node/work/engines.go
+++ b/internal/node/work/engines.go
@@ -4,9 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"net"
 	"slices"
-	"strconv"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
@@ -211,7 +209,7 @@
 func (w *Worker) fetchState(s *fleet.Server, model string) {
 	ctx, cancel := context.WithTimeout(context.Background(), stateFetchTimeout.Duration())
 	defer cancel()
-	f, err := runs.FetchState(ctx, w.http, w.agentAddr(s), model)
+	f, err := runs.FetchState(ctx, w.http, s.AgentAddr(w.AgentPort), model)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e := w.engine(s)
@@ -259,11 +257,3 @@
 		w.Jobs.SetHealthy(!isolated)
 	}
 }
-
-func (w *Worker) agentAddr(s *fleet.Server) string {
-	host, _, err := net.SplitHostPort(s.Addr)
-	if err != nil {
-		host = s.Addr // Dialing this address fails, and the error is logged.
-	}
-	return net.JoinHostPort(host, strconv.Itoa(w.AgentPort))
-}
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -68,7 +68,7 @@
 	if err := gob.NewEncoder(&buf).Encode(run); err != nil {
 		return agentLost, err.Error()
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.agentAddr(a.server)+runs.RunPath, &buf)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.server.AgentAddr(w.AgentPort)+runs.RunPath, &buf)
 	if err != nil {
 		return agentLost, err.Error()
 	}
