Decode and log a server's statement that it leaves

The adapter decodes Server-Leaving of answers and reports, entries keep it with the server's incarnation (fleet rule 6), agents with the start of their engine. Each first statement is a log line, and so is each request sent to a server that had stated it, with the time since and whether it was known before the choice.

--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -9,11 +9,16 @@
 //  4. A registry entry that can't be decoded lists no server; a server that it
 //     listed before counts as removed.
 //  5. A server that restarts under the same ID is a new incarnation.
+//  6. A server that has stated in an answer that it leaves is leaving, whatever its
+//     registry entry says: the entry may be older than the statement, and can't be
+//     renewed during a store outage. The statement belongs to one incarnation. It is
+//     kept after the entry was removed, since the entry may come back.
 //
 // # Usage
 //
 //	l := fleet.New()
 //	l.Put(server)
+//	l.RecordLeaving(now, "i-1", startedAt)
 //	l.Drop(now, "i-1")
 //	l.Expire(now)
 //	view := l.View()
@@ -34,6 +39,10 @@
 // renew entries that expired. The platform documents about two seconds.
 const recoveryGrace = 2 * clock.Second
 
+// statementRetention is how long the statement of an incarnation that is not listed is
+// kept. Leaving servers exit within seconds to minutes.
+const statementRetention = 10 * clock.Minute
+
 // Server is one backend server.
 type Server struct {
 	ID             string
@@ -41,7 +50,8 @@
 	Addr           string // IP:port
 	Zone           string
 	Slots          int
-	Leaving        bool
+	Leaving        bool             // by its registry entry
+	LeavingSince   clock.Millis     // when this node learned that the server itself states that it leaves, 0 if it does not
 	StartedAt      int64            // start of the incarnation; compare for equality only
 	Software       string           // version of its software, not of its weights; may be empty
 	LoadedVersions map[string]int64 // loaded version by model; may be out of date
@@ -50,6 +60,10 @@
 // Incarnation returns an ID of the server's current incarnation.
 func (s *Server) Incarnation() string { return s.ID + "/" + strconv.FormatInt(s.StartedAt, 10) }
 
+// IsLeaving reports whether the server leaves, by its registry entry or by its own
+// statement.
+func (s *Server) IsLeaving() bool { return s.Leaving || s.LeavingSince > 0 }
+
 // AgentAddr returns the inner address of the agent on the server's VM, given the port of
 // all agents.
 func (s *Server) AgentAddr(port int) string {
@@ -100,19 +114,80 @@
 	dropAt      map[string]clock.Millis // by ID: time at which a pending removal takes effect
 	inOutage    bool                    // a store outage is in progress
 	recoveredAt clock.Millis            // end of the last store outage, 0 for none
+	statements  map[string][]statement  // by ID: incarnations that have stated that they leave
+}
+
+// statement is the statement of one incarnation of a server that it leaves.
+type statement struct {
+	startedAt  int64        // start of the incarnation, 0 if not known
+	at         clock.Millis // when this node learned of it
+	lastListed clock.Millis // when the incarnation was last found in the list, or at
+}
+
+// appliesTo reports whether a server with the ID of the statement made it. A start that
+// is not known may be the same one.
+func (m *statement) appliesTo(s *Server) bool {
+	return m.startedAt == s.StartedAt || m.startedAt == 0 || s.StartedAt == 0
 }
 
 // New returns an empty list.
 func New() *List {
-	return &List{servers: make(map[string]*Server), dropAt: make(map[string]clock.Millis)}
+	return &List{servers: make(map[string]*Server), dropAt: make(map[string]clock.Millis), statements: make(map[string][]statement)}
 }
 
 // Put adds a server or replaces the one with the same ID.
 func (l *List) Put(s *Server) {
-	l.servers[s.ID] = s
+	l.servers[s.ID] = l.withStatement(s)
 	delete(l.dropAt, s.ID)
 }
 
+// withStatement returns a server with the time of its statement that it leaves (rule 6).
+func (l *List) withStatement(s *Server) *Server {
+	for i := range l.statements[s.ID] {
+		if m := &l.statements[s.ID][i]; m.appliesTo(s) {
+			leaving := *s // Snapshots share the server.
+			leaving.LeavingSince = m.at
+			return &leaving
+		}
+	}
+	return s
+}
+
+// RecordLeaving records that an incarnation of a server, which need not be listed, states
+// that it leaves. It returns false if that was known.
+func (l *List) RecordLeaving(now clock.Millis, id string, startedAt int64) bool {
+	for _, m := range l.statements[id] {
+		if m.startedAt == startedAt {
+			return false
+		}
+	}
+	l.statements[id] = append(l.statements[id], statement{startedAt: startedAt, at: now, lastListed: now})
+	if s := l.servers[id]; s != nil {
+		l.servers[id] = l.withStatement(s)
+	}
+	return true
+}
+
+// pruneStatements removes the statements of incarnations that are gone.
+func (l *List) pruneStatements(now clock.Millis) {
+	for id, ms := range l.statements {
+		s := l.servers[id]
+		ms = slices.DeleteFunc(ms, func(m statement) bool {
+			return now-m.lastListed > statementRetention && (s == nil || !m.appliesTo(s))
+		})
+		if len(ms) == 0 {
+			delete(l.statements, id)
+			continue
+		}
+		for i := range ms {
+			if s != nil && ms[i].appliesTo(s) {
+				ms[i].lastListed = now
+			}
+		}
+		l.statements[id] = ms
+	}
+}
+
 // Drop handles the removal of a server's registry entry. The server is removed
 // from the list at once or, by rule 3, later.
 func (l *List) Drop(now clock.Millis, id string) {
@@ -158,6 +233,7 @@
 // Expire performs the pending removals that are due and returns the IDs of the
 // removed servers.
 func (l *List) Expire(now clock.Millis) []string {
+	l.pruneStatements(now)
 	var removed []string
 	for id, at := range l.dropAt {
 		if now >= at {
--- a/internal/edge/plat/engine.go
+++ b/internal/edge/plat/engine.go
@@ -40,6 +40,7 @@
 	NotExecuted   bool   // the server proves that it did not run the request
 	Misdirected   bool   // another server now has the address
 	RateLimit     RateLimit
+	Leaving       Leaving
 }
 
 // RateLimit is what an answer states about the rate of requests that the server takes
@@ -49,6 +50,12 @@
 	Malformed string                 // a statement that can't be decoded, empty for none
 }
 
+// Leaving is what an answer states about the end of its server.
+type Leaving struct {
+	Stated    bool   // the server leaves; it answers for some time yet
+	Malformed string // a statement that can't be decoded, empty for none
+}
+
 // Errors of [Sender.Send]. After any other error it is unknown whether the request
 // ran.
 var (
@@ -89,6 +96,7 @@
 	Versions       map[string]int64 // loaded version of each model
 	StartedAt      int64            // start of the engine's incarnation, 0 if not known; compare for equality only
 	RateLimit      RateLimit
+	Leaving        Leaving
 }
 
 // LoadOrder orders an engine to load a version of a model.
--- a/internal/node/conf/conf.go
+++ b/internal/node/conf/conf.go
@@ -207,6 +207,23 @@
 	f.servers.Retain(f.clock.Now(), ids)
 }
 
+// RecordLeaving records that an incarnation of a server states that it leaves, from then
+// on whatever the registry says; see package fleet. The source names who said so.
+func (f *Follower) RecordLeaving(id string, startedAt int64, source string) {
+	listed := f.Servers().ByID(id)
+	if listed != nil && listed.StartedAt == startedAt && listed.LeavingSince > 0 {
+		return
+	}
+	f.mu.Lock()
+	if !f.servers.RecordLeaving(f.clock.Now(), id, startedAt) {
+		f.mu.Unlock()
+		return
+	}
+	f.log.Info().Str("server", id).Int64("started-at", startedAt).Str("source", source).Bool("listed", listed != nil).
+		Bool("by-registry", listed != nil && listed.Leaving).Msg("conf: server states that it leaves")
+	f.publishAndUnlock()
+}
+
 func (f *Follower) setStoreAvailable(ok bool) {
 	f.storeDown.Store(!ok)
 	f.mu.Lock()
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -278,6 +278,10 @@
 func (c *requestState) send(
 	ctx context.Context, s *fleet.Server, now clock.Millis, lastEventID int,
 ) (*plat.Response, error) {
+	if listed := c.proxy.Conf.Servers().ByID(s.ID); listed != nil && listed.LeavingSince > 0 && listed.StartedAt == s.StartedAt {
+		c.proxy.Log.Info().Str("request", c.req.ID).Str("server", s.ID).Int64("stated-ms", int64(now-listed.LeavingSince)).
+			Bool("before-choice", s.LeavingSince > 0).Msg("front: request sent to a server that states that it leaves")
+	}
 	resp, err := c.proxy.Sender.Send(ctx, plat.Target{ID: s.ID, Addr: s.Addr}, plat.Request{
 		ID:          c.req.ID,
 		Method:      c.req.Method,
@@ -290,10 +294,22 @@
 	})
 	if err == nil && !resp.Misdirected {
 		c.proxy.Rates.Observe(s, now, resp.RateLimit)
+		c.observeLeaving(s, resp.Leaving)
 	}
 	return resp, err
 }
 
+// observeLeaving records what an answer of a server states about its end.
+func (c *requestState) observeLeaving(s *fleet.Server, stated plat.Leaving) {
+	if stated.Malformed != "" {
+		c.proxy.Log.Warn().Str("server", s.ID).Str("leaving", stated.Malformed).
+			Msg("front: statement that a server leaves can't be decoded and is ignored")
+	}
+	if stated.Stated {
+		c.proxy.Conf.RecordLeaving(s.ID, s.StartedAt, "answer")
+	}
+}
+
 // readUpTo reads at most limit bytes. The result is complete if the body ended
 // before the limit.
 func readUpTo(r io.Reader, limit int) (b []byte, complete bool, err error) {
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -22,6 +22,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/option"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/rate"
@@ -108,8 +109,10 @@
 	active           map[*run]struct{}
 	detector         speed.Detector
 	speedState       speed.State
-	rateLimit        rate.Limit  // of requests to the engine
-	starts           rate.Bucket // grants requests to the engine while it has a limit
+	rateLimit        rate.Limit           // of requests to the engine
+	starts           rate.Bucket          // grants requests to the engine while it has a limit
+	leaving          option.Option[int64] // start of the incarnation that states that it leaves
+	malformedLeaving string               // last statement about that which can't be decoded
 }
 
 // New returns an agent.
@@ -273,6 +276,12 @@
 func (x *run) readEvents(ctx context.Context) (runs.Code, string) {
 	a := x.agent
 	sentAt := a.Clock.Now()
+	a.mu.Lock()
+	startedAt, leaving := a.state.StartedAt, a.isLeaving()
+	a.mu.Unlock()
+	if leaving {
+		a.Log.Info().Str("item", x.Item).Str("engine", x.Instance).Msg("side: run sent to an engine that states that it leaves")
+	}
 	resp, err := a.Sender.Send(ctx, plat.Target{ID: x.Instance, Addr: a.EngineAddr}, plat.Request{
 		ID: x.Item, Method: http.MethodPost, URI: x.Path, Host: x.Host, Header: x.Header, Body: x.Body, Timeout: runTimeout, LastEventID: x.After,
 	})
@@ -282,6 +291,7 @@
 	defer resp.Body.Close()
 	if !resp.Misdirected {
 		a.observeRateLimit(sentAt, resp.RateLimit)
+		a.observeLeaving(startedAt, resp.Leaving)
 	}
 	switch {
 	case resp.Misdirected:
--- a/internal/node/side/weights.go
+++ b/internal/node/side/weights.go
@@ -65,6 +65,7 @@
 	now := a.Clock.Now()
 	if err == nil {
 		a.observeRateLimit(askedAt, state.RateLimit)
+		a.observeLeaving(state.StartedAt, state.Leaving)
 	}
 	a.mu.Lock()
 	lastReport := a.lastReport
