front: servers that state that they leave get no requests

What callers saw: while the store was silent, entries went on sending requests to a plain server that had told them in its answers that it leaves (DRAIN); once it has exited, these requests fail.

Cause: servers were chosen by their registry entries alone, and a leaving server can't change its entry while the store is silent.

Fix: choice goes by fleet.Server.IsLeaving, which holds for the incarnation whatever a registry entry says, and a request that waited for a start chooses again if its server has begun to leave, was removed or has restarted.

Tests, failed before: TestLeavingServerGetsNoRequest (12 of 13 cases; 1 is the restart that ends the statement), TestServerLeavesBetweenChoiceAndSend (2 of 4), TestStreamIsTakenUpElsewhere.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -119,7 +119,7 @@
 	var best *fleet.Server
 	bestTime, bestInBackoff := 0.0, false
 	for _, s := range servers {
-		if s.Leaving || tried[s.ID] {
+		if s.IsLeaving() || tried[s.ID] {
 			continue
 		}
 		expected, inBackoff := fastest, false
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -18,7 +18,10 @@
 //  7. A stream goes on only at servers of the service and with the software that made
 //     its first event, within one answer and when a client takes it up again at any
 //     entry; see package node/origin.
-//  8. When no attempt is left, the client gets an error immediately. The error
+//  8. A server that leaves, by its registry entry or by its own statement, gets no
+//     request. That is checked when a server is chosen, and again before a request that
+//     has waited is sent.
+//  9. When no attempt is left, the client gets an error immediately. The error
 //     says "not run" only if that is proven for every attempt.
 //
 // # Usage
@@ -155,6 +158,13 @@
 	return p.balancer.Choose(p.Clock.Now(), p.Conf.Servers().ByService(service), excluded)
 }
 
+// takesWork reports whether a server that was chosen some time ago still takes work
+// (rule 8).
+func (p *Proxy) takesWork(s *fleet.Server) bool {
+	listed := p.Conf.Servers().ByID(s.ID)
+	return listed != nil && listed.StartedAt == s.StartedAt && !listed.IsLeaving()
+}
+
 func (p *Proxy) startAttempt(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -38,6 +39,7 @@
 	truncated   bool          // the connection breaks in the body
 	err         error         // instead of a response
 	delay       time.Duration // before the response
+	leaving     bool          // the response states that the server leaves
 }
 
 // scriptedSender returns one scripted reply for each attempt, in order.
@@ -151,6 +153,7 @@
 		ContentLength: -1,
 		Stamp:         to.ID,
 		NotExecuted:   rep.notExecuted,
+		Leaving:       plat.Leaving{Stated: rep.leaving},
 	}, nil
 }
 
@@ -160,7 +163,12 @@
 
 // newMixedProxy is newProxy with the versions of the software of the four servers.
 func newMixedProxy(ctx context.Context, c *qt.C, s *scriptedSender, kind router.Kind, resumable bool, software ...string) *Proxy {
-	store := topic.New()
+	return newStoreProxy(ctx, c, topic.New(), s, kind, resumable, software...)
+}
+
+// newStoreProxy is newMixedProxy with a store. The registry entry of a server is the version
+// of its software, which the start of its incarnation may follow after an "@".
+func newStoreProxy(ctx context.Context, c *qt.C, store *topic.Store, s *scriptedSender, kind router.Kind, resumable bool, software ...string) *Proxy {
 	cfg := router.New(7, router.Limits{}, []*router.Route{{
 		Name: "r", Host: "h", Prefix: "/", Kind: kind, Backends: []router.Backend{{Service: "s", Weight: 1}}, Resumable: resumable,
 		Timeout: 2000, LatencyTarget: 200, MaxAttempts: 3,
@@ -172,8 +180,10 @@
 	f := conf.New(conf.Decoder{
 		OperatorTopic: "op", ServersTopic: "servers", PlansTopic: "plans", DecodeKeyed: topic.DecodeKeyed,
 		DecodeChange: func(string, []byte) (conf.Change, error) { return conf.Change{Config: cfg}, nil },
-		DecodeServer: func(id string, software []byte) (*fleet.Server, error) {
-			return &fleet.Server{ID: id, Service: "s", Addr: id, Slots: 4, Software: string(software)}, nil
+		DecodeServer: func(id string, entry []byte) (*fleet.Server, error) {
+			software, start, _ := strings.Cut(string(entry), "@")
+			startedAt, err := strconv.ParseInt(cmp.Or(start, "0"), 10, 64)
+			return &fleet.Server{ID: id, Service: "s", Addr: id, Slots: 4, Software: software, StartedAt: startedAt}, err
 		},
 	}, clock.NewSystem(), zerolog.Nop())
 	go f.Run(ctx, store)
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -100,12 +100,7 @@
 // necessary after waiting for the limited server that is available first (rule 6).
 func (c *requestState) acquireServer(ctx context.Context, mayAcquire bool) *fleet.Server {
 	rates := c.proxy.Rates
-	excluded := maps.Clone(c.tried)
-	if software, ok := c.software.Get(); ok {
-		for _, s := range c.proxy.Conf.Servers().ByService(c.service) {
-			excluded[s.ID] = excluded[s.ID] || s.Software != software
-		}
-	}
+	excluded := c.excludedServers()
 	var first *fleet.Server
 	var firstWait clock.Millis
 	for {
@@ -121,6 +116,9 @@
 			continue
 		}
 		wait, ok := rates.Acquire(ctx, s, 0)
+		if !c.proxy.takesWork(s) {
+			continue
+		}
 		if ok {
 			return s
 		}
@@ -144,9 +142,24 @@
 	if !clock.Sleep(ctx, wait) {
 		return nil
 	}
+	if !c.proxy.takesWork(first) {
+		return c.acquireServer(ctx, mayAcquire)
+	}
 	return first
 }
 
+// excludedServers returns the servers that were tried, and those at which a stream can't
+// go on (rule 7).
+func (c *requestState) excludedServers() map[string]bool {
+	excluded := maps.Clone(c.tried)
+	if software, ok := c.software.Get(); ok {
+		for _, s := range c.proxy.Conf.Servers().ByService(c.service) {
+			excluded[s.ID] = excluded[s.ID] || s.Software != software
+		}
+	}
+	return excluded
+}
+
 // maxRateWait returns how long the request may wait for a limited server.
 func (c *requestState) maxRateWait() clock.Millis {
 	left := c.deadline - c.proxy.Clock.Now()
@@ -278,10 +291,6 @@
 func (c *requestState) send(
 	ctx context.Context, s *fleet.Server, now clock.Millis, lastEventID int,
 ) (*plat.Response, error) {
-	if listed := c.proxy.Conf.Servers().ByID(s.ID); listed != nil && listed.LeavingSince > 0 && listed.StartedAt == s.StartedAt {
-		c.proxy.Log.Info().Str("request", c.req.ID).Str("server", s.ID).Int64("stated-ms", int64(now-listed.LeavingSince)).
-			Bool("before-choice", s.LeavingSince > 0).Msg("front: request sent to a server that states that it leaves")
-	}
 	resp, err := c.proxy.Sender.Send(ctx, plat.Target{ID: s.ID, Addr: s.Addr}, plat.Request{
 		ID:          c.req.ID,
 		Method:      c.req.Method,
@@ -354,7 +363,7 @@
 	}
 }
 
-// respondFailure ends a request that has no attempt left (rule 8).
+// respondFailure ends a request that has no attempt left (rule 9).
 func (c *requestState) respondFailure(ctx context.Context, w http.ResponseWriter) (string, error) {
 	switch {
 	case c.lastFailure != nil:
