side, work: engines that state that they leave get no runs

Agents sent runs to engines that had stated in their reports that they leave, for as long as the registry did not say so; the run then breaks when the engine exits (DRAIN holds for items where they reach an engine).

Cause: the same as at the entries, the statement reached nobody who decides.

Fix: the agent admits no run while the incarnation of its engine that reports has stated it, and sends no load order. Its frames tell entries, which record it for that incarnation and choose other engines. Runs in progress complete. The share of models goes by the registry alone as before, since all nodes must compute the same.

--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -5,7 +5,8 @@
 // with the same registry and demand compute the same assignment:
 //
 //  1. The engines of a service are sorted by a hash of their address, which does
-//     not change with a restart.
+//     not change with a restart. Those that leave by their registry entries get no
+//     model. What an engine itself states about its end is known to few nodes.
 //  2. Each engine in turn gets the model that rendezvous hashing prefers for it,
 //     so that few engines change their model when an engine is added or removed.
 //  3. The quota of a model is its share of the demand, and at least one engine if
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -77,7 +77,7 @@
 	Full          Code = "full"     // the engine has no free slot or accepts no runs now; not executed
 	StaleWeights  Code = "old"      // the weights are older than allowed; not executed, or stopped at the first such event
 	WrongInstance Code = "moved"    // another engine has the address; not executed
-	Leaving       Code = "leaving"  // the agent is shutting down; not executed
+	Leaving       Code = "leaving"  // the agent is shutting down, or the engine leaves; not executed
 	Unproven      Code = "unproven" // the job may have ended; not executed
 	Done          Code = "done"     // the output is complete
 	Broken        Code = "broken"   // the output is truncated: a disconnect or timeout of the engine
@@ -105,6 +105,10 @@
 	// if there is no limit. StartIn is the time until the next one may start.
 	StartInterval clock.Millis
 	StartIn       clock.Millis
+	// EngineLeaving is set if the incarnation of the engine that started at EngineStartedAt
+	// has stated that it leaves. It accepts no runs, and completes those in progress.
+	EngineLeaving   bool
+	EngineStartedAt int64
 }
 
 // Writer writes frames to an HTTP response and flushes each of them.
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -156,6 +156,8 @@
 		return runs.Leaving, "the agent stops"
 	case !permit.IsValid(a.Clock.Now(), a.Incarnation, r.OpenAt, permit.MaxAge(a.EndBound)) && !a.Conf.IsStoreDown():
 		return runs.Unproven, "the job may have ended"
+	case a.isLeaving():
+		return runs.Leaving, "the engine leaves"
 	case a.unreachable:
 		return runs.Full, "the engine does not report"
 	case a.loading:
@@ -200,6 +202,9 @@
 		Steady:  a.speedState == speed.Steady && !a.loading,
 		Loading: a.loading || a.unreachable,
 	}
+	if a.isLeaving() {
+		f.EngineLeaving, f.EngineStartedAt = true, a.state.StartedAt
+	}
 	if limit := a.rateLimit.PerSecond(); limit > 0 {
 		f.StartInterval, f.StartIn = rate.Interval(limit), a.starts.Wait(a.Clock.Now(), limit)
 	}
@@ -277,11 +282,8 @@
 	a := x.agent
 	sentAt := a.Clock.Now()
 	a.mu.Lock()
-	startedAt, leaving := a.state.StartedAt, a.isLeaving()
+	startedAt := a.state.StartedAt
 	a.mu.Unlock()
-	if leaving {
-		a.Log.Info().Str("item", x.Item).Str("engine", x.Instance).Msg("side: run sent to an engine that states that it leaves")
-	}
 	resp, err := a.Sender.Send(ctx, plat.Target{ID: x.Instance, Addr: a.EngineAddr}, plat.Request{
 		ID: x.Item, Method: http.MethodPost, URI: x.Path, Host: x.Host, Header: x.Header, Body: x.Body, Timeout: runTimeout, LastEventID: x.After,
 	})
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,11 +42,14 @@
 	sent       []plat.LoadOrder
 	// loseReplies leaves orders without an answer; they take effect after
 	// orderDelay.
-	loseReplies  bool
-	orderDelay   time.Duration
-	unresponsive bool // state reports fail
-	rateLimit    plat.RateLimit
-	startedAt    int64
+	loseReplies            bool
+	orderDelay             time.Duration
+	unresponsive           bool // state reports fail
+	rateLimit              plat.RateLimit
+	startedAt              int64
+	leaving, reportLeaving plat.Leaving  // stated in answers to runs, and in reports
+	answerDelay            time.Duration // of answers to runs
+	requests               atomic.Int32  // requests to run an item
 }
 
 // set changes the script.
@@ -56,9 +60,14 @@
 }
 
 func (e *fakeEngine) Send(ctx context.Context, to plat.Target, _ plat.Request) (*plat.Response, error) {
+	e.requests.Add(1)
+	e.mu.Lock()
+	delay := e.answerDelay
+	e.mu.Unlock()
+	time.Sleep(delay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	a := &plat.Response{Status: e.status, NotExecuted: e.notRun, Misdirected: to.ID != e.id, RateLimit: e.rateLimit, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
+	a := &plat.Response{Status: e.status, NotExecuted: e.notRun, Misdirected: to.ID != e.id, RateLimit: e.rateLimit, Leaving: e.leaving, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
 	return a, ctx.Err()
 }
 
@@ -87,7 +96,7 @@
 	if e.unresponsive {
 		return plat.EngineState{}, errors.New("no report")
 	}
-	return plat.EngineState{AcceptedOrders: e.orders, Versions: map[string]int64{"m": e.version}, StartedAt: e.startedAt, RateLimit: e.rateLimit}, nil
+	return plat.EngineState{AcceptedOrders: e.orders, Versions: map[string]int64{"m": e.version}, StartedAt: e.startedAt, RateLimit: e.rateLimit, Leaving: e.reportLeaving}, nil
 }
 
 func (e *fakeEngine) Load(_ context.Context, to plat.Target, o plat.LoadOrder) (plat.LoadResult, error) {
--- a/internal/node/side/weights.go
+++ b/internal/node/side/weights.go
@@ -38,7 +38,8 @@
 //     possible. Of all engines only a few load at the same time (LoadLimiter).
 //  3. An order names the number of orders accepted so far. The engine refuses an
 //     order that arrives late, after another one, because that number differs.
-//  4. After an order without an answer, no other order is sent until the report
+//  4. An engine that leaves gets no order, which would stop its last runs.
+//  5. After an order without an answer, no other order is sent until the report
 //     shows its effect or orderTimeout is over. Then it is sent again unchanged.
 func (a *Agent) ManageWeights(ctx context.Context) {
 	m := &weightManager{agent: a}
@@ -80,7 +81,7 @@
 			a.requestFrames()
 		}
 	}
-	idleSince := a.idleSince
+	idleSince, leaving := a.idleSince, a.isLeaving()
 	a.mu.Unlock()
 	if err != nil {
 		if lastReport > 0 && now-lastReport >= unresponsiveTimeout && now-lastReport < unresponsiveTimeout+reportInterval {
@@ -89,7 +90,7 @@
 		return
 	}
 	e := a.engine()
-	if e == nil || e.Leaving || state.Busy {
+	if e == nil || e.Leaving || leaving || state.Busy {
 		return
 	}
 	if m.openOrder != nil && (m.sentTo != e.ID || state.AcceptedOrders != m.openOrder.ExpectedOrders ||
@@ -98,7 +99,7 @@
 		m.release(ctx)
 	}
 	if m.openOrder != nil {
-		if now-m.sentAt >= orderTimeout { // rule 4
+		if now-m.sentAt >= orderTimeout { // rule 5
 			m.send(ctx, e.ID)
 		}
 		return
--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -170,7 +170,7 @@
 	byID := make(map[string]*fleet.Server)
 	var pool []*sched.Engine
 	for _, s := range engines {
-		if s.Leaving || shares[s.ID] != j.model && s.LoadedVersions[j.model] < j.minVersion {
+		if s.IsLeaving() || shares[s.ID] != j.model && s.LoadedVersions[j.model] < j.minVersion {
 			continue
 		}
 		e := w.engine(s)
--- a/internal/node/work/engines.go
+++ b/internal/node/work/engines.go
@@ -83,6 +83,13 @@
 	return e
 }
 
+// observeLeaving records that an agent reports its engine as leaving.
+func (w *Worker) observeLeaving(s *fleet.Server, f *runs.Frame) {
+	if f.EngineLeaving {
+		w.Conf.RecordLeaving(s.ID, f.EngineStartedAt, "agent")
+	}
+}
+
 // updateEngine records the state of an engine that its agent reported.
 func (w *Worker) updateEngine(s *fleet.Server, f *runs.Frame) {
 	e := w.engine(s)
@@ -210,6 +217,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stateFetchTimeout.Duration())
 	defer cancel()
 	f, err := runs.FetchState(ctx, w.http, s.AgentAddr(w.AgentPort), model)
+	if err == nil {
+		w.observeLeaving(s, f)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e := w.engine(s)
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -96,6 +96,7 @@
 // handleFrame records a frame of an attempt. The first event of a successor
 // completes the migration to its engine.
 func (w *Worker) handleFrame(j *job, i int, a *attempt, f *runs.Frame) {
+	w.observeLeaving(a.server, f)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.updateEngine(a.server, f)
