front: servers that state that they leave are a last resort while they answer

What callers saw: when all servers of a service left at once, each request was refused from the first statement on, although leaving servers answer for the drain time (drain_ms of the settings) yet; the same for a retry after refusals by the others.

Fix: a request that no other server takes goes to the best server that stated within half of the drain time that it leaves and whose registry entry does not say so. Half, since it may have stated it to others before. Hedges never go there, nor requests that would wait for a limited server. After that the request is refused at once, as not run, with Retry-After.

--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -9,6 +9,8 @@
 //  3. A server that failed is in backoff for a time that doubles with each
 //     further failure; a success ends the backoff. A refusal causes the minimum
 //     backoff. If all servers are in backoff, the backoff is ignored.
+//  4. A server that leaves gets no attempt. One whose registry entry does not say so is a
+//     last resort for some time after it stated it, since it still answers.
 //
 // # Usage
 //
@@ -107,6 +109,19 @@
 // Choose returns the server for the next attempt, nil if none is left. It skips
 // servers that are leaving or were tried before.
 func (b *Balancer) Choose(now clock.Millis, servers []*fleet.Server, tried map[string]bool) *fleet.Server {
+	return b.choose(now, servers, func(s *fleet.Server) bool { return !s.IsLeaving() && !tried[s.ID] })
+}
+
+// ChooseLeaving returns the last resort for the next attempt, nil if there is none: a
+// server that stated within the given period that it leaves (rule 4).
+func (b *Balancer) ChooseLeaving(now, period clock.Millis, servers []*fleet.Server, tried map[string]bool) *fleet.Server {
+	return b.choose(now, servers, func(s *fleet.Server) bool {
+		return s.LeavingSince > 0 && !s.Leaving && now-s.LeavingSince < period && !tried[s.ID]
+	})
+}
+
+// choose returns the best of the eligible servers.
+func (b *Balancer) choose(now clock.Millis, servers []*fleet.Server, eligible func(*fleet.Server) bool) *fleet.Server {
 	fastest := math.Inf(1)
 	for _, s := range servers {
 		if st := b.stats[s.ID]; st != nil && st.responseTime > 0 {
@@ -119,7 +134,7 @@
 	var best *fleet.Server
 	bestTime, bestInBackoff := 0.0, false
 	for _, s := range servers {
-		if s.IsLeaving() || tried[s.ID] {
+		if !eligible(s) {
 			continue
 		}
 		expected, inBackoff := fastest, false
--- a/internal/edge/plat/settings.go
+++ b/internal/edge/plat/settings.go
@@ -18,6 +18,7 @@
 	ReadyAddr       string            // IP:port for the readiness probe
 	MemoryMB        int
 	GracePeriod     clock.Millis // time from the stop signal until the process is killed
+	DrainTime       clock.Millis // time for which a backend server that leaves still answers
 	ResultRetention clock.Millis // time for which results are retained after a job is accepted
 	EndBound        clock.Millis // time after the end of a job within which its items may still reach an engine
 	Store           StoreInfo
--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -20,7 +20,9 @@
 //     entry; see package node/origin.
 //  8. A server that leaves, by its registry entry or by its own statement, gets no
 //     request. That is checked when a server is chosen, and again before a request that
-//     has waited is sent.
+//     has waited is sent. If no other server takes the request, a server that only states
+//     it itself still gets it as a last resort, for a part of the time for which leaving
+//     servers answer.
 //  9. When no attempt is left, the client gets an error immediately. The error
 //     says "not run" only if that is proven for every attempt.
 //
@@ -68,6 +70,10 @@
 	// retryAfter is sent to a client if all servers refused, or if no server or
 	// configuration is known.
 	retryAfter = 300 * clock.Milli
+	// lastResortShare is the share of the drain time, from when this node learned that a
+	// server leaves, in which the server is a last resort. The server may have stated it
+	// to other nodes before.
+	lastResortShare = 0.5
 	// defaultTimeout applies to requests whose client sets no deadline.
 	defaultTimeout = 30 * clock.Second
 )
@@ -115,6 +121,7 @@
 	Rates      RateLimiter
 	Origins    Origins
 	Locality   pick.Locality
+	DrainTime  clock.Millis // time for which a server that leaves still answers, 0 if not known
 	Clock      clock.Clock
 	Log        zerolog.Logger
 	Observe    func(route, outcome string, took clock.Millis) // called when a request ended; nil for none
@@ -165,6 +172,15 @@
 	return listed != nil && listed.StartedAt == s.StartedAt && !listed.IsLeaving()
 }
 
+// lastResort picks a server that is not excluded among those that state that they leave
+// (rule 8).
+func (p *Proxy) lastResort(service string, excluded map[string]bool) *fleet.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	period := clock.Millis(lastResortShare * float64(p.DrainTime))
+	return p.balancer.ChooseLeaving(p.Clock.Now(), period, p.Conf.Servers().ByService(service), excluded)
+}
+
 func (p *Proxy) startAttempt(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -167,7 +167,7 @@
 }
 
 // newStoreProxy is newMixedProxy with a store. The registry entry of a server is the version
-// of its software, which the start of its incarnation may follow after an "@".
+// of its software, which the start of its incarnation may follow after an "@", or "leaving".
 func newStoreProxy(ctx context.Context, c *qt.C, store *topic.Store, s *scriptedSender, kind router.Kind, resumable bool, software ...string) *Proxy {
 	cfg := router.New(7, router.Limits{}, []*router.Route{{
 		Name: "r", Host: "h", Prefix: "/", Kind: kind, Backends: []router.Backend{{Service: "s", Weight: 1}}, Resumable: resumable,
@@ -183,7 +183,7 @@
 		DecodeServer: func(id string, entry []byte) (*fleet.Server, error) {
 			software, start, _ := strings.Cut(string(entry), "@")
 			startedAt, err := strconv.ParseInt(cmp.Or(start, "0"), 10, 64)
-			return &fleet.Server{ID: id, Service: "s", Addr: id, Slots: 4, Software: software, StartedAt: startedAt}, err
+			return &fleet.Server{ID: id, Service: "s", Addr: id, Slots: 4, Software: software, StartedAt: startedAt, Leaving: software == "leaving"}, err
 		},
 	}, clock.NewSystem(), zerolog.Nop())
 	go f.Run(ctx, store)
--- a/internal/node/front/leave_test.go
+++ b/internal/node/front/leave_test.go
@@ -150,3 +150,80 @@
 		c.Check(f.Outcome(), qt.Equals, fault.NotRun)
 	})
 }
+
+// TestAllServersLeaveAtOnce guards against clients that are refused, or whose requests are
+// retried at full servers, while servers that have just stated that they leave still
+// answer; and against requests to them later. All servers of the service leave in one
+// burst, and the store can't name new ones. The drain time is 2.5 s.
+func TestAllServersLeaveAtOnce(t *testing.T) {
+	all := []string{"a", "b", "c", "d"}
+	byRegistry := func(ids ...string) func(*topic.Store) {
+		return func(store *topic.Store) {
+			for _, id := range ids {
+				store.Write("servers", id, []byte("leaving"))
+			}
+		}
+	}
+	tests := map[string]struct {
+		kind    router.Kind
+		stated  []string // servers that state it at the start
+		before  func(*topic.Store)
+		after   time.Duration // time of the request
+		replies []scriptedReply
+		targets []string
+		limited map[string]clock.Millis
+	}{
+		"one takes work":                 {stated: all[:3], replies: []scriptedReply{okReply("x")}, targets: []string{"d"}},
+		"all, at once":                   {stated: all, replies: []scriptedReply{okReply("x")}, targets: []string{"a"}},
+		"all, after half the time":       {stated: all, after: 1300 * time.Millisecond},
+		"all, after the time":            {stated: all, after: 3 * time.Second},
+		"must not run twice":             {kind: router.NonIdempotent, stated: all, replies: []scriptedReply{okReply("x")}, targets: []string{"a"}},
+		"a stream":                       {kind: router.Streaming, stated: all, replies: []scriptedReply{okReply(events(1, 2))}, targets: []string{"a"}},
+		"a retry":                        {stated: all[:3], replies: []scriptedReply{refused, okReply("x")}, targets: []string{"d", "a"}},
+		"a retry after half the time":    {stated: all[:3], after: 1300 * time.Millisecond, replies: []scriptedReply{refused}, targets: []string{"d"}},
+		"no hedge":                       {stated: all[:3], replies: []scriptedReply{{status: 200, body: "x", delay: time.Second}}, targets: []string{"d"}},
+		"all, the registry says so, too": {stated: all, before: byRegistry(all...)},
+		"only the registry says so":      {before: byRegistry(all...)},
+		"the registry says so of some":   {stated: all, before: byRegistry("a", "b"), replies: []scriptedReply{okReply("x")}, targets: []string{"c"}},
+		"some are limited":               {stated: all, limited: map[string]clock.Millis{"a": 900, "b": 900}, replies: []scriptedReply{okReply("x")}, targets: []string{"c"}},
+		"the others are limited":         {stated: all[:2], limited: map[string]clock.Millis{"c": 900, "d": 900}, replies: []scriptedReply{okReply("x")}, targets: []string{"a"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				c := qt.New(t)
+				kind := test.kind
+				if kind == "" {
+					kind = router.Idempotent
+				}
+				s := &scriptedSender{replies: test.replies}
+				store := topic.New()
+				proxy := newStoreProxy(ctx, c, store, s, kind, false, "s", "s", "s", "s")
+				proxy.DrainTime = 2500
+				proxy.Rates = &scriptedRates{waits: test.limited}
+				for _, id := range test.stated {
+					proxy.Conf.RecordLeaving(id, 0, "test")
+				}
+				if test.before != nil {
+					test.before(store)
+				}
+				time.Sleep(test.after)
+				synctest.Wait()
+				start := time.Now()
+				err := proxy.Serve(ctx, &Request{ID: "1", Host: "h", Path: "/", URI: "/"}, httptest.NewRecorder())
+				c.Check(s.targets, qt.DeepEquals, test.targets)
+				if len(test.replies) > 0 && !test.replies[len(test.replies)-1].notExecuted {
+					c.Check(err, qt.IsNil)
+					return
+				}
+				f, ok := fault.As(err)
+				c.Assert(ok, qt.IsTrue)
+				c.Check(f.Outcome(), qt.Equals, fault.NotRun)
+				c.Check(f.RetryAfter() > 0, qt.IsTrue)
+				c.Check(time.Since(start), qt.Equals, time.Duration(0), qt.Commentf("refused at once"))
+			})
+		})
+	}
+}
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -88,6 +88,9 @@
 		return nil
 	}
 	s := c.acquireServer(ctx, mayAcquire)
+	if s == nil && mayAcquire {
+		s = c.acquireLastResort(ctx)
+	}
 	if s != nil {
 		c.proxy.startAttempt(s.ID)
 		c.tried[s.ID] = true
@@ -148,6 +151,26 @@
 	return first
 }
 
+// acquireLastResort returns a server that states that it leaves, nil if the request can't
+// start at any of them now (rule 8).
+func (c *requestState) acquireLastResort(ctx context.Context) *fleet.Server {
+	excluded := c.excludedServers()
+	for ctx.Err() == nil {
+		s := c.proxy.lastResort(c.service, excluded)
+		if s == nil {
+			return nil
+		}
+		excluded[s.ID] = true
+		if c.proxy.Rates.IsLimited(s) {
+			continue
+		}
+		c.proxy.Log.Info().Str("request", c.req.ID).Str("server", s.ID).Int64("stated-ms", int64(c.proxy.Clock.Now()-s.LeavingSince)).
+			Msg("front: request goes to a server that states that it leaves, no other takes it")
+		return s
+	}
+	return nil
+}
+
 // excludedServers returns the servers that were tried, and those at which a stream can't
 // go on (rule 7).
 func (c *requestState) excludedServers() map[string]bool {
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -142,7 +142,8 @@
 		Transport: p.innerTransport, Clock: p.clock, Log: p.log, Count: p.countEvent,
 	})
 	e.front = front.New(front.Params{
-		Conf: p.conf, Sender: client, Quarantine: crashDetector, Rates: limiter, Origins: origins, Locality: locality, Clock: p.clock, Log: p.log,
+		Conf: p.conf, Sender: client, Quarantine: crashDetector, Rates: limiter, Origins: origins, Locality: locality,
+		DrainTime: settings.DrainTime, Clock: p.clock, Log: p.log,
 		Observe: func(route, outcome string, duration clock.Millis) {
 			p.countEvent("requests", outcome)
 			latency.Record(ctx, duration.Seconds(), metric.WithAttributes(attribute.String("route", route)))
