rates: granters tell that a server has stated that it leaves

What callers saw: an entry that has just started, or knows no answer of a server yet, sent its first request to a server that other VMs knew to leave. After the server has exited, such a request fails and is tried again.

Cause: only the VM that gets the answer learned of it while the store is silent.

Fix: the granter, an entry or the agent beside the engine, grants nothing for an incarnation that has stated it and says so; the asking node records the statement.

--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -98,6 +98,13 @@
 	return s != nil && s.Incarnation() == incarnation
 }
 
+// StatesLeaving reports whether an incarnation, identified as by [Server.Incarnation], is
+// listed and has stated that it leaves.
+func (v *View) StatesLeaving(incarnation string) bool {
+	id, _, _ := strings.Cut(incarnation, "/")
+	return v.HasIncarnation(incarnation) && v.ByID(id).LeavingSince > 0
+}
+
 // ByAddr returns the server with an address, nil if none is listed.
 func (v *View) ByAddr(addr string) *Server {
 	for _, s := range v.byID {
--- a/internal/inner/grant/grant.go
+++ b/internal/inner/grant/grant.go
@@ -38,6 +38,7 @@
 	Granted   bool
 	Wait      clock.Millis
 	PerSecond float64 // limit of the server, 0 if the asked node knows none
+	Leaving   bool    // the server has stated to the asked node that it leaves; nothing is granted
 }
 
 // Ask sends a request to the node at an inner address.
--- a/internal/node/rates/rates.go
+++ b/internal/node/rates/rates.go
@@ -11,6 +11,9 @@
 // reached. A node that is asked goes by its own rank if that is lower, so that two nodes
 // with different lists of entries don't both grant the whole rate.
 //
+// A granter that knows that a server has stated that it leaves grants nothing and says so,
+// so that a node which has just started sends no request there.
+//
 // # Usage
 //
 //	c := rates.New(rates.Params{...})
@@ -64,10 +67,14 @@
 	// while the entries are not known.
 	Entries   func() ([]spread.Peer, bool)
 	AgentPort int // port of every agent
-	Transport http.RoundTripper
-	Clock     clock.Clock
-	Log       zerolog.Logger
-	Count     func(name, label string) // increments a counter; optional
+	// StatesLeaving reports whether an incarnation of a server has stated that it leaves, and
+	// OnLeaving is called when a granter says so; both are optional.
+	StatesLeaving func(incarnation string) bool
+	OnLeaving     func(s *fleet.Server)
+	Transport     http.RoundTripper
+	Clock         clock.Clock
+	Log           zerolog.Logger
+	Count         func(name, label string) // increments a counter; optional
 }
 
 // server is what this node knows about one incarnation of a server.
@@ -96,6 +103,12 @@
 	if p.Count == nil {
 		p.Count = func(string, string) {}
 	}
+	if p.StatesLeaving == nil {
+		p.StatesLeaving = func(string) bool { return false }
+	}
+	if p.OnLeaving == nil {
+		p.OnLeaving = func(*fleet.Server) {}
+	}
 	return &Limiter{
 		Params: p, http: &http.Client{Transport: p.Transport},
 		servers: make(map[string]*server), skip: make(map[string]clock.Millis),
@@ -160,6 +173,11 @@
 	}
 	askedAt := l.Clock.Now()
 	reply, asked := l.ask(ctx, to, r)
+	if asked && reply.Leaving {
+		l.OnLeaving(to)
+		l.Count("rate-limit", "refused")
+		return 0, false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !answered { // A limit is learned from the granter, or from the first answer.
@@ -234,6 +252,9 @@
 
 // Grant decides on a request for a grant as the granter of a server.
 func (l *Limiter) Grant(r grant.Request) grant.Reply {
+	if l.StatesLeaving(r.Server) {
+		return grant.Reply{Leaving: true}
+	}
 	rank := max(r.Rank, l.ownRank(r.Server))
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/rates/rates_test.go
+++ b/internal/node/rates/rates_test.go
@@ -49,6 +49,7 @@
 	name    string
 	limiter *Limiter
 	knows   clock.Millis // when it knows the entries
+	leaving []string     // incarnations that it knows to leave
 }
 
 // start starts or restarts an entry.
@@ -57,6 +58,8 @@
 	n.Node = c.net.Start(name, grant.Handler(func(r grant.Request) grant.Reply { return n.limiter.Grant(r) }, zerolog.Nop()))
 	n.limiter = New(Params{
 		Self: ident.Node(name), Clock: c.clock, Log: zerolog.Nop(), Transport: n, AgentPort: 1,
+		StatesLeaving: func(incarnation string) bool { return slices.Contains(n.leaving, incarnation) },
+		OnLeaving:     func(s *fleet.Server) { n.leaving = append(n.leaving, s.Incarnation()) },
 		Entries: func() ([]spread.Peer, bool) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -256,3 +259,46 @@
 	l.Observe(plainServer, l.Clock.Now(), plat.RateLimit{Malformed: "x"})
 	check.Check(l.IsLimited(plainServer), qt.IsTrue)
 }
+
+// TestGranterTellsThatAServerLeaves guards against an entry which has just started, or which
+// asks for a request to a limited server, and is sent to a server that has stated to its
+// granter that it leaves.
+func TestGranterTellsThatAServerLeaves(t *testing.T) {
+	restarted := *plainServer
+	restarted.StartedAt++
+	tests := map[string]struct {
+		server  *fleet.Server
+		limit   float64 // that the asking entry knows, 0 for none
+		leaving bool
+	}{
+		"the server is not known":  {plainServer, 0, true},
+		"the server is limited":    {plainServer, 8, true},
+		"the server has restarted": {&restarted, 0, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				check := qt.New(t)
+				c := &cluster{clock: clock.NewSystem(), net: vnet.New(roundTrip), nodes: make(map[string]*node)}
+				for i := range 5 {
+					c.start(fmt.Sprint("e-", i))
+				}
+				for _, n := range c.nodes { // All but the one that asks know it.
+					n.leaving = []string{plainServer.Incarnation()}
+				}
+				granter := c.nodes["e-0"].limiter.granters(test.server)[0].Name
+				asking := c.nodes["e-0"]
+				if granter == "e-0" {
+					asking = c.nodes["e-1"]
+				}
+				asking.leaving = nil
+				if test.limit > 0 {
+					asking.limiter.Observe(test.server, c.clock.Now(), plat.RateLimit{PerSecond: option.Some(test.limit)})
+				}
+				_, ok := asking.limiter.Acquire(context.Background(), test.server, clock.Second)
+				check.Check(ok, qt.Equals, !test.leaving)
+				check.Check(len(asking.leaving) == 1, qt.Equals, test.leaving)
+			})
+		})
+	}
+}
--- a/internal/node/side/leave_test.go
+++ b/internal/node/side/leave_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
+	"github.com/jujuberamp/jujuberamp/internal/inner/grant"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 )
 
@@ -115,3 +116,29 @@
 		env.engine.set(func(e *fakeEngine) { env.c.Check(e.sent, qt.HasLen, 0) })
 	})
 }
+
+// TestAgentTellsThatItsEngineLeaves guards against grants for requests to an engine that
+// has stated to its agent that it leaves.
+func TestAgentTellsThatItsEngineLeaves(t *testing.T) {
+	tests := map[string]struct {
+		server  string // incarnation of which the entry asks
+		stated  bool
+		leaving bool
+	}{
+		"no statement":        {"i-1/0", false, false},
+		"stated":              {"i-1/0", true, true},
+		"another engine":      {"i-0/0", true, false},
+		"another incarnation": {"i-1/9", true, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			withTestEnv(t, func(env *testEnv) {
+				env.engine.set(func(e *fakeEngine) { e.reportLeaving = plat.Leaving{Stated: test.stated} })
+				time.Sleep(time.Second)
+				reply := env.agent.Grant(grant.Request{Server: test.server})
+				env.c.Check(reply.Leaving, qt.Equals, test.leaving)
+				env.c.Check(reply.Granted, qt.Equals, !test.leaving)
+			})
+		})
+	}
+}
--- a/internal/node/side/rate.go
+++ b/internal/node/side/rate.go
@@ -36,8 +36,12 @@
 // Grant decides on a request for a grant by another node that sends requests to the
 // engine.
 func (a *Agent) Grant(r grant.Request) grant.Reply {
+	engine := a.engine()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if engine != nil && engine.Incarnation() == r.Server && a.isLeaving() && engine.StartedAt == a.state.StartedAt {
+		return grant.Reply{Leaving: true}
+	}
 	if a.lastReport == 0 {
 		return grant.Reply{Wait: reportInterval}
 	}
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -14,6 +14,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/crash"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
 	"github.com/jujuberamp/jujuberamp/internal/decide/pick"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
@@ -139,7 +140,9 @@
 	e.origins = origins
 	limiter := rates.New(rates.Params{
 		Self: ident.Node(p.self.Name), Entries: e.recentPeers, AgentPort: settings.InnerPort,
-		Transport: p.innerTransport, Clock: p.clock, Log: p.log, Count: p.countEvent,
+		StatesLeaving: func(server string) bool { return p.conf.Servers().StatesLeaving(server) },
+		OnLeaving:     func(s *fleet.Server) { p.conf.RecordLeaving(s.ID, s.StartedAt, "granter") },
+		Transport:     p.innerTransport, Clock: p.clock, Log: p.log, Count: p.countEvent,
 	})
 	e.front = front.New(front.Params{
 		Conf: p.conf, Sender: client, Quarantine: crashDetector, Rates: limiter, Origins: origins, Locality: locality,
