--- a/internal/edge/plat/engine.go
+++ b/internal/edge/plat/engine.go
@@ -89,10 +89,8 @@
 // EngineState is an engine's report of its state. Only the agent on the engine's VM
 // reads it.
 type EngineState struct {
-	Busy           bool  // an order is in progress
-	AcceptedOrders int64 // number of orders accepted since the engine started
-	Waiting        int
-	Running        int
+	Busy           bool             // an order is in progress
+	AcceptedOrders int64            // number of orders accepted since the engine started
 	Versions       map[string]int64 // loaded version of each model
 	StartedAt      int64            // start of the engine's incarnation, 0 if not known; compare for equality only
 	RateLimit      RateLimit
