claim: an earlier send may execute a refused key once it was sent again

What callers could see: nothing wrong; the check of TestAnyOrder forbade an allowed case.

Ruled out: that the later send is told 'not run'. Its refusal would have to hold the key, and then bars the earlier send (case 'sent again and refused again').

--- a/internal/decide/claim/claim.go
+++ b/internal/decide/claim/claim.go
@@ -17,6 +17,8 @@
 //  6. A key whose request is done can't be taken over.
 //  7. A claim that refuses the key has the outcome refused. Sends of the key that
 //     were in progress before it must not replace it; see [Holder.RefusesSince].
+//     Once a send that began later has replaced it, the caller wants the key to be
+//     executed, and any send may replace that send's claim by rule 2.
 //
 // The rules for agents are listed at [Guard].
 //
--- a/internal/node/claims/claims_test.go
+++ b/internal/node/claims/claims_test.go
@@ -460,6 +460,42 @@
 	r.c.Assert(r.runs.Runs("x"), qt.Equals, 1)
 }
 
+// TestRefusedKeyThatIsSentAgainRunsOnce guards against two runs, or a wrong "not run", where a
+// key that was refused is sent again while a send that began before the refusal is still in
+// progress. The earlier send may settle the claim of the later one and run the key: all
+// callers but the refused one get the answer.
+func TestRefusedKeyThatIsSentAgainRunsOnce(t *testing.T) {
+	r := newTestCluster(t, 10*clock.Milli)
+	key := newKey(r.c)
+	a, b := r.newEntry("entry-a"), r.newEntry("entry-b")
+	r.waitForServer(a)
+	r.waitForServer(b)
+	for a.IsBusy() || b.IsBusy() { // Their outcomes may belong to the same stream.
+		clock.Sleep(r.ctx, clock.Milli)
+	}
+	r.c.Assert(b.streams[streamIndex(KeyDigest("app", key))].sync(r.ctx), qt.IsNil)
+	appending, releaseAppend := a.faultyLog.pauseAppend()
+	first := r.sendAsync(a, key, "x")
+	<-appending
+	refused := r.newRequest(key, "x")
+	refused.Work.Deadline = r.clock.Now() + 1
+	time.Sleep(5 * time.Millisecond)
+	_, err := b.Do(r.ctx, refused)
+	r.c.Assert(kindOf(err), qt.Equals, fault.PastDeadline)
+	r.c.Assert(r.runs.Runs("x"), qt.Equals, 0)
+
+	reading, releaseRead := b.faultyLog.pauseRead()
+	second := r.sendAsync(b, key, "x")
+	<-reading // Its claim is on the log and is not sent yet.
+	close(releaseAppend)
+	r.c.Assert(<-first, qt.IsNil)
+	r.c.Assert(r.runs.Runs("x"), qt.Equals, 1)
+	close(releaseRead)
+	r.c.Assert(<-second, qt.IsNil)
+	r.assertAnswer(b, key, "x")
+	r.c.Assert(r.runs.Runs("x"), qt.Equals, 1)
+}
+
 // newKeyInStream returns a key that belongs to a stream.
 func newKeyInStream(c *qt.C, name string) string {
 	for {
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -133,11 +133,13 @@
 		Packages: []string{"internal/base/fault", "internal/decide/claim", "internal/decide/limit", "internal/inner/wire", "internal/node/front", "internal/node/jobs", "internal/node/logs", "internal/node/relay"},
 		Tests: []string{
 			"internal/decide/claim TestAnyOrder",
+			"internal/decide/claim TestRefusedKeyIsSentAgain",
 			"internal/edge/client TestPlainOutcome",
 			"internal/inner/wire TestUnsent",
 			"internal/node/agent TestSubmitRefuses",
 			"internal/node/claims TestAtMostOnce",
 			"internal/node/claims TestRefusalHoldsForConcurrentSends",
+			"internal/node/claims TestRefusedKeyThatIsSentAgainRunsOnce",
 			"internal/node/front TestLimitedServers",
 			"internal/node/front TestServe",
 			"internal/node/jobs TestLaggingNodeKnowsNoEnd",
@@ -161,8 +163,8 @@
 		},
 	},
 	{
-		ID:       LeavingIdle,
-		Text:     "a leaving backend server gets no new work after a few seconds",
+		ID:   LeavingIdle,
+		Text: "a leaving backend server gets no new work after a few seconds",
 		Packages: []string{
 			"internal/decide/fleet", "internal/decide/match", "internal/decide/pick", "internal/node/agent", "internal/node/conf",
 			"internal/node/front", "internal/node/peers", "internal/node/rates", "internal/node/side", "internal/node/work",
