permit: a stamp is only confirmed by a read requested in a later millisecond

What callers saw: nothing known.

Cause: an entry requests the index, is paused, and after the pause receives a stamp in the same millisecond of its clock, which stood still. The answer to the request, from before the end of the job, then confirmed the stamp. Rule 2 asks for the other order, and equal times were taken for it. Class: order of events by equal timestamps.

Fix: strictly earlier. Reads that are made to confirm stamps begin a millisecond later, else most would be in the millisecond of the stamp.

Tests: TestReadBeforeAPause failed before. TestNoStartAfterTheEnd has 20,000 cases now; its undelayed exchange takes a millisecond.

--- a/internal/decide/permit/permit.go
+++ b/internal/decide/permit/permit.go
@@ -79,12 +79,14 @@
 }
 
 // Confirm records that the index was requested at a time, and that the answer had no
-// records that were not applied (rule 2).
+// records that were not applied (rule 2). A stamp that was received in the same
+// millisecond may be newer than the request: the clock stands still while the entry is
+// paused.
 func (e *Evidence) Confirm(requestedAt clock.Millis) {
 	switch {
-	case e.newest.receivedAt <= requestedAt:
+	case e.newest.receivedAt < requestedAt:
 		e.confirmed, e.candidate = e.newest, observation{}
-	case e.candidate.receivedAt <= requestedAt:
+	case e.candidate.receivedAt < requestedAt:
 		e.confirmed, e.candidate = e.candidate, e.newest
 	}
 }
--- a/internal/decide/permit/permit_test.go
+++ b/internal/decide/permit/permit_test.go
@@ -12,7 +12,7 @@
 
 func init() {
 	_ = flag.Set("rapid.seed", "7")
-	_ = flag.Set("rapid.checks", "400")
+	_ = flag.Set("rapid.checks", "20000")
 	_ = flag.Set("rapid.steps", "150")
 }
 
@@ -51,6 +51,20 @@
 	}
 }
 
+// TestReadBeforeAPause guards against a run that starts after the end of its job: an entry
+// requests the index, is paused, and receives a stamp in the same millisecond of its clock,
+// which stood still. The answer shows nothing about the time of the stamp.
+func TestReadBeforeAPause(t *testing.T) {
+	c := qt.New(t)
+	var e Evidence
+	const requestedAt = 5000
+	e.Observe(requestedAt, Stamp{Incarnation: "x", At: 90000}) // seconds after the request
+	e.Confirm(requestedAt)
+	c.Check(e.Stamp(), qt.Equals, Stamp{})
+	e.Confirm(requestedAt + 1)
+	c.Check(e.Stamp(), qt.Equals, Stamp{Incarnation: "x", At: 90000})
+}
+
 // message is something on its way between two parties.
 type message struct {
 	stamp       Stamp
@@ -140,6 +154,7 @@
 				}
 				w.evidence.Observe(w.entryClock, Stamp{Incarnation: w.incarnation, At: w.agentClock})
 				w.dropped = w.dropped || w.endedAt > 0
+				w.now, w.agentClock, w.entryClock = w.now+1, w.agentClock+1, w.entryClock+1
 				w.evidence.Confirm(w.entryClock)
 			},
 			"end": func(t *rapid.T) {
--- a/internal/node/work/engines.go
+++ b/internal/node/work/engines.go
@@ -189,6 +189,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), stateFetchTimeout.Duration())
 		defer cancel()
+		clock.Sleep(ctx, clock.Milli) // A read only confirms stamps of earlier milliseconds.
 		if err := w.Jobs.Sync(ctx); err != nil {
 			w.Log.Info().Err(err).Msg("work: reading the index before runs are sent failed")
 		}
