place: an engine no longer moves to and fro under constant demand

What operators would see (product's own door): one engine changes its model every five minutes for good. Found by TestMovesEnd with 20,000 cases, after 178: five engines, shares of 3.00, 0.06 and 1.94 engines. The second model keeps an engine that it hardly needs, so the others share four, and whichever has one less is short of 0.94 or 1.00 engines; the other has a surplus of 0.00 or 0.06 and gave one up. 87 moves in two hours.

Cause: the hysteresis looked at the shortage of the model that gets the engine, and only at the sign of the donor's surplus. Fix: after the move the donor must be less short than the other model was before it, by the margin, else a move back would pay as well.

Tests: TestTwoModelsShareASurplus failed before (87 moves; 2 after).

--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -11,8 +11,9 @@
 //     highest demand have priority.
 //  3. Hysteresis keeps engines from moving back and forth. A move other than
 //     those of rule 2 requires that the model has been short of at least half
-//     an engine plus a margin for a minimum time, without interruption, and a
-//     moved engine is not moved again during a cooldown.
+//     an engine plus a margin for a minimum time, without interruption, and that
+//     the donor is less short after the move than the model was before it, by the
+//     margin. A moved engine is not moved again during a cooldown.
 //  4. Engines are moved one at a time; no move starts while an engine is
 //     loading.
 //  5. The donor is the model with the largest surplus. A donor with demand
@@ -217,7 +218,7 @@
 	case m.share == 0: // no demand
 		return true
 	case len(m.engines) >= 2:
-		return len(recipient.engines) == 0 || m.shortage() < 0
+		return len(recipient.engines) == 0 || m.shortage() < 0 && m.shortage()+1+s.policy.Margin <= recipient.shortage() // rule 3
 	}
 	return len(recipient.engines) == 0 && recipient.share > m.share // rule 2: fewer engines than models
 }
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -118,6 +118,23 @@
 	c.Assert(m.Node == "n00" || m.Node == "n03", qt.IsTrue, qt.Commentf("%v", m))
 }
 
+// TestTwoModelsShareASurplus guards against an engine that moves to and fro between two
+// models under constant demand. A third one keeps an engine that it hardly needs, so both
+// are short of engines in turn.
+func TestTwoModelsShareASurplus(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Hour
+	engines := makeEngines("aaaaa")
+	d := []Demand{{"a", 50}, {"b", 1}, {"c", 32.375}} // shares of 3.00, 0.06 and 1.94 engines
+	moves := run(New(DefaultPolicy()), &now, engines, 2*3600, func(int) []Demand { return d })
+	c.Check(moves, qt.Equals, 2, qt.Commentf("%s", hostedModels(engines)))
+	got := make(map[ident.Service]int)
+	for _, e := range engines {
+		got[e.Model]++
+	}
+	c.Check(got, qt.DeepEquals, map[ident.Service]int{"a": 3, "b": 1, "c": 1})
+}
+
 // TestMovesEnd checks that under any constant demand the moves come to an end,
 // and that no model with demand is without an engine while another one has two.
 func TestMovesEnd(t *testing.T) {
