--- a/internal/decide/budget/budget_test.go
+++ b/internal/decide/budget/budget_test.go
@@ -10,6 +10,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
 )
 
+func init() { prop.Cases(20000) }
+
 // TestRatioIsNeverExceeded makes random deposits and withdrawals.
 func TestRatioIsNeverExceeded(t *testing.T) {
 	prop.Check(t, func(t *rapid.T) {
--- a/internal/decide/choice/choice_test.go
+++ b/internal/decide/choice/choice_test.go
@@ -11,6 +11,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
 )
 
+func init() { prop.Cases(20000) }
+
 type member struct {
 	pos  Position
 	load float64
--- a/internal/decide/claim/claim_test.go
+++ b/internal/decide/claim/claim_test.go
@@ -15,7 +15,7 @@
 
 func init() {
 	_ = flag.Set("rapid.seed", "4")
-	_ = flag.Set("rapid.checks", "400")
+	_ = flag.Set("rapid.checks", "20000")
 	_ = flag.Set("rapid.steps", "120")
 }
 
--- a/internal/decide/joblog/joblog_test.go
+++ b/internal/decide/joblog/joblog_test.go
@@ -13,6 +13,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 )
 
+func init() { prop.Cases(20000) }
+
 var (
 	nodeA = Node{Name: "a", Boot: "1"}
 	nodeB = Node{Name: "b", Boot: "1"}
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -13,6 +13,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
 )
 
+func init() { prop.Cases(20000) }
+
 func TestApply(t *testing.T) {
 	bid := func(lastRead ident.Offset) record.Lease {
 		return record.Lease{Kind: record.Bid, Node: "a", LastRead: lastRead}
--- a/internal/decide/ledger/ledger_test.go
+++ b/internal/decide/ledger/ledger_test.go
@@ -14,6 +14,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
 )
 
+func init() { prop.Cases(3000) }
+
 func lookup(n ident.Class, lateness int) class.Class {
 	return class.NewUnchecked(class.Params{Name: n, Kind: class.Lookup, Service: "s", Lateness: clock.Millis(lateness), Waiting: 1})
 }
--- a/internal/decide/match/prop_test.go
+++ b/internal/decide/match/prop_test.go
@@ -10,6 +10,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
 )
 
+func init() { prop.Cases(3000) }
+
 // model tracks the items and attempts that the matcher should know.
 type model struct {
 	m        *Matcher
--- a/internal/decide/place/place_test.go
+++ b/internal/decide/place/place_test.go
@@ -12,6 +12,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
 )
 
+func init() { prop.Cases(300) }
+
 // makeEngines returns an engine for each letter of a string such as "aab"; the
 // letter is the model that it hosts. The zones of the engines are x, y and z in
 // turn.
--- a/internal/decide/queue/queue_test.go
+++ b/internal/decide/queue/queue_test.go
@@ -11,6 +11,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
 )
 
+func init() { prop.Cases(20000) }
+
 type expected struct {
 	id  uint64
 	due clock.Millis
--- a/internal/decide/rate/rate_test.go
+++ b/internal/decide/rate/rate_test.go
@@ -13,7 +13,7 @@
 
 func init() {
 	_ = flag.Set("rapid.seed", "5")
-	_ = flag.Set("rapid.checks", "400")
+	_ = flag.Set("rapid.checks", "20000")
 }
 
 func TestObserve(t *testing.T) {
--- a/internal/decide/round/round_test.go
+++ b/internal/decide/round/round_test.go
@@ -14,6 +14,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
 )
 
+func init() { prop.Cases(20000) }
+
 const noLimit = 100 // exceeds the samples of each round in these tests
 
 func spec() Spec {
--- a/internal/decide/share/share_test.go
+++ b/internal/decide/share/share_test.go
@@ -13,6 +13,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 )
 
+func init() { prop.Cases(20000) }
+
 func engines(n int) []*fleet.Server {
 	var out []*fleet.Server
 	for i := range n {
--- a/internal/decide/swap/swap_test.go
+++ b/internal/decide/swap/swap_test.go
@@ -12,6 +12,8 @@
 	"github.com/jujuberamp/jujuberamp/internal/proof/prop"
 )
 
+func init() { prop.Cases(3000) }
+
 // makeServers returns servers of one zone, one for each letter: o has the old
 // version, n the new version, l is loading, f failed recently, x is leaving.
 func makeServers(zone ident.Zone, states string) []Server {
--- a/internal/proof/prop/prop.go
+++ b/internal/proof/prop/prop.go
@@ -11,6 +11,7 @@
 
 import (
 	"flag"
+	"strconv"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -32,3 +33,11 @@
 	t.Helper()
 	rapid.Check(t, fn)
 }
+
+// Cases sets the number of cases of the property tests of a package. It is called
+// before the command line is parsed, in an init function.
+func Cases(n int) {
+	if err := flag.Set("rapid.checks", strconv.Itoa(n)); err != nil {
+		panic(err)
+	}
+}
