side: a late answer of an earlier incarnation does not hide a statement

Found by reading the change. An agent kept one statement; the answer to a run that was sent to the engine before its restart, and that says the engine leaves, replaced the statement of the incarnation that reports now, and runs were admitted until the next report stated it again (up to 100 ms, or longer if reports fail). A statement now counts only for the incarnation that reports.

Test: the case 'a late answer of the incarnation before the leaving one' of TestLeavingEngineGetsNoRun failed before. Beside it a condition in place is split.

--- a/internal/decide/place/place.go
+++ b/internal/decide/place/place.go
@@ -218,7 +218,8 @@
 	case m.share == 0: // no demand
 		return true
 	case len(m.engines) >= 2:
-		return len(recipient.engines) == 0 || m.shortage() < 0 && m.shortage()+1+s.policy.Margin <= recipient.shortage() // rule 3
+		shortageAfter := m.shortage() + 1
+		return len(recipient.engines) == 0 || m.shortage() < 0 && shortageAfter+s.policy.Margin <= recipient.shortage() // rule 3
 	}
 	return len(recipient.engines) == 0 && recipient.share > m.share // rule 2: fewer engines than models
 }
--- a/internal/node/side/leave_test.go
+++ b/internal/node/side/leave_test.go
@@ -61,6 +61,19 @@
 			time.Sleep(time.Second)
 			env.engine.set(func(e *fakeEngine) { e.leaving, e.answerDelay = plat.Leaving{}, 0 })
 		}, runs.Done},
+		"a late answer of the incarnation before the leaving one": {func(env *testEnv) {
+			env.engine.set(func(e *fakeEngine) {
+				e.startedAt, e.leaving, e.answerDelay, e.events = 6, stated, time.Second, []plat.Event{event(1, 1)}
+			})
+			time.Sleep(500 * time.Millisecond)
+			go env.runItem(runs.Run{Item: "w", Instance: "i-1", Model: "m", MinVersion: 1})
+			time.Sleep(300 * time.Millisecond)
+			env.engine.set(func(e *fakeEngine) { e.startedAt, e.reportLeaving = 7, stated })
+			time.Sleep(300 * time.Millisecond)
+			env.engine.set(func(e *fakeEngine) { e.reportLeaving = plat.Leaving{} })
+			time.Sleep(time.Second)
+			env.engine.set(func(e *fakeEngine) { e.leaving, e.answerDelay = plat.Leaving{}, 0 })
+		}, runs.Leaving},
 		"the agent has restarted": {func(env *testEnv) {
 			env.engine.set(func(e *fakeEngine) { e.reportLeaving = stated })
 			env.restartAgent()
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -293,7 +293,9 @@
 	defer resp.Body.Close()
 	if !resp.Misdirected {
 		a.observeRateLimit(sentAt, resp.RateLimit)
+		a.mu.Lock()
 		a.observeLeaving(startedAt, resp.Leaving)
+		a.mu.Unlock()
 	}
 	switch {
 	case resp.Misdirected:
--- a/internal/node/side/weights.go
+++ b/internal/node/side/weights.go
@@ -66,7 +66,6 @@
 	now := a.Clock.Now()
 	if err == nil {
 		a.observeRateLimit(askedAt, state.RateLimit)
-		a.observeLeaving(state.StartedAt, state.Leaving)
 	}
 	a.mu.Lock()
 	lastReport := a.lastReport
@@ -76,6 +75,7 @@
 	}
 	if err == nil {
 		a.state, a.lastReport = state, now
+		a.observeLeaving(state.StartedAt, state.Leaving)
 		if a.loading != state.Busy {
 			a.loading = state.Busy
 			a.requestFrames()
