--- a/internal/node/claims/claims_test.go
+++ b/internal/node/claims/claims_test.go
@@ -260,6 +260,17 @@
 	r.assertAnswer(e, newKey(r.c), "first")
 }
 
+// waitUntilIdle waits until the outcomes of earlier requests are on the log. Else their
+// appends or reads could be taken for those of the next request.
+func (r *testCluster) waitUntilIdle(entries ...*testEntry) {
+	for _, e := range entries {
+		for e.IsBusy() {
+			r.c.Assert(r.ctx.Err(), qt.IsNil)
+			clock.Sleep(r.ctx, clock.Milli)
+		}
+	}
+}
+
 func (r *testCluster) waitUntilRunning(body string) {
 	for r.runs.Runs(body) == 0 {
 		r.c.Assert(r.ctx.Err(), qt.IsNil)
@@ -444,6 +455,7 @@
 	key := newKey(r.c)
 	a, b := r.newEntry("entry-a"), r.newEntry("entry-b")
 	r.waitForServer(a)
+	r.waitUntilIdle(a)
 	blocked, release := a.faultyLog.pauseAppend()
 	first := r.sendAsync(a, key, "x")
 	<-blocked
@@ -470,9 +482,7 @@
 	a, b := r.newEntry("entry-a"), r.newEntry("entry-b")
 	r.waitForServer(a)
 	r.waitForServer(b)
-	for a.IsBusy() || b.IsBusy() { // Their outcomes may belong to the same stream.
-		clock.Sleep(r.ctx, clock.Milli)
-	}
+	r.waitUntilIdle(a, b)
 	r.c.Assert(b.streams[streamIndex(KeyDigest("app", key))].sync(r.ctx), qt.IsNil)
 	appending, releaseAppend := a.faultyLog.pauseAppend()
 	first := r.sendAsync(a, key, "x")
