--- /dev/null
+++ b/internal/node/conf/conf_test.go
@@ -0,0 +1,108 @@
+package conf
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
+)
+
+// startFollower follows a store whose registry entries are the service and the start of a
+// server. It counts the changes.
+func startFollower(ctx context.Context, store *topic.Store) (f *Follower, changes *atomic.Int64) {
+	f = New(Decoder{
+		OperatorTopic: "op", ServersTopic: "servers", PlansTopic: "plans", DecodeKeyed: topic.DecodeKeyed,
+		DecodeChange: func(string, []byte) (Change, error) { return Change{}, nil },
+		DecodeServer: func(id string, value []byte) (*fleet.Server, error) {
+			service, start, ok := strings.Cut(string(value), "@")
+			startedAt, err := strconv.ParseInt(start, 10, 64)
+			if !ok || err != nil {
+				return nil, errors.Errorf("unreadable entry %q", id)
+			}
+			return &fleet.Server{ID: id, Service: service, StartedAt: startedAt}, nil
+		},
+	}, clock.NewSystem(), zerolog.Nop())
+	changes = &atomic.Int64{}
+	f.OnChange(func() { changes.Add(1) })
+	go f.Run(ctx, store)
+	synctest.Wait()
+	return f, changes
+}
+
+// TestStatementDuringStoreOutage guards against a statement that a server leaves which is
+// known only once the store answers, or is forgotten when it does: the registry, or its
+// snapshot, says for some time yet that the server is ready.
+func TestStatementDuringStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Minute) // Reads of the store end.
+		defer cancel()
+		store := topic.New()
+		store.Write("servers", "i-1", []byte("s@7"))
+		store.Write("servers", "i-2", []byte("s@7"))
+		f, changes := startFollower(ctx, store)
+		store.SetFaultMode(topic.Unresponsive)
+		time.Sleep(2 * time.Second)
+		before := changes.Load()
+		for range 3 {
+			f.RecordLeaving("i-1", 7, "test")
+		}
+		c.Check(changes.Load(), qt.Equals, before+1)
+		c.Check(f.Servers().ByID("i-1").IsLeaving(), qt.IsTrue)
+		c.Check(f.Servers().ByID("i-2").IsLeaving(), qt.IsFalse)
+
+		store.SetFaultMode(topic.NoFault)
+		store.Write("servers", "i-1", []byte("s@7"))
+		store.Expire("servers", 0) // The follower reads a snapshot.
+		time.Sleep(10 * time.Second)
+		c.Check(f.Servers().ByID("i-1").IsLeaving(), qt.IsTrue)
+
+		store.Write("servers", "i-1", []byte("s@8"))
+		time.Sleep(time.Second)
+		c.Check(f.Servers().ByID("i-1").IsLeaving(), qt.IsFalse)
+	})
+}
+
+// TestLargeRegistry guards against readable entries that are lost beside unreadable ones, and
+// against unreadable entries that keep a server listed.
+func TestLargeRegistry(t *testing.T) {
+	const servers, unreadable = 4000, 500
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Minute) // Reads of the store end.
+		defer cancel()
+		store := topic.New()
+		for i := range servers {
+			value := "s@7"
+			if i < unreadable {
+				value = "\xff"
+			}
+			store.Write("servers", fmt.Sprintf("i-%d", i), []byte(value))
+		}
+		f, _ := startFollower(ctx, store)
+		time.Sleep(5 * time.Second)
+		c.Check(f.Servers().ByService("s"), qt.HasLen, servers-unreadable)
+		for i := range unreadable {
+			store.Write("servers", fmt.Sprintf("i-%d", servers-1-i), []byte("{"))
+		}
+		time.Sleep(5 * time.Second)
+		c.Check(f.Servers().ByService("s"), qt.HasLen, servers-2*unreadable)
+		store.Write("servers", "i-0", []byte("s@9"))
+		time.Sleep(time.Second)
+		c.Check(f.Servers().ByID("i-0"), qt.IsNotNil)
+	})
+}
