front: a request whose granter says that the server leaves chooses again

What callers saw: a request that had picked the limited server with the shortest wait, and was then told by its granter that the server leaves, was refused as rate-limited, although other servers could have taken it. Found by reading; needs limited and leaving servers of one service.

Fix: whether the server still takes work is checked before the refusal, too. Test: the case 'at the grant' of TestServerLeavesBetweenChoiceAndSend failed before.

--- a/internal/node/front/leave_test.go
+++ b/internal/node/front/leave_test.go
@@ -100,12 +100,14 @@
 func TestServerLeavesBetweenChoiceAndSend(t *testing.T) {
 	tests := map[string]struct {
 		leave   []string // servers that state it during the wait
+		atGrant string   // server of which the granter says so instead of granting
 		targets []string
 	}{
-		"none":        {targets: []string{"a"}},
-		"the chosen":  {leave: []string{"a"}, targets: []string{"b"}},
-		"two":         {leave: []string{"a", "b"}, targets: []string{"c"}},
-		"another one": {leave: []string{"b"}, targets: []string{"a"}},
+		"none":         {targets: []string{"a"}},
+		"the chosen":   {leave: []string{"a"}, targets: []string{"b"}},
+		"two":          {leave: []string{"a", "b"}, targets: []string{"c"}},
+		"another one":  {leave: []string{"b"}, targets: []string{"a"}},
+		"at the grant": {atGrant: "a", targets: []string{"b"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -115,7 +117,12 @@
 				c := qt.New(t)
 				s := &scriptedSender{replies: []scriptedReply{okReply("x")}}
 				proxy := newProxy(ctx, c, s, router.NonIdempotent, false)
-				proxy.Rates = &scriptedRates{waits: map[string]clock.Millis{"a": 40, "b": 50, "c": 60, "d": 70}}
+				proxy.Rates = &scriptedRates{waits: map[string]clock.Millis{"a": 40, "b": 50, "c": 60, "d": 70}, refuse: func(id string) bool {
+					if id == test.atGrant {
+						proxy.Conf.RecordLeaving(id, 0, "test")
+					}
+					return id == test.atGrant
+				}}
 				time.AfterFunc(20*time.Millisecond, func() {
 					for _, id := range test.leave {
 						proxy.Conf.RecordLeaving(id, 0, "test")
--- a/internal/node/front/rate_test.go
+++ b/internal/node/front/rate_test.go
@@ -20,6 +20,7 @@
 // scriptedRates has the wait for each limited server; the others are not limited.
 type scriptedRates struct {
 	waits    map[string]clock.Millis
+	refuse   func(id string) bool // whether a start that may have to be waited for is refused; nil for none
 	observed int
 }
 
@@ -29,6 +30,9 @@
 }
 
 func (r *scriptedRates) Acquire(_ context.Context, s *fleet.Server, maxWait clock.Millis) (clock.Millis, bool) {
+	if r.refuse != nil && maxWait > 0 && r.refuse(s.ID) {
+		return 0, false
+	}
 	return r.waits[s.ID], r.waits[s.ID] <= maxWait
 }
 
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -119,7 +119,7 @@
 			continue
 		}
 		wait, ok := rates.Acquire(ctx, s, 0)
-		if !c.proxy.takesWork(s) {
+		if !c.proxy.takesWork(s) { // rule 8
 			continue
 		}
 		if ok {
@@ -138,16 +138,17 @@
 		return nil
 	}
 	wait, ok := rates.Acquire(ctx, first, maxWait)
-	if !ok {
-		c.rateWait = max(c.rateWait, wait)
-		return nil
-	}
-	if !clock.Sleep(ctx, wait) {
+	if ok && !clock.Sleep(ctx, wait) {
 		return nil
 	}
-	if !c.proxy.takesWork(first) {
+	if !c.proxy.takesWork(first) { // rule 8
+		c.rateWait = 0
 		return c.acquireServer(ctx, mayAcquire)
 	}
+	if !ok {
+		c.rateWait = max(c.rateWait, wait)
+		return nil
+	}
 	return first
 }
 
