side: whether the engine leaves is checked again before a run is sent

A run that was admitted just before a report that states the end of the engine was sent to it. The moments are close; a slow VM can part them. Found by reading. TestEngineLeavesBetweenAdmissionAndSend failed before.

--- a/internal/node/side/leave.go
+++ b/internal/node/side/leave.go
@@ -5,6 +5,9 @@
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 )
 
+// engineLeaves is the reason of refusals while the engine leaves.
+const engineLeaves = "the engine leaves"
+
 // observeLeaving records what an answer of the engine states about its end. The request was
 // sent while the engine reported that it started at startedAt. A statement of an earlier
 // incarnation than the one that reports now is ignored. The caller holds the lock.
--- a/internal/node/side/leave_test.go
+++ b/internal/node/side/leave_test.go
@@ -155,3 +155,16 @@
 		})
 	}
 }
+
+// TestEngineLeavesBetweenAdmissionAndSend guards against a run that is sent to an engine which
+// stated that it leaves after the run was admitted.
+func TestEngineLeavesBetweenAdmissionAndSend(t *testing.T) {
+	withTestEnv(t, func(env *testEnv) {
+		x := &run{agent: env.agent, Run: &runs.Run{Item: "x", Instance: "i-1", Model: "m", MinVersion: 1}}
+		env.engine.set(func(e *fakeEngine) { e.reportLeaving = plat.Leaving{Stated: true} })
+		time.Sleep(time.Second)
+		code, _ := x.readEvents(env.ctx)
+		env.c.Check(code, qt.Equals, runs.Leaving)
+		env.c.Check(env.engine.requests.Load(), qt.Equals, int32(0))
+	})
+}
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -157,7 +157,7 @@
 	case !permit.IsValid(a.Clock.Now(), a.Incarnation, r.OpenAt, permit.MaxAge(a.EndBound)) && !a.Conf.IsStoreDown():
 		return runs.Unproven, "the job may have ended"
 	case a.isLeaving():
-		return runs.Leaving, "the engine leaves"
+		return runs.Leaving, engineLeaves
 	case a.unreachable:
 		return runs.Full, "the engine does not report"
 	case a.loading:
@@ -282,8 +282,11 @@
 	a := x.agent
 	sentAt := a.Clock.Now()
 	a.mu.Lock()
-	startedAt := a.state.StartedAt
+	startedAt, leaving := a.state.StartedAt, a.isLeaving()
 	a.mu.Unlock()
+	if leaving { // It stated it after the run was admitted.
+		return runs.Leaving, engineLeaves
+	}
 	resp, err := a.Sender.Send(ctx, plat.Target{ID: x.Instance, Addr: a.EngineAddr}, plat.Request{
 		ID: x.Item, Method: http.MethodPost, URI: x.Path, Host: x.Host, Header: x.Header, Body: x.Body, Timeout: runTimeout, LastEventID: x.After,
 	})
