claims: a send right after a refusal is not given that refusal

What callers saw (product's own door): a key that is sent again at the same entry as soon as it was refused can get the same refusal, for example past-deadline with a deadline that is long enough. The refusal is true, the request is only not tried.

Found by TestRefusedKeyThatIsSentAgainRunsOnce, which hung in some of its runs. The test now fails instead of waiting when the request ends early, and showed it: the second send ended with the first one's past-deadline and no run.

Cause: an execution told its callers before it was removed from the entry's table, so a send in between joined it. Fix: it is removed first.

--- a/internal/node/claims/claims_test.go
+++ b/internal/node/claims/claims_test.go
@@ -496,7 +496,11 @@
 
 	reading, releaseRead := b.faultyLog.pauseRead()
 	second := r.sendAsync(b, key, "x")
-	<-reading // Its claim is on the log and is not sent yet.
+	select {
+	case <-reading: // Its claim is on the log and is not sent yet.
+	case err := <-second:
+		r.c.Fatalf("the request ended before its claim was read back: %v, %d runs", err, r.runs.Runs("x"))
+	}
 	close(releaseAppend)
 	r.c.Assert(<-first, qt.IsNil)
 	r.c.Assert(r.runs.Runs("x"), qt.Equals, 1)
@@ -506,6 +510,24 @@
 	r.c.Assert(r.runs.Runs("x"), qt.Equals, 1)
 }
 
+// TestLaterSendIsNotGivenAnEarlierRefusal guards against a key that is sent again right after
+// its refusal and gets the same refusal, since it joins the execution that has just ended.
+func TestLaterSendIsNotGivenAnEarlierRefusal(t *testing.T) {
+	r := newTestCluster(t, 10*clock.Milli)
+	e := r.newEntry("entry-a")
+	for range 2000 {
+		req := r.newRequest(newKey(r.c), "x")
+		req.FirstSend = true
+		req.Work.Deadline = 1
+		_, err := e.Do(r.ctx, req)
+		r.c.Assert(kindOf(err), qt.Equals, fault.PastDeadline)
+		e.mu.Lock()
+		running := len(e.executions)
+		e.mu.Unlock()
+		r.c.Assert(running, qt.Equals, 0)
+	}
+}
+
 // newKeyInStream returns a key that belongs to a stream.
 func newKeyInStream(c *qt.C, name string) string {
 	for {
--- a/internal/node/claims/execution.go
+++ b/internal/node/claims/execution.go
@@ -59,8 +59,8 @@
 var errStateChanged = errors.New("the state of the key has changed")
 
 func (e *execution) run() {
-	defer e.c.removeExecution(e)
 	defer close(e.done)
+	defer e.c.removeExecution(e) // Before done, so that a send after the answer is not given that answer.
 	left := defaultTimeout
 	if deadline := e.request.Work.Deadline; deadline > 0 {
 		left = max(1, deadline-e.c.p.Clock.Now())
