front, side: only answers with status 500 count as failures of an item

What callers may see: an item listed as dead although it could not be given up yet (MIXED).

Cause, by reading: any answer of 500 or above counted as a failure of a scoring call, any answer but 200 as a failure of an item, also that of a server that ran out of time (504).

An answer of another status is an interruption: the item or the call is tried again.

--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -274,7 +274,7 @@
 type Reply struct {
 	Status      int
 	Stamp       string // proof that the server produced the response
-	Failures    int    // servers that answered with a server error
+	Failures    int    // servers that answered with status 500
 	MaxAttempts int    // maximum that the route allows
 }
 
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -35,7 +35,7 @@
 	attempts    int
 	mayHaveRun  bool                  // at least one attempt may have been executed
 	lastFailure *attempt              // last attempt that ended with a server error
-	failures    int                   // attempts that ended with a server error
+	failures    int                   // attempts that the server answered with status 500
 	software    option.Option[string] // of the servers at which the stream may go on (rule 7)
 	rateWait    clock.Millis          // how long the last attempt would have waited for a start, 0 if no server was limited
 }
@@ -200,7 +200,9 @@
 	if a.response != nil && !a.notExecuted && a.err == nil {
 		c.closeLastFailure()
 		c.lastFailure = a // Its body is forwarded if no further attempt succeeds.
-		c.failures++
+		if a.response.Status == http.StatusInternalServerError {
+			c.failures++
+		}
 	} else if a.response != nil {
 		a.response.Body.Close()
 	}
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -15,6 +15,7 @@
 	"io"
 	"math"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -309,8 +310,10 @@
 		return runs.Full, withError("the engine refused", err)
 	case resp.Status == http.StatusUnprocessableEntity:
 		return runs.Rejected, "status 422"
-	case resp.Status != http.StatusOK:
+	case resp.Status == http.StatusInternalServerError:
 		return runs.Failed, http.StatusText(resp.Status)
+	case resp.Status != http.StatusOK:
+		return runs.Broken, "status " + strconv.Itoa(resp.Status)
 	}
 	events := a.DecodeEvents(resp)
 	for {
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -281,6 +281,7 @@
 		"the engine is full":   {item, func(e *fakeEngine) { e.status, e.notRun = 503, true }, runs.Full, nil},
 		"the engine fails":     {item, func(e *fakeEngine) { e.status = 500 }, runs.Failed, nil},
 		"rejected":             {item, func(e *fakeEngine) { e.status = 422 }, runs.Rejected, nil},
+		"ran out of time":      {item, func(e *fakeEngine) { e.status = 504 }, runs.Broken, nil}, // It is not a failed attempt.
 		"the engine stops responding": {item, func(e *fakeEngine) {
 			e.eventDelay = time.Minute
 			time.AfterFunc(600*time.Millisecond, func() { e.set(func(e *fakeEngine) { e.unresponsive = true }) })
