side: an order without an answer is not sent again to another start of the engine

What callers saw: nothing. An agent sent an order whose effect it did not know again, with its fencing token, to an engine that had restarted under its ID since: its number of accepted orders is 0 again.

TestOrderEndsWithTheIncarnation failed before.

--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -82,7 +82,7 @@
 	Done          Code = "done"     // the output is complete
 	Broken        Code = "broken"   // the output is truncated: a disconnect or timeout of the engine
 	MixedVersions Code = "mixed"    // the version changed, but a single version is required
-	Failed        Code = "failed"   // the engine answered with a failure
+	Failed        Code = "failed"   // the engine answered with status 500
 	Rejected      Code = "rejected" // the engine can never execute the item
 )
 
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -518,3 +518,21 @@
 		})
 	}
 }
+
+// TestOrderEndsWithTheIncarnation guards against an order that is sent again, with its fencing
+// token, to an engine that has restarted under its ID since.
+func TestOrderEndsWithTheIncarnation(t *testing.T) {
+	withTestEnv(t, func(env *testEnv) {
+		env.engine.set(func(e *fakeEngine) { e.startedAt, e.loseReplies, e.orderDelay = 7, true, time.Hour })
+		time.Sleep(500 * time.Millisecond)
+		env.announce("2")
+		time.Sleep(time.Second) // The order has been sent, and its effect is not known.
+		env.engine.set(func(e *fakeEngine) { e.startedAt, e.loseReplies = 8, false })
+		time.Sleep(10 * time.Second)
+		env.engine.set(func(e *fakeEngine) {
+			env.c.Assert(len(e.sent) >= 2, qt.IsTrue)
+			env.c.Check(e.sent[len(e.sent)-1].Fence > e.sent[0].Fence, qt.IsTrue, qt.Commentf("%v", e.sent))
+			env.c.Check(e.version, qt.Equals, int64(2))
+		})
+	})
+}
--- a/internal/node/side/weights.go
+++ b/internal/node/side/weights.go
@@ -40,7 +40,8 @@
 //     order that arrives late, after another one, because that number differs.
 //  4. An engine that leaves gets no order, which would stop its last runs.
 //  5. After an order without an answer, no other order is sent until the report
-//     shows its effect or orderTimeout is over. Then it is sent again unchanged.
+//     shows its effect or orderTimeout is over. Then it is sent again unchanged, unless
+//     the engine has restarted.
 func (a *Agent) ManageWeights(ctx context.Context) {
 	m := &weightManager{agent: a}
 	clock.Every(ctx, reportInterval, func() { m.reconcile(ctx) })
@@ -56,6 +57,7 @@
 	openOrder   *plat.LoadOrder // last order, if its effect is not known
 	sentAt      clock.Millis
 	sentTo      string // ID of the engine to which it was sent
+	sentToStart int64  // start of the incarnation that reported then
 }
 
 // reconcile reads the engine's report once and sends the load order that is due.
@@ -93,14 +95,14 @@
 	if e == nil || e.Leaving || leaving || state.Busy {
 		return
 	}
-	if m.openOrder != nil && (m.sentTo != e.ID || state.AcceptedOrders != m.openOrder.ExpectedOrders ||
+	if m.openOrder != nil && (m.sentTo != e.ID || m.sentToStart != state.StartedAt || state.AcceptedOrders != m.openOrder.ExpectedOrders ||
 		state.Versions[m.openOrder.Model] >= m.openOrder.Version) {
 		m.openOrder = nil
 		m.release(ctx)
 	}
 	if m.openOrder != nil {
 		if now-m.sentAt >= orderTimeout { // rule 5
-			m.send(ctx, e.ID)
+			m.send(ctx, e.ID, state.StartedAt)
 		}
 		return
 	}
@@ -130,7 +132,7 @@
 		Model: model, Version: version, Fence: m.token, ExpectedOrders: state.AcceptedOrders,
 		Owner: a.Node, Drain: cfg.NeedsSingleVersion(e.Service),
 	}
-	m.send(ctx, e.ID)
+	m.send(ctx, e.ID, state.StartedAt)
 }
 
 // acquire reports whether the engine may load now. It enqueues a request if there is
@@ -185,10 +187,11 @@
 	return idleSince > 0 && now >= announcedAt+idleLoadDelay
 }
 
-// send sends the open order to an engine and handles the reply.
-func (m *weightManager) send(ctx context.Context, id string) {
+// send sends the open order to an engine, which reports that it started at startedAt, and
+// handles the reply.
+func (m *weightManager) send(ctx context.Context, id string, startedAt int64) {
 	a := m.agent
-	m.sentAt, m.sentTo = a.Clock.Now(), id
+	m.sentAt, m.sentTo, m.sentToStart = a.Clock.Now(), id, startedAt
 	o := *m.openOrder
 	res, err := a.EngineControl.Load(ctx, plat.Target{ID: id, Addr: a.EngineAddr}, o)
 	a.Count("orders", [...]string{"unknown", "started", "holds", "conflict", "refused"}[res])
