--- a/internal/node/side/leave.go
+++ b/internal/node/side/leave.go
@@ -12,7 +12,7 @@
 // sent while the engine reported that it started at startedAt. A statement of an earlier
 // incarnation than the one that reports now is ignored. The caller holds the lock.
 func (a *Agent) observeLeaving(startedAt int64, stated plat.Leaving) {
-	if stated.Malformed != a.malformedLeaving {
+	if stated.Malformed != "" && stated.Malformed != a.malformedLeaving {
 		a.malformedLeaving = stated.Malformed
 		a.Log.Warn().Str("addr", a.EngineAddr).Str("leaving", stated.Malformed).
 			Msg("side: statement that the engine leaves can't be decoded and is ignored")
