fleet, side, tests: one lookup of an incarnation, one lock for an answer's statements

Change: View.byIncarnation serves both lookups; the agent records the rate limit and the end of its engine under one lock. Behaviour, bounds and assertions are the same.

--- a/internal/decide/fleet/fleet.go
+++ b/internal/decide/fleet/fleet.go
@@ -92,17 +92,22 @@
 
 // HasIncarnation reports whether an incarnation, identified as by
 // [Server.Incarnation], is listed.
-func (v *View) HasIncarnation(incarnation string) bool {
-	id, _, _ := strings.Cut(incarnation, "/")
-	s := v.ByID(id)
-	return s != nil && s.Incarnation() == incarnation
-}
+func (v *View) HasIncarnation(incarnation string) bool { return v.byIncarnation(incarnation) != nil }
 
 // StatesLeaving reports whether an incarnation, identified as by [Server.Incarnation], is
 // listed and has stated that it leaves.
 func (v *View) StatesLeaving(incarnation string) bool {
+	s := v.byIncarnation(incarnation)
+	return s != nil && s.LeavingSince > 0
+}
+
+// byIncarnation returns the server of an incarnation, nil if it is not listed.
+func (v *View) byIncarnation(incarnation string) *Server {
 	id, _, _ := strings.Cut(incarnation, "/")
-	return v.HasIncarnation(incarnation) && v.ByID(id).LeavingSince > 0
+	if s := v.ByID(id); s != nil && s.Incarnation() == incarnation {
+		return s
+	}
+	return nil
 }
 
 // ByAddr returns the server with an address, nil if none is listed.
--- a/internal/node/front/leave_test.go
+++ b/internal/node/front/leave_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -32,10 +33,10 @@
 	}
 	tests := map[string]struct {
 		kind     router.Kind
-		first    []scriptedReply             // to the first request
-		then     func(store *topic.Store)    // before the other requests
-		attempts func(i int) []scriptedReply // to each of the other requests, nil for one that is served
-		isBack   bool                        // a gets requests again
+		first    []scriptedReply          // to the first request
+		then     func(store *topic.Store) // before the other requests
+		attempts []scriptedReply          // to each of the other requests, nil for one that is served
+		isBack   bool                     // a gets requests again
 	}{
 		"stated in an answer":           {first: states(okReply("x"))},
 		"stated in a failure":           {first: states(serverError)},
@@ -44,8 +45,8 @@
 		"must not run twice":            {kind: router.NonIdempotent, first: states(okReply("x"))},
 		"must not run twice, a refusal": {kind: router.NonIdempotent, first: states(refused)},
 		"a stream":                      {kind: router.Streaming, first: states(okReply(events(1, 2)))},
-		"the others fail":               {first: states(okReply("x")), attempts: func(int) []scriptedReply { return []scriptedReply{disconnected, serverError, okReply("x")} }},
-		"the others are slow":           {first: states(okReply("x")), attempts: func(int) []scriptedReply { return []scriptedReply{unresponsive, unresponsive, okReply("x")} }},
+		"the others fail":               {first: states(okReply("x")), attempts: []scriptedReply{disconnected, serverError, okReply("x")}},
+		"the others are slow":           {first: states(okReply("x")), attempts: []scriptedReply{unresponsive, unresponsive, okReply("x")}},
 		"its registry entry is older":   {first: states(okReply("x")), then: func(s *topic.Store) { s.Write("servers", "a", []byte("s@7")) }},
 		"its registry entry comes back": {first: states(okReply("x")), then: func(s *topic.Store) {
 			s.Write("servers", "a", nil)
@@ -61,10 +62,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				c := qt.New(t)
-				kind := test.kind
-				if kind == "" {
-					kind = router.Idempotent
-				}
+				kind := cmp.Or(test.kind, router.Idempotent)
 				store := topic.New()
 				s := &scriptedSender{replies: test.first}
 				proxy := newStoreProxy(ctx, c, store, s, kind, false, "s@7", "s@7", "s@7", "s@7")
@@ -81,7 +79,7 @@
 				for i := range requestsAfter {
 					s.replies = []scriptedReply{okReply(events(1, 2))}
 					if test.attempts != nil {
-						s.replies = test.attempts(i)
+						s.replies = test.attempts
 					}
 					_ = serve(strconv.Itoa(i)) // TestServe checks the results.
 					synctest.Wait()
@@ -201,10 +199,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				c := qt.New(t)
-				kind := test.kind
-				if kind == "" {
-					kind = router.Idempotent
-				}
+				kind := cmp.Or(test.kind, router.Idempotent)
 				s := &scriptedSender{replies: test.replies}
 				store := topic.New()
 				proxy := newStoreProxy(ctx, c, store, s, kind, false, "s", "s", "s", "s")
--- a/internal/node/front/rate_test.go
+++ b/internal/node/front/rate_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -67,10 +68,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				c := qt.New(t)
-				kind := test.kind
-				if kind == "" {
-					kind = router.Idempotent
-				}
+				kind := cmp.Or(test.kind, router.Idempotent)
 				s := &scriptedSender{replies: test.replies}
 				proxy := newProxy(ctx, c, s, kind, false)
 				rates := &scriptedRates{waits: test.waits}
--- a/internal/node/side/rate.go
+++ b/internal/node/side/rate.go
@@ -6,15 +6,14 @@
 	"github.com/jujuberamp/jujuberamp/internal/inner/grant"
 )
 
-// observeRateLimit records what an answer of the engine states about its rate limit.
+// observeRateLimit records what an answer of the engine states about its rate limit. The
+// caller holds the lock.
 func (a *Agent) observeRateLimit(sentAt clock.Millis, stated plat.RateLimit) {
 	if stated.Malformed != "" {
 		a.Log.Warn().Str("addr", a.EngineAddr).Str("limit", stated.Malformed).
 			Msg("side: rate limit of the engine can't be decoded, the previous one stays in force")
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	now := a.Clock.Now()
 	if a.rateLimit.Observe(now, sentAt, stated.PerSecond) {
 		a.starts.Start(now, a.rateLimit.PerSecond())
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -296,8 +296,8 @@
 	}
 	defer resp.Body.Close()
 	if !resp.Misdirected {
-		a.observeRateLimit(sentAt, resp.RateLimit)
 		a.mu.Lock()
+		a.observeRateLimit(sentAt, resp.RateLimit)
 		a.observeLeaving(startedAt, resp.Leaving)
 		a.mu.Unlock()
 	}
--- a/internal/node/side/weights.go
+++ b/internal/node/side/weights.go
@@ -66,9 +66,6 @@
 	askedAt := a.Clock.Now()
 	state, err := a.EngineControl.State(ctx, plat.Target{Addr: a.EngineAddr})
 	now := a.Clock.Now()
-	if err == nil {
-		a.observeRateLimit(askedAt, state.RateLimit)
-	}
 	a.mu.Lock()
 	lastReport := a.lastReport
 	if unreachable := err != nil; a.unreachable != unreachable {
@@ -77,6 +74,7 @@
 	}
 	if err == nil {
 		a.state, a.lastReport = state, now
+		a.observeRateLimit(askedAt, state.RateLimit)
 		a.observeLeaving(state.StartedAt, state.Leaving)
 		if a.loading != state.Busy {
 			a.loading = state.Busy
