--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,8 @@
 
 // cases are the cases by name.
 var cases = map[string]play{
-	"endless-score": playEndlessScore,
+	"endless-score":     playEndlessScore,
+	"software-versions": playVersions,
 }
 
 const (
