--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]play{
 	"endless-score":     playEndlessScore,
 	"software-versions": playVersions,
+	"drain":             playDrain,
 }
 
 const (
