--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,8 @@
 	"endless-score":     playEndlessScore,
 	"software-versions": playVersions,
 	"drain":             playDrain,
+	"poison":            playPoison,
+	"origins":           playOrigins,
 }
 
 const (
