--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -28,6 +30,7 @@
 	"drain":             playDrain,
 	"poison":            playPoison,
 	"starve":            playStarve,
+	"away":              playAway,
 }
 
 const (
@@ -76,6 +79,21 @@
 	if os.Getenv("LOGS") != "" {
 		fmt.Println("logs in", w.dir)
 	}
-	broken, err = p(w)
-	return broken, errors.WithMessage(err, "case")
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	type result struct {
+		broken string
+		err    error
+	}
+	ended := make(chan result, 1)
+	go func() {
+		broken, err := p(w)
+		ended <- result{broken, errors.WithMessage(err, "case")}
+	}()
+	select {
+	case r := <-ended:
+		return r.broken, r.err
+	case s := <-stopped: // The processes are ended as after a whole run.
+		return "", errors.Errorf("stopped by %v", s)
+	}
 }
--- a/review/standin/starve.go
+++ b/review/standin/starve.go
@@ -46,14 +46,16 @@
 	toBreak atomic.Bool
 	running atomic.Int64
 
-	mu    sync.Mutex
-	began map[string]int       // runs, by item
-	ended map[string]time.Time // end of the last run, by item
+	mu         sync.Mutex
+	began      map[string]int       // runs, by item
+	ended      map[string]time.Time // end of the last run, by item; absent while it runs
+	longer     int                  // further items of the step that are longer than estimated
+	breakAfter int                  // events after which the stream breaks off
 }
 
 func (w *world) startEngineWith(n int, interval time.Duration) (*engine, error) {
 	id := fmt.Sprintf("engine-%d", n+1)
-	e := &engine{Engine: fake.NewEngine(id, map[string]int64{"m1": 1}), world: w, id: id, began: make(map[string]int), ended: make(map[string]time.Time)}
+	e := &engine{Engine: fake.NewEngine(id, map[string]int64{"m1": 1}), world: w, id: id, began: make(map[string]int), ended: make(map[string]time.Time), breakAfter: breakAfter}
 	e.SetDelays(interval, time.Second)
 	e.SetSoftware("v1")
 	addr := w.addr(ipEngines+n, portApp)
@@ -77,7 +79,21 @@
 	e.answers.Add(1)
 	e.mu.Lock()
 	e.began[item]++
+	delete(e.ended, item)
+	switch {
+	case item == aheadItem: // The next item of the step here is longer than estimated, too.
+		e.world.lengths.Store(item, aheadEvents)
+		e.longer, e.breakAfter = 1, lateBreak
+		e.toBreak.Store(e.world.trouble)
+	case strings.HasPrefix(item, "step.") && e.longer > 0:
+		e.longer--
+		e.world.lengths.Store(item, longEvents)
+	}
+	limit := e.breakAfter
 	e.mu.Unlock()
+	if n, ok := e.world.lengths.Load(item); ok {
+		r.Header.Set("X-Jujuberamp-Length-Hint", fmt.Sprint(n)) // The fake engine generates as many events.
+	}
 	e.world.record.printf("%s: runs %s after event %q", e.id, item, r.Header.Get(headerLastEvent))
 	defer func() {
 		e.running.Add(-1)
@@ -87,24 +103,24 @@
 		e.world.record.printf("%s: run of %s ended", e.id, item)
 	}()
 	if strings.HasPrefix(item, "step.") && e.toBreak.CompareAndSwap(true, false) {
-		w = &breakingWriter{ResponseWriter: w, engine: e, item: item}
+		w = &breakingWriter{ResponseWriter: w, engine: e, item: item, left: limit}
 	}
 	e.Engine.ServeHTTP(w, r)
 }
 
-// breakingWriter breaks a stream off after breakAfter events.
+// breakingWriter breaks a stream off after some events.
 type breakingWriter struct {
 	http.ResponseWriter
 	engine *engine
 	item   string
-	events int
+	left   int // events
 }
 
 // Unwrap returns the writer for [http.NewResponseController].
 func (b *breakingWriter) Unwrap() http.ResponseWriter { return b.ResponseWriter }
 
 func (b *breakingWriter) Write(p []byte) (int, error) {
-	if b.events++; b.events > breakAfter {
+	if b.left--; b.left < 0 {
 		b.engine.world.record.printf("%s: breaks off the stream of %s, one of %d answers", b.engine.id, b.item, b.engine.answers.Load())
 		panic(http.ErrAbortHandler)
 	}
@@ -121,44 +137,24 @@
 	if err != nil {
 		return "", err
 	}
-	err = w.setConfig(30*time.Second, []route{
-		{"name": "jobs", "host": host, "path_prefix": "/jobs/", "type": "rollout", "slo_ms": 400, "due_ms": 7500, "retention_s": 40, "service": "models", "max_attempts": 3},
-	}, []map[string]any{
-		{"name": "models", "backend": map[string]any{"slots": fake.Slots, "stride": 1, "loaded_models": []map[string]any{{"name": "m1"}}}},
-	})
-	if err != nil {
-		return "", err
-	}
-	if err := w.startEntries(3); err != nil {
+	if err := w.startModels(2); err != nil {
 		return "", err
 	}
-	for n := range 2 {
-		if err := w.startAgent(n); err != nil {
-			return "", err
-		}
-	}
-	time.Sleep(2 * time.Second)
 	w.submitItems(w.entries[0], "warm-up", warmUpItems, 6)
 	time.Sleep(12 * time.Second)
 	fast.toBreak.Store(w.trouble)
 	submittedAt := time.Now()
 	w.submitItems(w.entries[0], "step", stepItems, stepEvents)
-	full := w.submitShort(submittedAt, fast, slow)
-	listed := w.listed("step")
-	w.record.printf("trainer: %d of %d items of the step listed after %v; places taken in the last %v: %.2f", len(listed), stepItems, stepLimit, maxAway, full)
-	for i := range stepItems {
-		id := fmt.Sprintf("step.%d", i)
-		if listed[id] {
-			continue
-		}
-		away, begun := awayFor(id, fast, slow)
-		w.record.printf("trainer: %s is not listed, at no engine for %v", id, away.Round(time.Millisecond))
-		if begun && away >= maxAway && full < 0.5 {
-			return fmt.Sprintf("LOST: the step ran out of time, and %s had been at no engine for %v, while %.0f %% of the places were taken",
-				id, away.Round(time.Millisecond), 100*full), nil
-		}
-	}
-	return "", nil
+	return w.judgeStep(stepItems, w.watchPlaces(submittedAt, shortInterval, fast, slow), fast, slow)
+}
+
+// setModelConfig writes a configuration with one model.
+func (w *world) setModelConfig() error {
+	return w.setConfig(30*time.Second, []route{
+		{"name": "jobs", "host": host, "path_prefix": "/jobs/", "type": "rollout", "slo_ms": 400, "due_ms": 7500, "retention_s": 40, "service": "models", "max_attempts": 3},
+	}, []map[string]any{
+		{"name": "models", "backend": map[string]any{"slots": fake.Slots, "stride": 1, "loaded_models": []map[string]any{{"name": "m1"}}}},
+	})
 }
 
 // awayFor returns how long an item has been at no engine, and whether any engine ran it.
@@ -166,26 +162,33 @@
 	var last time.Time
 	for _, e := range engines {
 		e.mu.Lock()
-		if at, ok := e.ended[id]; ok && at.After(last) {
-			last = at
+		at, ended := e.ended[id]
+		if began := e.began[id] > 0; began {
+			begun = true
+			if !ended {
+				at = time.Now() // It runs there.
+			}
 		}
-		begun = begun || e.began[id] > 0
 		e.mu.Unlock()
+		if at.After(last) {
+			last = at
+		}
 	}
 	return time.Since(last), begun
 }
 
-// submitShort submits short steps until the limit of the watched one is over. It returns
-// the mean share of the places at the engines that were taken in the last maxAway.
-func (w *world) submitShort(from time.Time, engines ...*engine) float64 {
+// watchPlaces waits until the limit of the watched step is over. Meanwhile it submits short
+// steps at an interval, none if that is 0. It returns the mean share of the places at the
+// engines that were taken in the last maxAway.
+func (w *world) watchPlaces(from time.Time, interval time.Duration, engines ...*engine) float64 {
 	end := from.Add(stepLimit)
-	next, n := from.Add(shortInterval), 0
+	next, n := from.Add(interval), 0
 	var taken, samples int64
 	for time.Now().Before(end) {
-		if time.Now().After(next) {
+		if interval > 0 && time.Now().After(next) {
 			n++
 			w.submitItems(w.entries[0], fmt.Sprintf("short%d", n), shortItems, shortEvents)
-			next = next.Add(shortInterval)
+			next = next.Add(interval)
 		}
 		time.Sleep(sampleInterval)
 		if time.Until(end) <= maxAway {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -61,6 +61,7 @@
 	config   map[string]any
 	version  int
 	stopping chan struct{}
+	lengths  sync.Map // by item: its number of events, if the estimate is wrong
 }
 
 // Offsets of the ports from world.port.
