--- a/review/standin/endless.go
+++ b/review/standin/endless.go
@@ -170,7 +170,7 @@
 func submitJobs(w *world, spoiled <-chan struct{}) {
 	timeout := time.After(25 * time.Second)
 	for n := 0; ; n++ {
-		submitJob(w, w.entries[n%len(w.entries)], fmt.Sprintf("job-%d", n))
+		submitScored(w, w.entries[n%len(w.entries)], fmt.Sprintf("job-%d", n), itemsPerJob)
 		select {
 		case <-spoiled:
 			time.Sleep(6 * time.Second)
@@ -182,9 +182,10 @@
 	}
 }
 
-func submitJob(w *world, p *process, job string) {
+// submitScored submits a batch of items with scoring calls.
+func submitScored(w *world, p *process, job string, count int) {
 	var items []map[string]any
-	for i := range itemsPerJob {
+	for i := range count {
 		id := fmt.Sprintf("%s.%d", job, i)
 		items = append(items, map[string]any{
 			"id": id, "path": "/jobs/" + id, "headers": map[string]string{"X-Jujuberamp-Model-Id": "m1", "X-Jujuberamp-Length-Hint": "4"},
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,8 @@
 	"software-versions": playVersions,
 	"drain":             playDrain,
 	"poison":            playPoison,
+	"copies":            playCopies,
+	"origins":           playOrigins,
 	"starve":            playStarve,
 	"away":              playAway,
 }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -38,6 +40,8 @@
 	// onRun is called with each request that begins to run. It returns true if it has
 	// answered the request.
 	onRun func(s *server, w http.ResponseWriter, r *http.Request) bool
+	// connContext, if not nil, is that of the server's connections.
+	connContext func(context.Context, net.Conn) context.Context
 	// onEvent is called after each event of a stream.
 	onEvent func(s *server, r *http.Request, event int)
 
@@ -53,7 +57,7 @@
 
 // start starts the server as a new incarnation and registers it.
 func (s *server) start() error {
-	srv, err := s.world.serve(s.world.addr(s.n, portApp), s)
+	srv, err := s.world.serveConns(s.world.addr(s.n, portApp), s, s.connContext)
 	if err != nil {
 		return err
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -121,6 +122,11 @@
 
 // serve serves HTTP on an address until the returned server is closed.
 func (w *world) serve(addr string, h http.Handler) (*http.Server, error) {
+	return w.serveConns(addr, h, nil)
+}
+
+// serveConns is serve with a context for each connection.
+func (w *world) serveConns(addr string, h http.Handler, connContext func(context.Context, net.Conn) context.Context) (*http.Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	for end := time.Now().Add(2 * time.Second); err != nil && time.Now().Before(end); {
 		time.Sleep(10 * time.Millisecond)
@@ -129,7 +135,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "stand-in")
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute, ConnContext: connContext}
 	go func() { _ = srv.Serve(ln) }() // Returns when the server is closed.
 	return srv, nil
 }
