--- a/review/standin/endless.go
+++ b/review/standin/endless.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,7 +15,7 @@
 )
 
 const (
-	channelsPerEntry = 9
+	channelsPerEntry = 15
 	itemsPerJob      = 24
 	// spoiledAfter is the number of answers that the faulty server gives before the one
 	// that it spoils: one in 41 is less than the share 0.03 of the site files.
@@ -22,6 +23,7 @@
 	// maxCutRequests is the number of kept channels that a machine may close without an
 	// answer by the rule.
 	maxCutRequests = 3
+	scoreWork      = 80 * time.Millisecond
 	endlessTime    = 15 * time.Second // bounds the endless body
 )
 
@@ -96,22 +98,34 @@
 	answers, done := 0, !w.trouble
 	servers := make([]*server, 3)
 	for i := range servers {
-		servers[i] = &server{world: w, n: ipPlain + i, service: "app", id: fmt.Sprintf("app-%d", i+1), slots: 16, work: 600 * time.Millisecond}
+		servers[i] = &server{world: w, n: ipPlain + i, service: "app", id: fmt.Sprintf("app-%d", i+1), slots: 30, work: 600 * time.Millisecond}
 	}
-	servers[0].onRun = func(s *server, rw http.ResponseWriter, r *http.Request) bool {
+	seen := make(map[string]bool) // scoring calls that a server has run
+	run := func(s *server, rw http.ResponseWriter, r *http.Request) bool {
+		id, score := r.Header.Get(headerAttempt), strings.HasPrefix(r.URL.Path, "/score/")
 		mu.Lock()
-		answers++
-		spoil := !done && answers > spoiledAfter && strings.HasPrefix(r.URL.Path, "/score/")
+		if s == servers[0] {
+			answers++
+		}
+		spoil := s == servers[0] && !done && answers > spoiledAfter && score && !seen[id]
 		done = done || spoil
+		seen[id] = true
 		mu.Unlock()
 		if !spoil {
-			return false
+			if score {
+				time.Sleep(scoreWork)
+				_, _ = io.WriteString(rw, bodyOf(id)) // The caller may have disconnected.
+			}
+			return score
 		}
-		w.record.printf("server %s: answer %d, to the scoring call %s, has a body without end", s.id, answers, r.Header.Get(headerAttempt))
+		w.record.printf("server %s: answer %d, to the scoring call %s, has a body without end", s.id, answers, id)
 		close(spoiled)
 		sendEndless(rw, r)
 		return true
 	}
+	for _, s := range servers {
+		s.onRun = run
+	}
 	return servers, spoiled
 }
 
