--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -39,6 +39,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
@@ -78,6 +79,9 @@
 	defaultTimeout = 30 * clock.Second
 )
 
+// errTruncated is the error of a response that was started and can't be completed.
+var errTruncated = errors.New("the answer can't be completed")
+
 // Request is a client's request.
 type Request struct {
 	ID          string
@@ -217,9 +221,15 @@
 	p.hedgeBudget = min(maxHedgeBudget, p.hedgeBudget+hedgeDeposit)
 }
 
-// Serve answers one request. The error is nil once a response was started.
+// Serve answers one request of a client. The error is nil once a response was started. It
+// must be called by an HTTP handler: it panics with [http.ErrAbortHandler], which closes the
+// client's connection, if a response was started and can't be completed.
 func (p *Proxy) Serve(ctx context.Context, r *Request, w http.ResponseWriter) error {
-	return p.serve(ctx, r, w, p.Quarantine)
+	err := p.serve(ctx, r, w, p.Quarantine)
+	if errors.Is(err, errTruncated) {
+		panic(http.ErrAbortHandler)
+	}
+	return err
 }
 
 func (p *Proxy) serve(ctx context.Context, r *Request, w http.ResponseWriter, quarantine Quarantine) error {
@@ -287,7 +297,7 @@
 func (exempt) RecordAnswer(func() string)      {}
 
 // Do serves a request without a client and returns its result. The reply is
-// nil if no server answered. The request is exempt from the quarantine.
+// nil if no server gave a complete answer. The request is exempt from the quarantine.
 func (p *Proxy) Do(ctx context.Context, r *Request) (*Reply, error) {
 	rec := &responseRecorder{header: make(http.Header)}
 	err := p.serve(ctx, r, rec, exempt{})
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -357,16 +357,12 @@
 	if c.lastFailure != a {
 		c.closeLastFailure()
 	}
-	copyHeader(w, a.response)
 	if a.complete {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	} else if a.response.ContentLength >= 0 {
 		w.Header().Set("Content-Length", itoa(a.response.ContentLength))
 	}
-	if rec, ok := w.(*responseRecorder); ok {
-		rec.response, rec.failures, rec.maxAttempts = a.response, c.failures, c.route.MaxAttempts
-	}
-	w.WriteHeader(a.response.Status)
+	c.startResponse(w, a.response)
 	if _, err := w.Write(a.body); err != nil {
 		return "client-left", nil
 	}
@@ -375,26 +371,32 @@
 	}
 	defer a.response.Body.Close()
 	if _, err := io.Copy(w, a.response.Body); err != nil {
-		c.proxy.Log.Warn().Str("request", c.req.ID).Str("server", a.server.ID).Err(err).
-			Msg("front: answer broke off, connection closed")
-		panic(http.ErrAbortHandler)
+		c.proxy.Log.Warn().Str("request", c.req.ID).Str("server", a.server.ID).Err(err).Msg("front: answer truncated")
+		return "truncated", fault.Wrap(fault.BrokenAnswer, errTruncated, "answer of "+a.server.ID)
 	}
 	return "served", nil
 }
 
-func copyHeader(w http.ResponseWriter, resp *plat.Response) {
+// startResponse writes the header of a response to the client.
+func (c *requestState) startResponse(w http.ResponseWriter, resp *plat.Response) {
 	h := w.Header()
 	for k, vs := range resp.Header {
 		h[k] = vs
 	}
+	if rec, ok := w.(*responseRecorder); ok {
+		rec.response, rec.failures, rec.maxAttempts = resp, c.failures, c.route.MaxAttempts
+	}
+	w.WriteHeader(resp.Status)
 }
 
 // respondFailure ends a request that has no attempt left (rule 9).
 func (c *requestState) respondFailure(ctx context.Context, w http.ResponseWriter) (string, error) {
 	switch {
 	case c.lastFailure != nil:
-		_, err := c.writeResponse(w, c.lastFailure)
-		return "server-failed", err
+		if outcome, err := c.writeResponse(w, c.lastFailure); err != nil {
+			return outcome, err
+		}
+		return "server-failed", nil
 	case !c.mayHaveRun && c.rateWait > 0:
 		return "rate-limited", fault.New(fault.Overloaded, "each server of "+c.service+" that takes work limits the rate of requests").
 			WithRetryAfter(max(retryAfter, c.rateWait))
@@ -426,3 +428,4 @@
 func (r *responseRecorder) Header() http.Header         { return r.header }
 func (r *responseRecorder) WriteHeader(int)             {}
 func (r *responseRecorder) Write(b []byte) (int, error) { return len(b), nil }
+func (r *responseRecorder) Flush()                      {}
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -23,8 +23,7 @@
 
 // runStream forwards the events of a stream as they arrive. It forwards only
 // complete events, so that another server can resume after the last one if the
-// route allows it. If the response has started and the stream can't be
-// completed, the client's connection is closed.
+// route allows it.
 func (c *requestState) runStream(ctx context.Context, w http.ResponseWriter) (string, error) {
 	if c.req.LastEventID > 0 && c.route.Resumable && !c.findOrigin(ctx) {
 		return "no-origin", fault.New(fault.NotReady, "it is not known which server began the stream").WithRetryAfter(retryAfter)
@@ -46,8 +45,7 @@
 		}
 		if !started {
 			started = true
-			copyHeader(w, a.response)
-			w.WriteHeader(a.response.Status)
+			c.startResponse(w, a.response)
 		}
 		n, err := copyEvents(w, a.response.Body, last, func() { c.recordOrigin(ctx, s) })
 		a.response.Body.Close()
@@ -63,7 +61,11 @@
 		}
 	}
 	if started {
-		panic(http.ErrAbortHandler)
+		outcome := "truncated"
+		if errors.Is(ctx.Err(), context.Canceled) {
+			outcome = "client-left"
+		}
+		return outcome, fault.Wrap(fault.BrokenAnswer, errTruncated, "stream after event "+strconv.Itoa(last))
 	}
 	return c.respondFailure(ctx, w)
 }
