--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -11,8 +11,11 @@
 package index
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -27,7 +30,7 @@
 	BulkTopic = "bulk"  // items, complete outputs and checkpoints
 	LoadTopic = "fence" // records of the load limiter; an offset plus one is a fencing token
 	// PlansTopic is a compacted topic. Under DemandKey it holds the demand by which
-	// models are assigned to engines.
+	// models are assigned to engines, and under keys of their own releases.
 	PlansTopic = "plans"
 	DemandKey  = "demand"
 	// NodesTopic is a compacted topic of heartbeats, with the node's name as the key.
@@ -275,3 +278,42 @@
 	}
 	return w.Models, nil
 }
+
+// Release is a version of the software that servers of a service have, or had recently.
+type Release struct {
+	Service  string
+	Software string
+}
+
+// release is the JSON form of a [Release].
+type release struct {
+	Service  string `json:"service"`
+	Software string `json:"software"`
+}
+
+const releasePrefix = "release/"
+
+// IsReleaseKey reports whether a key of PlansTopic is that of a release.
+func IsReleaseKey(key string) bool { return strings.HasPrefix(key, releasePrefix) }
+
+// ReleaseKey returns the key of a release. Keys have at most 255 bytes, so it contains a hash
+// of the names.
+func ReleaseKey(r Release) string {
+	sum := sha256.Sum256([]byte(r.Service + "\x00" + r.Software))
+	return releasePrefix + hex.EncodeToString(sum[:16])
+}
+
+// EncodeRelease returns the value of the record of a release.
+func EncodeRelease(r Release) ([]byte, error) {
+	b, err := json.Marshal(release(r))
+	return b, errors.Wrap(err, "release")
+}
+
+// DecodeRelease parses the value of the record of a release.
+func DecodeRelease(value []byte) (Release, error) {
+	var w release
+	if err := json.Unmarshal(value, &w); err != nil {
+		return Release{}, errors.Wrap(err, "release")
+	}
+	return Release(w), nil
+}
--- a/internal/node/conf/conf.go
+++ b/internal/node/conf/conf.go
@@ -41,7 +41,7 @@
 type Decoder struct {
 	OperatorTopic string
 	ServersTopic  string
-	PlansTopic    string // topic of the published demand for each model
+	PlansTopic    string // topic of the published demand for each model, and of releases
 	DecodeKeyed   func(offset int64, rec []byte) (plat.Keyed, error)
 	DecodeChange  func(key string, value []byte) (Change, error)
 	DecodeServer  func(id string, value []byte) (*fleet.Server, error)
@@ -61,6 +61,7 @@
 	versions atomic.Pointer[map[string]int64]
 	view     atomic.Pointer[fleet.View] // of servers
 	demand   atomic.Pointer[map[string]int64]
+	releases atomic.Pointer[map[string]index.Release] // by key, nil until the topic was read
 
 	storeDown atomic.Bool // the last read of the servers failed
 
@@ -107,7 +108,7 @@
 	}, f.log)
 	go logs.FollowKeyed(ctx, store, logs.Subscription{
 		Topic: f.decoder.PlansTopic, DecodeKeyed: f.decoder.DecodeKeyed,
-		OnSnapshot: logs.ForEach(f.applyPlanRecord), OnRecord: f.applyPlanRecord,
+		OnSnapshot: f.applyPlanSnapshot, OnRecord: f.applyPlanRecord,
 	}, f.log)
 	go clock.Every(ctx, expireInterval, f.expireServers)
 	logs.FollowKeyed(ctx, store, logs.Subscription{
@@ -145,7 +146,7 @@
 	}
 }
 
-func (f *Follower) applyPlanRecord(k plat.Keyed) {
+func (f *Follower) applyDemand(k plat.Keyed) {
 	if k.Key != index.DemandKey || k.Value == nil {
 		return
 	}
--- a/internal/node/conf/conf_test.go
+++ b/internal/node/conf/conf_test.go
@@ -15,7 +15,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/sets"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
 )
 
@@ -106,3 +108,47 @@
 		c.Check(f.Servers().ByID("i-0"), qt.IsNotNil)
 	})
 }
+
+// TestReleaseLog guards against a recorded release that is lost with the node that recorded
+// it, or that stays after its removal, also beside a record that can't be decoded and after
+// records were missed.
+func TestReleaseLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Minute) // Reads of the store end.
+		defer cancel()
+		store := topic.New()
+		store.SetFaultMode(topic.Unresponsive)
+		f, _ := startFollower(ctx, store)
+		l := NewReleaseLog(f, store)
+		_, ok := l.Recorded()
+		c.Check(ok, qt.IsFalse, qt.Commentf("nothing was read"))
+		store.SetFaultMode(topic.NoFault)
+		time.Sleep(10 * time.Second)
+		recorded, ok := l.Recorded()
+		c.Check(ok, qt.IsTrue)
+		c.Check(recorded, qt.HasLen, 0)
+
+		store.Write("plans", "release/other", []byte("{"))
+		store.Write("plans", index.DemandKey, []byte(`{"models":{"m":7}}`))
+		for _, r := range []index.Release{{Service: "s", Software: "v1"}, {Service: "s", Software: "v2"}, {Service: "t", Software: ""}} {
+			c.Assert(l.Add(ctx, r.Service, r.Software), qt.IsNil)
+		}
+		want := map[string]sets.Set[string]{"s": sets.Of("v1", "v2"), "t": sets.Of("")}
+		restarted, _ := startFollower(ctx, store)
+		time.Sleep(time.Second)
+		for _, l := range []*ReleaseLog{l, NewReleaseLog(restarted, store)} {
+			recorded, ok = l.Recorded()
+			c.Check(ok, qt.IsTrue)
+			c.Check(recorded, qt.DeepEquals, want)
+		}
+		c.Check(restarted.Demand(), qt.DeepEquals, map[string]int64{"m": 7})
+
+		store.Expire("plans", 0) // The followers read a snapshot.
+		c.Assert(l.Remove(ctx, "s", "v1"), qt.IsNil)
+		time.Sleep(10 * time.Second)
+		recorded, _ = l.Recorded()
+		c.Check(recorded, qt.DeepEquals, map[string]sets.Set[string]{"s": sets.Of("v2"), "t": sets.Of("")})
+	})
+}
--- a/internal/node/origin/origin.go
+++ b/internal/node/origin/origin.go
@@ -8,15 +8,22 @@
 //     next ones by rank, since entries may have arrived in the meantime.
 //  3. If no entry knows the origin, the stream goes on only if all servers that were
 //     listed within the lifetime of a stream have one version of the software, as far
-//     as the asked entries know.
+//     as the asked entries know. An entry that has not observed the list for so long
+//     relies on the releases that are recorded in the store; if it can't read them, or
+//     if an asked entry does not answer, the stream does not go on.
 //  4. An entry that stops hands its origins to the next entries by rank.
+//  5. Each release that is listed is recorded in the store, and the record is removed
+//     once an entry has not seen the release listed for the lifetime of a stream. Two
+//     entries by rank do so.
 //
 // Origins are kept in memory for the lifetime of a stream. A stream whose origin is
-// lost with all entries that knew it ends; it never goes on at other software.
+// lost with all entries that knew it ends, unless only one release can have begun it; it
+// never goes on at other software.
 //
 // # Usage
 //
 //	s := origin.New(origin.Params{...})
+//	go s.Run(ctx)
 //	s.Record(ctx, resume.Origin{Stream: id, Service: service, Software: software})
 //	o, ok := s.Find(ctx, id, service)
 package origin
@@ -61,6 +68,7 @@
 	// returns false while they are not known.
 	Peers     func() ([]spread.Peer, bool)
 	Servers   func() *fleet.View
+	Releases  Releases
 	Transport http.RoundTripper
 	Clock     clock.Clock
 	Log       zerolog.Logger
@@ -75,19 +83,20 @@
 // Store keeps the origins of streams.
 type Store struct {
 	Params
-	http      *http.Client
-	startedAt clock.Millis
+	http *http.Client
+	wake chan struct{} // the listed releases have changed
 
-	mu       sync.Mutex
-	origins  map[string]kept                    // by stream
-	listed   map[string]sets.Set[string]        // by service: versions of the software, as of the last observation
-	lastSeen map[string]map[string]clock.Millis // by service and version: when it was last listed
+	mu         sync.Mutex
+	observedAt clock.Millis                       // when servers were first listed, 0 before
+	origins    map[string]kept                    // by stream
+	listed     map[string]sets.Set[string]        // by service: versions of the software, as of the last observation
+	lastSeen   map[string]map[string]clock.Millis // by service and version: when it was last listed
 }
 
 // New returns an empty store.
 func New(p Params) *Store {
 	return &Store{
-		Params: p, http: &http.Client{Transport: p.Transport}, startedAt: p.Clock.Now(), origins: make(map[string]kept),
+		Params: p, http: &http.Client{Transport: p.Transport}, wake: make(chan struct{}, 1), origins: make(map[string]kept),
 		listed: make(map[string]sets.Set[string]), lastSeen: make(map[string]map[string]clock.Millis),
 	}
 }
@@ -105,6 +114,9 @@
 			listed[service].Add(server.Software)
 		}
 	}
+	if s.observedAt == 0 && len(listed) > 0 {
+		s.observedAt = now
+	}
 	for _, observed := range []map[string]sets.Set[string]{s.listed, listed} {
 		for service, versions := range observed {
 			if s.lastSeen[service] == nil {
@@ -115,9 +127,21 @@
 			}
 		}
 	}
+	if !maps.EqualFunc(s.listed, listed, maps.Equal) {
+		select {
+		case s.wake <- struct{}{}:
+		default: // A wake-up is pending.
+		}
+	}
 	s.listed = listed
 }
 
+// hasObserved reports whether this entry has observed the list of servers for the lifetime
+// of a stream. The caller holds the lock.
+func (s *Store) hasObserved() bool {
+	return s.observedAt > 0 && s.Clock.Now()-s.observedAt >= lifetime
+}
+
 // softwareOf returns the versions of the software of a service that were listed within
 // the lifetime of a stream. The caller holds the lock.
 func (s *Store) softwareOf(service string) []string {
@@ -229,6 +253,7 @@
 			replies <- answer{r, err}
 		}()
 	}
+	_, peersKnown := s.Peers()
 	mixed, asked := own.Mixed, 0
 	for range holders {
 		r := <-replies
@@ -241,17 +266,30 @@
 		}
 		mixed = mixed || r.Mixed
 	}
+	versions, ok := s.possibleReleases(service, peersKnown && asked == len(holders))
+	if mixed || !ok || len(versions) != 1 { // rule 3
+		s.Log.Warn().Str("stream", stream).Str("service", service).Strs("software", versions.Sorted()).Bool("certain", ok).
+			Int("answers", asked).Int("asked", len(holders)).Msg("origin: origin of a stream is not known, it can't go on")
+		return resume.Origin{}, false
+	}
+	return resume.Origin{Stream: stream, Service: service, Software: versions.Sorted()[0]}, true
+}
+
+// possibleReleases returns the versions of a service's software that may have begun a stream
+// whose origin is not known, given whether all entries that may know it have answered. It
+// returns false if there may be others (rule 3).
+func (s *Store) possibleReleases(service string, allAnswered bool) (sets.Set[string], bool) {
+	recorded, read := s.Releases.Recorded()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	versions := s.softwareOf(service)
-	// Only entries that did not answer may know what was listed before this process started.
-	uncertain := asked < len(holders) && s.Clock.Now()-s.startedAt < lifetime
-	if mixed || uncertain || len(versions) != 1 { // rule 3
-		s.Log.Warn().Str("stream", stream).Str("service", service).Strs("software", versions).Int("answers", asked).
-			Int("asked", len(holders)).Msg("origin: origin of a stream is not known, it can't go on")
-		return resume.Origin{}, false
+	versions := sets.Of(s.softwareOf(service)...)
+	if s.hasObserved() {
+		return versions, true
+	}
+	for v := range recorded[service] {
+		versions.Add(v)
 	}
-	return resume.Origin{Stream: stream, Service: service, Software: versions[0]}, true
+	return versions, read && allAnswered
 }
 
 // HandOver sends the origins that this entry keeps to the entries that keep them once
--- a/internal/node/origin/origin_test.go
+++ b/internal/node/origin/origin_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,27 +16,67 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/base/sets"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
 	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
 	"github.com/jujuberamp/jujuberamp/internal/stand/vnet"
 )
 
+// recordedReleases is the record of releases in the platform's store.
+type recordedReleases struct {
+	mu         sync.Mutex
+	byService  map[string]sets.Set[string]
+	unreadable bool
+}
+
+func (r *recordedReleases) Recorded() (map[string]sets.Set[string], bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]sets.Set[string])
+	for service, versions := range r.byService {
+		out[service] = maps.Clone(versions)
+	}
+	return out, !r.unreadable
+}
+
+func (r *recordedReleases) Add(_ context.Context, service, software string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byService[service] == nil {
+		r.byService[service] = make(sets.Set[string])
+	}
+	r.byService[service].Add(software)
+	return nil
+}
+
+func (r *recordedReleases) Remove(_ context.Context, service, software string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byService[service].Del(software)
+	return nil
+}
+
 // cluster is a set of entries.
 type cluster struct {
-	ctx     context.Context
-	clock   clock.Clock
-	net     *vnet.Net
-	servers *fleet.List
-	listed  []spread.Peer // live entries
-	nodes   map[string]*vnet.Node
-	stores  map[string]*Store
+	ctx          context.Context
+	clock        clock.Clock
+	net          *vnet.Net
+	servers      *fleet.List
+	releases     *recordedReleases
+	listed       []spread.Peer // live entries
+	unknownPeers bool          // entries that start don't know each other
+	unreadList   bool          // entries that start can't read the list of servers
+	nodes        map[string]*vnet.Node
+	stores       map[string]*Store
+	stops        map[string]context.CancelFunc
 }
 
 func newCluster(ctx context.Context, entries int) *cluster {
 	c := &cluster{
 		ctx: ctx, clock: clock.NewSystem(), net: vnet.New(25 * time.Millisecond), servers: fleet.New(),
-		nodes: make(map[string]*vnet.Node), stores: make(map[string]*Store),
+		releases: &recordedReleases{byService: make(map[string]sets.Set[string])},
+		nodes:    make(map[string]*vnet.Node), stores: make(map[string]*Store), stops: make(map[string]context.CancelFunc),
 	}
 	for i := range entries {
 		c.start(fmt.Sprint("e-", i))
@@ -44,15 +86,33 @@
 
 // start starts or restarts an entry.
 func (c *cluster) start(name string) {
+	if stop := c.stops[name]; stop != nil {
+		stop()
+	}
+	ctx, stop := context.WithCancel(c.ctx)
+	c.stops[name] = stop
+	peers, servers := func() ([]spread.Peer, bool) { return c.listed, true }, c.servers.View
+	if c.unknownPeers {
+		peers = func() ([]spread.Peer, bool) { return nil, false }
+	}
+	if c.unreadList {
+		servers = func() *fleet.View {
+			if c.unreadList {
+				return fleet.New().View()
+			}
+			return c.servers.View()
+		}
+	}
 	mux := http.NewServeMux()
 	c.nodes[name] = c.net.Start(name, mux)
 	s := New(Params{
-		Self: ident.Node(name), Peers: func() ([]spread.Peer, bool) { return c.listed, true }, Servers: c.servers.View,
+		Self: ident.Node(name), Peers: peers, Servers: servers, Releases: c.releases,
 		Transport: c.nodes[name], Clock: c.clock, Log: zerolog.Nop(),
 	})
 	mux.Handle(resume.RecordPath, resume.RecordHandler(s.Keep, zerolog.Nop()))
 	mux.Handle(resume.FindPath, resume.FindHandler(s.Answer, zerolog.Nop()))
 	c.stores[name] = s
+	go s.Run(ctx)
 	s.ObserveServers()
 	if !slices.ContainsFunc(c.listed, func(p spread.Peer) bool { return string(p.Name) == name }) {
 		c.listed = append(c.listed, spread.Peer{Name: ident.Node(name), Addr: name + ":1"})
@@ -73,6 +133,14 @@
 	for _, s := range c.stores {
 		s.ObserveServers()
 	}
+	synctest.Wait()
+}
+
+// startAll restarts all entries at once.
+func (c *cluster) startAll() {
+	for name := range c.stores {
+		c.start(name)
+	}
 }
 
 // maxAsked is the number of entries at which a test takes up each stream.
@@ -145,6 +213,10 @@
 				c.start(fmt.Sprint("e-", i))
 			}
 		}, share: 0},
+		"all are killed after a release": {entries: 7, fault: func(c *cluster) {
+			c.setServers("v2")
+			c.startAll()
+		}, share: 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -205,6 +277,42 @@
 			c.start("e-1")
 			c.start("e-2")
 		}, "v2"},
+		"all started just now, after a release": {func(c *cluster) {
+			c.setServers("v1", "v2")
+			c.setServers("v2")
+			c.startAll()
+		}, ""},
+		"all started just now, and the servers before": {func(c *cluster) {
+			c.setServers("v1")
+			c.setServers("v2")
+			c.startAll()
+		}, ""},
+		"all started just now, a release is long over": {func(c *cluster) {
+			c.setServers("v1", "v2")
+			c.setServers("v2")
+			time.Sleep(time.Hour)
+			c.startAll()
+		}, "v2"},
+		"all started just now, recorded releases can't be read": {func(c *cluster) {
+			c.setServers("v1", "v2")
+			c.setServers("v2")
+			c.releases.unreadable = true
+			c.startAll()
+		}, ""},
+		"started just now, after a release, no peer is known yet": {func(c *cluster) {
+			c.setServers("v1", "v2")
+			c.setServers("v2")
+			c.unknownPeers = true
+			c.start("e-0")
+		}, ""},
+		"all started long ago, after a release, and read the list just now": {func(c *cluster) {
+			c.setServers("v1", "v2")
+			c.unreadList = true
+			c.startAll()
+			time.Sleep(time.Hour)
+			c.unreadList = false
+			c.setServers("v2")
+		}, ""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -24,6 +24,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/inner/grant"
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
+	"github.com/jujuberamp/jujuberamp/internal/node/conf"
 	"github.com/jujuberamp/jujuberamp/internal/node/front"
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
 	"github.com/jujuberamp/jujuberamp/internal/node/origin"
@@ -135,7 +136,8 @@
 		return p.conf.Servers().HasIncarnation(server)
 	}, func(ctx context.Context, c crash.Crash) error { return e.jobs.ReportCrash(ctx, c) })
 	origins := origin.New(origin.Params{
-		Self: ident.Node(p.self.Name), Peers: e.livePeers, Servers: p.conf.Servers, Transport: p.innerTransport, Clock: p.clock, Log: p.log,
+		Self: ident.Node(p.self.Name), Peers: e.livePeers, Servers: p.conf.Servers,
+		Releases: conf.NewReleaseLog(p.conf, p.store), Transport: p.innerTransport, Clock: p.clock, Log: p.log,
 	})
 	e.origins = origins
 	limiter := rates.New(rates.Params{
@@ -202,6 +204,7 @@
 	go clock.Every(ctx, pruneInterval, e.front.PruneServers)
 	go clock.Every(ctx, pruneInterval, limiter.Prune)
 	go clock.Every(ctx, pruneInterval, origins.Prune)
+	go origins.Run(ctx)
 
 	<-stop
 	leaving.Store(true)
