--- a/internal/edge/listen/listen.go
+++ b/internal/edge/listen/listen.go
@@ -28,10 +28,11 @@
 	handler http.Handler
 	log     zerolog.Logger
 
-	mu      sync.Mutex
-	limits  router.Limits
-	active  *connListener // listener of the server with the current limits, nil if there is none
-	servers []*http.Server
+	mu       sync.Mutex
+	limits   router.Limits
+	active   *connListener // listener of the server with the current limits, nil if there is none
+	servers  []*http.Server
+	stopping bool
 }
 
 // connListener is a net.Listener that passes accepted connections to one http.Server.
@@ -86,10 +87,13 @@
 }
 
 // activeListener returns the listener of the server with the current limits. It starts
-// that server if necessary.
+// that server if necessary. It returns nil once Shutdown was called.
 func (s *Server) activeListener(addr net.Addr) *connListener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopping {
+		return nil
+	}
 	if s.active != nil && !s.active.isClosed() {
 		return s.active
 	}
@@ -118,9 +122,12 @@
 			return errors.Wrap(err, "accept")
 		}
 		l := s.activeListener(ln.Addr())
-		for !l.pass(c) {
+		for l != nil && !l.pass(c) {
 			l = s.activeListener(ln.Addr()) // The limits have changed, and that server has stopped.
 		}
+		if l == nil {
+			_ = c.Close() // Nothing was read, so the client sends its request elsewhere.
+		}
 	}
 }
 
@@ -135,14 +142,21 @@
 	}
 }
 
-// Shutdown waits until all requests are answered. The listener must already be closed.
+// Shutdown waits until all requests are answered. All servers are told at once, so that no
+// connection takes further requests while a server with other limits has one in progress.
+// The listener must already be closed.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
+	s.stopping = true
 	servers := s.servers
 	s.mu.Unlock()
-	var first error
+	results := make(chan error, len(servers))
 	for _, srv := range servers {
-		if err := srv.Shutdown(ctx); err != nil && first == nil {
+		go func() { results <- srv.Shutdown(ctx) }()
+	}
+	var first error
+	for range servers {
+		if err := <-results; err != nil && first == nil {
 			first = err
 		}
 	}
