--- a/internal/edge/dial/dial.go
+++ b/internal/edge/dial/dial.go
@@ -1,11 +1,17 @@
-// Package dial creates TCP connections that detect an unreachable peer.
+// Package dial creates TCP connections that detect an unreachable peer, and sends requests
+// over connections that have not carried them before.
 //
 // A network fault can stop a connection's packets without a reset. Only timeouts on this
 // side detect that.
 //
+// A faulty server may send a second copy of an answer, late, where the next answer on the
+// connection is due. The ID of its request tells the copy apart, unless the next request
+// has the same ID. [SendOnce] never sends an ID twice over one connection.
+//
 // # Usage
 //
 //	client := &http.Client{Transport: dial.NewTransport(8, 0)}
+//	resp, err := dial.SendOnce(ctx, client, id, newRequest)
 package dial
 
 import (
@@ -51,7 +57,13 @@
 			return err
 		},
 	}
-	return d.DialContext
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
 }
 
 // NewTransport returns the HTTP transport that all clients use. It retains up to
