--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -42,20 +42,8 @@
 	// storeLivenessTimeout is the time without an answer of the store after which
 	// the readiness probe fails, so that the load balancer chooses another VM.
 	storeLivenessTimeout = 2 * clock.Second
-	// balancerDelay is the time for which the load balancer may still open
-	// connections after the readiness probe fails: it probes once a second and
-	// needs two failures.
-	balancerDelay = 2500 * clock.Milli
-	// exitTime is the part of the grace period that is left for the process to end.
-	exitTime = 500 * clock.Milli
-	// drainShare is the share of the grace period in which items may complete. The
-	// rest is for handing over jobs and answering clients.
-	drainShare = 0.6
 	// pruneInterval is the interval at which statistics of removed servers are deleted.
 	pruneInterval = 5 * clock.Second
-	// checkpointTimeout bounds the storing of checkpoints before a stopping entry
-	// hands over its jobs: two appends between regions and one retry.
-	checkpointTimeout = 500 * clock.Milli
 	// idleConnsPerServer is the number of idle connections retained to one
 	// backend server.
 	idleConnsPerServer = 16
@@ -64,10 +52,9 @@
 // entry serves clients' requests. It implements [platform.Frontend].
 type entry struct {
 	*process
-	front   *front.Proxy
-	jobs    *jobs.Service
-	work    *work.Worker
-	origins *origin.Store
+	front *front.Proxy
+	jobs  *jobs.Service
+	work  *work.Worker
 }
 
 func (e *entry) Route(host, path string) (*router.Route, error) { return e.front.Route(host, path) }
@@ -139,7 +126,6 @@
 		Self: ident.Node(p.self.Name), Peers: e.livePeers, Servers: p.conf.Servers,
 		Releases: conf.NewReleaseLog(p.conf, p.store), Transport: p.innerTransport, Clock: p.clock, Log: p.log,
 	})
-	e.origins = origins
 	limiter := rates.New(rates.Params{
 		Self: ident.Node(p.self.Name), Entries: e.recentPeers, AgentPort: settings.InnerPort,
 		StatesLeaving: func(server string) bool { return p.conf.Servers().StatesLeaving(server) },
@@ -210,7 +196,10 @@
 	leaving.Store(true)
 	p.log.Info().Msg("roles: stopping, no longer ready")
 	deadline := p.clock.Now() + max(settings.GracePeriod/2, settings.GracePeriod-exitTime)
-	e.drain(ctx, ln, srv, stopWork, deadline)
+	d := drainer{
+		work: e.work, jobs: e.jobs, origins: origins, listener: ln, server: srv, stopWork: stopWork, clock: p.clock, log: p.log,
+	}
+	d.drain(ctx, deadline)
 	p.log.Info().Msg("roles: stopped")
 	return nil
 }
@@ -221,34 +210,6 @@
 // recentPeers returns the entries; see [jobs.Service.RecentPeers].
 func (e *entry) recentPeers() ([]spread.Peer, bool) { return e.jobs.RecentPeers() }
 
-// drain waits for items in progress, hands over the remaining ones and waits until
-// all clients have been answered.
-func (e *entry) drain(ctx context.Context, ln net.Listener, srv *listen.Server, stopWork func(), deadline clock.Millis) {
-	checkpointCtx, cancelCheckpoint := context.WithTimeout(ctx, checkpointTimeout.Duration())
-	e.work.Checkpoint(checkpointCtx) // Items still run in the meantime, since the store may be slow.
-	cancelCheckpoint()
-	e.work.StopAssigning()
-	drainDeadline := e.clock.Now() + clock.Millis(drainShare*float64(deadline-e.clock.Now()))
-	shutdownCtx, cancel := context.WithTimeout(ctx, (deadline - e.clock.Now()).Duration())
-	defer cancel()
-	if err := e.jobs.AnnounceLeaving(shutdownCtx); err != nil {
-		e.log.Warn().Err(err).Msg("roles: leaving not announced, other nodes notice the missing heartbeats")
-	}
-	e.origins.HandOver(shutdownCtx)
-	clock.Sleep(ctx, min(balancerDelay, drainDeadline-e.clock.Now()))
-	if err := ln.Close(); err != nil {
-		e.log.Info().Err(err).Msg("roles: closing the listener failed")
-	}
-	e.jobs.StopWaiting()
-	for e.work.InProgress() > 0 && e.clock.Now() < drainDeadline {
-		clock.Sleep(ctx, 50*clock.Milli)
-	}
-	stopWork()
-	if err := srv.Shutdown(shutdownCtx); err != nil {
-		e.log.Warn().Err(err).Msg("roles: requests were left unanswered")
-	}
-}
-
 // serveReadiness serves the readiness probe and logs each change of readiness.
 func (e *entry) serveReadiness(addr string, leaving *atomic.Bool) error {
 	mux := http.NewServeMux()
