--- a/internal/prod/roles/drain_test.go
+++ b/internal/prod/roles/drain_test.go
@@ -33,14 +33,14 @@
 	return nil
 }
 
-func (p *stoppingParts) Checkpoint(ctx context.Context) { _ = p.told(ctx, "checkpoint") }
-func (p *stoppingParts) StopAssigning()                 {}
-func (p *stoppingParts) InProgress() int                { return p.items }
+func (p *stoppingParts) Checkpoint(ctx context.Context)            { _ = p.told(ctx, "checkpoint") }
+func (p *stoppingParts) StopAssigning()                            {}
+func (p *stoppingParts) InProgress() int                           { return p.items }
 func (p *stoppingParts) AnnounceLeaving(ctx context.Context) error { return p.told(ctx, "announce") }
 
 func (p *stoppingParts) StopWaiting()                 { _ = p.told(context.Background(), "waiting") }
 func (p *stoppingParts) HandOver(ctx context.Context) { _ = p.told(ctx, "origins") }
-func (p *stoppingParts) Close() error { return p.told(context.Background(), "listener") }
+func (p *stoppingParts) Close() error                 { return p.told(context.Background(), "listener") }
 
 func (p *stoppingParts) Shutdown(ctx context.Context) error { return p.told(ctx, "connections") }
 
