--- a/internal/edge/dial/conn.go
+++ b/internal/edge/dial/conn.go
@@ -26,28 +26,41 @@
 	net.Conn
 
 	mu      sync.Mutex
-	ids     []uint64 // hashes of the last IDs; a collision costs a new connection
-	next    int      // index of the oldest ID once rememberedIDs are kept
+	ids     []uint64      // hashes of the last IDs; a collision costs a new connection
+	next    int           // index of the oldest ID once rememberedIDs are kept
+	last    chan struct{} // closed when the sender of the last request has its answer
 	refused bool
 }
 
-// admit reports whether a request with the ID may be sent. If the connection has carried
-// the ID before, it writes nothing from then on.
-func (c *conn) admit(id string) bool {
+// acquire prepares the connection for a request with the ID. The sender closes the returned
+// channel when it has its answer.
+//
+// The channel is nil if the connection has carried the ID before. It writes nothing from then
+// on, so the transport closes it. Since the transport passes a connection on shortly before
+// the sender of the last request has its answer, and would drop that answer, a refusal waits
+// for that sender.
+func (c *conn) acquire(id string) chan struct{} {
+	h := maphash.String(idSeed, id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := maphash.String(idSeed, id)
-	switch {
-	case slices.Contains(c.ids, h):
+	if id != "" && slices.Contains(c.ids, h) {
+		last := c.last
+		c.mu.Unlock()
+		<-last
+		c.mu.Lock()
 		c.refused = true
-		return false
+		return nil
+	}
+	c.last = make(chan struct{})
+	switch {
+	case id == "":
 	case len(c.ids) < rememberedIDs:
 		c.ids = append(c.ids, h)
 	default:
 		c.ids[c.next] = h
 		c.next = (c.next + 1) % rememberedIDs
 	}
-	return true
+	return c.last
 }
 
 func (c *conn) Write(b []byte) (int, error) {
@@ -63,22 +76,32 @@
 // SendOnce sends a request over a connection that has not carried its ID before, so that a
 // second copy of an answer to an earlier request with the ID can't be taken for the answer.
 // Kept connections that have carried the ID are closed without anything being sent on them.
-// The function returns the request for a context; it is called once for each connection.
-// The client's transport must be one of [NewTransport].
+// A request without an ID goes over any connection. The function returns the request for a
+// context; it is called once for each connection. All requests of a client must be sent by
+// SendOnce, and its transport must be one of [NewTransport].
 func SendOnce(
 	ctx context.Context, client *http.Client, id string, newRequest func(ctx context.Context) (*http.Request, error),
 ) (*http.Response, error) {
 	for {
+		var answered []chan struct{} // more than one if the transport tries again by itself
 		admitted := true
 		req, err := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-			if c, ok := info.Conn.(*conn); ok {
-				admitted = c.admit(id)
+			c, ok := info.Conn.(*conn)
+			if !ok {
+				return
+			}
+			done := c.acquire(id)
+			if admitted = done != nil; admitted {
+				answered = append(answered, done)
 			}
 		}}))
 		if err != nil {
 			return nil, err
 		}
 		resp, err := client.Do(req)
+		for _, done := range answered {
+			close(done)
+		}
 		if admitted {
 			return resp, err
 		}
--- a/internal/edge/dial/conn_test.go
+++ b/internal/edge/dial/conn_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -70,3 +72,31 @@
 	}
 	c.Check(len(carried) < senders*rounds, qt.IsTrue, qt.Commentf("%d connections, none is kept", len(carried)))
 }
+
+// TestRefusalWaitsForAnswerBefore guards against an answer that its sender loses because the
+// connection is closed for a request with an ID that it has carried, to which the transport
+// has passed it on already.
+func TestRefusalWaitsForAnswerBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := qt.New(t)
+		near, far := net.Pipe()
+		defer far.Close()
+		c := &conn{Conn: near}
+		for i := range 3 {
+			done := c.acquire(fmt.Sprint("r", i))
+			check.Assert(done, qt.IsNotNil)
+			close(done)
+		}
+		last := c.acquire("last")
+		check.Assert(last, qt.IsNotNil)
+		refused := make(chan bool, 1)
+		go func() { refused <- c.acquire("r1") == nil }()
+		synctest.Wait()
+		check.Check(refused, qt.HasLen, 0, qt.Commentf("the last request has no answer yet"))
+		check.Check(c.refused, qt.IsFalse)
+		close(last)
+		check.Check(<-refused, qt.IsTrue)
+		_, err := c.Write([]byte("x"))
+		check.Check(err, qt.ErrorIs, errCarriedID)
+	})
+}
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -120,6 +120,7 @@
 			"internal/node/front TestEventWithoutEnd",
 			"internal/node/front TestLongServerError",
 			"internal/node/side TestSlowAndStalledStreams",
+			"internal/edge/dial TestRefusalWaitsForAnswerBefore",
 			"internal/edge/dial TestSendOnce",
 			"platform TestBytesWithoutEnd",
 			"platform TestReadEvents",
