conf, dial: a record of a release that can't be decoded replaces nothing; a connection's use in a function of its own

Cause: read again as a newcomer. An undecodable record under the key of a release dropped the release that it held, so a stream of unknown origin could have gone on at other software; nobody writes such a record but a broken or newer build. TestReleaseLog has the case, failed before (the release was gone).

--- a/internal/edge/dial/conn.go
+++ b/internal/edge/dial/conn.go
@@ -40,16 +40,25 @@
 // the sender of the last request has its answer, and would drop that answer, a refusal waits
 // for that sender.
 func (c *conn) acquire(id string) chan struct{} {
+	last, carried := c.use(id)
+	if !carried {
+		return last
+	}
+	<-last
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused = true
+	return nil
+}
+
+// use records a request, unless the connection has carried its ID. It returns the channel
+// of the last request.
+func (c *conn) use(id string) (last chan struct{}, carried bool) {
 	h := maphash.String(idSeed, id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if id != "" && slices.Contains(c.ids, h) {
-		last := c.last
-		c.mu.Unlock()
-		<-last
-		c.mu.Lock()
-		c.refused = true
-		return nil
+		return c.last, true
 	}
 	c.last = make(chan struct{})
 	switch {
@@ -60,7 +69,7 @@
 		c.ids[c.next] = h
 		c.next = (c.next + 1) % rememberedIDs
 	}
-	return c.last
+	return c.last, false
 }
 
 func (c *conn) Write(b []byte) (int, error) {
--- a/internal/edge/listen/listen.go
+++ b/internal/edge/listen/listen.go
@@ -126,7 +126,7 @@
 			l = s.activeListener(ln.Addr()) // The limits have changed, and that server has stopped.
 		}
 		if l == nil {
-			_ = c.Close() // Nothing was read, so the client sends its request elsewhere.
+			_ = c.Close() // Nothing was read: the client sends its request elsewhere, whether this fails or not.
 		}
 	}
 }
--- a/internal/node/conf/conf_test.go
+++ b/internal/node/conf/conf_test.go
@@ -145,6 +145,12 @@
 		}
 		c.Check(restarted.Demand(), qt.DeepEquals, map[string]int64{"m": 7})
 
+		store.Write("plans", index.ReleaseKey(index.Release{Service: "s", Software: "v2"}), []byte("{"))
+		time.Sleep(time.Second)
+		recorded, _ = l.Recorded()
+		c.Check(recorded, qt.DeepEquals, want, qt.Commentf("a record was overwritten by one that can't be decoded"))
+		c.Assert(l.Add(ctx, "s", "v2"), qt.IsNil)
+
 		store.Expire("plans", 0) // The followers read a snapshot.
 		c.Assert(l.Remove(ctx, "s", "v1"), qt.IsNil)
 		time.Sleep(10 * time.Second)
--- a/internal/node/conf/releases.go
+++ b/internal/node/conf/releases.go
@@ -55,11 +55,13 @@
 // applyRelease applies the record of a release to a map by key.
 func (f *Follower) applyRelease(releases map[string]index.Release, k plat.Keyed) {
 	r := releases[k.Key]
-	delete(releases, k.Key)
-	if k.Value != nil {
+	if k.Value == nil {
+		delete(releases, k.Key)
+	} else {
 		var err error
 		if r, err = index.DecodeRelease(k.Value); err != nil {
-			f.log.Error().Err(err).Int64("offset", k.Offset).Msg("conf: undecodable release skipped")
+			f.log.Error().Err(err).Int64("offset", k.Offset).
+				Msg("conf: undecodable release skipped, the previous one stays in force")
 			return
 		}
 		releases[k.Key] = r
