front, origin: comments name every way in which a response or a stream ends

Rule 3 of origin did not say that an entry without known peers lets no stream of unknown origin go on, and nothing said which error tells a response that was begun and broke off. Comments only.

--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -352,7 +352,8 @@
 	return b, err == nil && len(b) < limit, err
 }
 
-// writeResponse writes a response to the client (rule 4).
+// writeResponse writes a response to the client (rule 4). The error wraps errTruncated if
+// the server's answer breaks off.
 func (c *requestState) writeResponse(w http.ResponseWriter, a *attempt) (string, error) {
 	if c.lastFailure != a {
 		c.closeLastFailure()
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -23,7 +23,8 @@
 
 // runStream forwards the events of a stream as they arrive. It forwards only
 // complete events, so that another server can resume after the last one if the
-// route allows it.
+// route allows it. The error wraps errTruncated if the response has started and the
+// stream can't be completed.
 func (c *requestState) runStream(ctx context.Context, w http.ResponseWriter) (string, error) {
 	if c.req.LastEventID > 0 && c.route.Resumable && !c.findOrigin(ctx) {
 		return "no-origin", fault.New(fault.NotReady, "it is not known which server began the stream").WithRetryAfter(retryAfter)
--- a/internal/node/origin/origin.go
+++ b/internal/node/origin/origin.go
@@ -9,8 +9,9 @@
 //  3. If no entry knows the origin, the stream goes on only if all servers that were
 //     listed within the lifetime of a stream have one version of the software, as far
 //     as the asked entries know. An entry that has not observed the list for so long
-//     relies on the releases that are recorded in the store; if it can't read them, or
-//     if an asked entry does not answer, the stream does not go on.
+//     relies on the releases that are recorded in the store; if it can't read them, if
+//     it does not know the other entries yet, or if an asked one does not answer, the
+//     stream does not go on.
 //  4. An entry that stops hands its origins to the next entries by rank.
 //  5. Each release that is listed is recorded in the store, and the record is removed
 //     once an entry has not seen the release listed for the lifetime of a stream. Two
