--- a/review/standin2/cluster.go
+++ b/review/standin2/cluster.go
@@ -39,7 +39,7 @@
 	mu        sync.Mutex
 	lastIP    int
 	processes []*process
-	servers   []*http.Server
+	servers   map[string]*http.Server // by address
 	config    int
 }
 
@@ -57,7 +57,7 @@
 
 // newCluster starts the store. It picks a network of loopback addresses that is free.
 func newCluster(binary, dir string, rec *record) (*cluster, error) {
-	c := &cluster{binary: binary, dir: dir, rec: rec, store: topic.New()}
+	c := &cluster{binary: binary, dir: dir, rec: rec, store: topic.New(), servers: make(map[string]*http.Server)}
 	for try := range 50 {
 		c.prefix = fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+try)%200, 1+(os.Getpid()/200+7*try)%250)
 		ls, err := freePorts(c.prefix+".1", 6)
@@ -107,10 +107,18 @@
 	go func() { _ = srv.Serve(l) }() // Returns when the server is closed.
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers = append(c.servers, srv)
+	c.servers[addr] = srv
 	return srv, nil
 }
 
+// stopServing closes the stand-in at an address with all its connections.
+func (c *cluster) stopServing(addr string) {
+	c.mu.Lock()
+	srv := c.servers[addr]
+	c.mu.Unlock()
+	_ = srv.Close() // Its connections are closed at once.
+}
+
 // writeConfig writes the next configuration with the given routes and services.
 func (c *cluster) writeConfig(routes, services []map[string]any) {
 	c.mu.Lock()
@@ -165,6 +173,8 @@
 contracts = ["base","drain","config","cost","recover","samples","stream","engine","batch","platform"]
 %s[zones]
 north-a = "north"
+south-a = "south"
+north-b = "north"
 [listen]
 %s[limits]
 cpu_share = 0.8
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -27,6 +27,7 @@
 // engine is a stand-in for a model engine, with one model.
 type engine struct {
 	id, software string
+	zone         string
 	born         int64
 	rec          *record
 	slots        int
@@ -48,7 +49,7 @@
 
 func newEngine(id string, rec *record) *engine {
 	return &engine{
-		id: id, software: "v1", born: time.Now().UnixMilli(), rec: rec, slots: 8, gap: 20 * time.Millisecond, loadTime: 900 * time.Millisecond, version: 1,
+		id: id, software: "v1", zone: "north-a", born: time.Now().UnixMilli(), rec: rec, slots: 8, gap: 20 * time.Millisecond, loadTime: 900 * time.Millisecond, version: 1,
 		text: func(item string, n int) string { return fmt.Sprintf("%s.%d", item, n) },
 	}
 }
@@ -58,7 +59,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return map[string]any{
-		"service": "models", "address": addr, "zone": "north-a", "version": e.software, "slots": e.slots, "state": state,
+		"service": "models", "address": addr, "zone": e.zone, "version": e.software, "slots": e.slots, "state": state,
 		"warmup_left_ms": 0, "phase": "both", "born": e.born, "sequence": e.orders, "loaded_models": e.models(),
 	}
 }
