--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
-# An engine that is cut off from the store starts again under its id with other software, and
-# crashes once more. TROUBLE=0 leaves the engine alone.
+# Streams that break when all entries are killed at once, while engines of two software versions
+# serve. TROUBLE=0 kills nothing: the clients close their channels at the same time.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/review-2 ] && [ -x ../../target/jujuberamp ] || exit 2
-exec ../../target/review-2 -case reborn-engine -binary ../../target/jujuberamp -record record.txt
+exec ../../target/review-2 -case streams-taken-up -binary ../../target/jujuberamp -record record.txt
