--- a/review/standin2/manyitems_test.go
+++ b/review/standin2/manyitems_test.go
@@ -45,7 +45,8 @@
 	}
 	c.rec.add("%d of %d jobs were accepted; nobody sends anything from now on but an ordinary request a second to each entry", accepted, jobs)
 	before := k.counts(s.entries)
-	served, asked, broken := 0, 0, false
+	ordinary := c.submitOrdinary(s.entries)
+	served, asked, listed, broken := 0, 0, 0, false
 	for end := time.Now().Add(watched); time.Now().Before(end) && !broken; time.Sleep(time.Second) {
 		for _, p := range s.entries {
 			asked++
@@ -53,6 +54,10 @@
 				served++
 			}
 		}
+		if page, _ := readResults(c, s.entries[asked/entries%entries], ordinary, listed); page.Next > listed {
+			listed = page.Next
+			c.rec.add("trainer: %d of %d items of the ordinary job are listed", listed, page.Total)
+		}
 		vms := 0
 		for n, ended := range k.counts(s.entries) {
 			if ended-before[n] >= ends {
@@ -62,13 +67,36 @@
 		broken = vms >= 2
 	}
 	k.stop()
-	c.rec.add("%d of %d ordinary requests were served", served, asked)
+	c.rec.add("%d of %d ordinary requests were served; %d of %d items of the ordinary job were listed", served, asked, listed, ordinaryItems)
 	for n, ended := range k.counts(s.entries) {
 		c.rec.add("%s ended %d times, %d of these after the last job was sent", s.entries[n].name, ended, ended-before[n])
 	}
 	return !broken, nil
 }
 
+// ordinaryItems is the number of items of an ordinary trainer's job.
+const ordinaryItems = 8
+
+// submitOrdinary submits an ordinary job, again at the next entry after a failure. It returns the
+// job's ID.
+func (c *cluster) submitOrdinary(entries []*process) string {
+	const job = "j000000000000001"
+	var items []item
+	for n := range ordinaryItems {
+		items = append(items, item{id: fmt.Sprintf("d%015d", n), events: 30})
+	}
+	for try := range 10 {
+		p := entries[try%len(entries)]
+		r := once(c.front(p), http.MethodPost, "/draft/1", job, jobBody(1, items), map[string]string{"Content-Type": "application/json"}, 3*time.Second)
+		c.rec.add("trainer: an ordinary job of %d items, try %d at %s: %s", ordinaryItems, try+1, p.name, r)
+		if r.status == http.StatusAccepted {
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return job
+}
+
 // keeper is the platform's watch on the memory of processes.
 type keeper struct {
 	done chan struct{}
