front: an answer on a streaming route that is no stream of events reaches the client

Cause: runStream read each answer below 500 as events.

Change: only a 2xx of type text/event-stream, or without a type, is a stream of events. Other answers go the way of plain requests: read whole, from one server. Events whose header states their length are complete when that many bytes have come. An answer without events to a resumption within one answer is a failed attempt; before, a 422 without a body ended the stream as if it were complete.

--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -9,7 +9,9 @@
 //     complete response is used.
 //  4. A response is forwarded once it is complete, or streamed if it is too
 //     large to buffer. If a streamed response is truncated, the client's
-//     connection is closed, so that the client never takes it for complete.
+//     connection is closed, so that the client never takes it for complete. On a
+//     streaming route this holds for each answer that is no stream of events, such
+//     as a rejection; as the answer to a resumption it counts as a failed attempt.
 //  5. A request that made several servers disconnect before the end of their answer is
 //     refused immediately, at every entry. Only a whole answer shows that it crashes no
 //     servers: not its header, a refusal or a failure. The system's own calls are exempt.
--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -442,6 +442,11 @@
 	return len(p), nil
 }
 
+// streamOf returns a response of unknown length.
+func streamOf(r io.Reader) *plat.Response {
+	return &plat.Response{Status: http.StatusOK, Body: io.NopCloser(r), ContentLength: -1}
+}
+
 // An event that never ends must not use up the memory.
 func TestEventWithoutEnd(t *testing.T) {
 	for name, start := range map[string]string{"line": "data: ", "event": "data: a\ndata: b\ndata: "} {
@@ -449,7 +454,7 @@
 			c := qt.New(t)
 			body := &endlessReader{}
 			w := httptest.NewRecorder()
-			_, err := copyEvents(w, io.MultiReader(strings.NewReader(start), body), listen.Held{}, 0, func() {})
+			_, err := copyEvents(w, streamOf(io.MultiReader(strings.NewReader(start), body)), listen.Held{}, 0, func() {})
 			c.Check(errors.Is(err, lines.ErrTooLong), qt.IsTrue, qt.Commentf("%v", err))
 			c.Check(body.n <= 2*plat.MaxEventBytes, qt.IsTrue, qt.Commentf("%d bytes read", body.n))
 			c.Check(w.Body.Len(), qt.Equals, 0)
@@ -465,7 +470,9 @@
 	return b.String()
 }
 
+// TestStream guards against a stream that misses events or looks complete although it isn't.
 func TestStream(t *testing.T) {
+	rejected, moved := scriptedReply{status: 422}, scriptedReply{status: 302, body: "elsewhere\n\n"}
 	tests := map[string]struct {
 		resumable bool
 		replies   []scriptedReply
@@ -477,6 +484,8 @@
 		"resumed after the last event":    {true, []scriptedReply{{status: 200, body: events(1, 2) + "id: 3\nda"}, okReply(events(3, 4))}, events(1, 4), false},
 		"truncated, not resumable":        {false, []scriptedReply{{status: 200, body: events(1, 2) + "id: 3\nda"}, okReply(events(3, 4))}, events(1, 2), true},
 		"each attempt truncated":          {true, []scriptedReply{{status: 200, body: "id: 1\n"}, {status: 200, body: "id: 1\n"}, {status: 200, body: "id: 1\n"}}, "", true},
+		"resumed after a rejection":       {true, []scriptedReply{{status: 200, body: events(1, 2), truncated: true}, rejected, okReply(events(3, 4))}, events(1, 4), false},
+		"each resumption rejected":        {true, []scriptedReply{{status: 200, body: events(1, 2), truncated: true}, rejected, moved}, events(1, 2), true},
 		"connection reset between events": {true, []scriptedReply{{status: 200, body: events(1, 1), truncated: true}, okReply(events(2, 2))}, events(1, 2), false},
 	}
 	for name, test := range tests {
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"slices"
 	"strconv"
@@ -32,7 +33,8 @@
 
 // runStream forwards the events of a stream as they arrive. It forwards only
 // complete events, so that another server can resume after the last one if the
-// route allows it. The error wraps errTruncated if the response has started and the
+// route allows it. An answer that is no stream of events is forwarded like that of a plain
+// request. The error wraps errTruncated if the response has started and the
 // stream can't be completed.
 func (c *requestState) runStream(ctx context.Context, w http.ResponseWriter) (string, error) {
 	if outcome, err := c.takeUp(ctx); err != nil {
@@ -46,7 +48,10 @@
 			break
 		}
 		a := c.startStream(ctx, s, last)
-		if !a.isFinal() {
+		if a.isFinal() && !hasEvents(a.response) && !started {
+			return c.writeResponse(ctx, w, a)
+		}
+		if !a.isFinal() || !hasEvents(a.response) {
 			c.recordFailure(a)
 			if a.notExecuted || c.route.IsRetryable() {
 				continue
@@ -57,7 +62,7 @@
 			started = true
 			c.startResponse(w, a.response)
 		}
-		n, err := copyEvents(w, a.response.Body, listen.HeldFor(ctx), last, func() {
+		n, err := copyEvents(w, a.response, listen.HeldFor(ctx), last, func() {
 			c.begin(c.proxy.Clock.Now())
 			c.recordOrigin(ctx, s)
 		})
@@ -88,6 +93,26 @@
 	return c.respondFailure(ctx, w)
 }
 
+// eventsType is the media type of a stream of events.
+const eventsType = "text/event-stream"
+
+// hasEvents reports whether a response is a stream of events. A success without a type is
+// one, since the operator declares the route as streaming.
+func hasEvents(resp *plat.Response) bool {
+	if resp.Status/100 != 2 {
+		return false
+	}
+	header := resp.Header.Get("Content-Type")
+	if header == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(header)
+	if err != nil && !errors.Is(err, mime.ErrInvalidMediaParameter) {
+		return false
+	}
+	return mediaType == eventsType
+}
+
 // takeUp restricts a stream that the client takes up again to the servers at which it may
 // go on, or refuses it.
 func (c *requestState) takeUp(ctx context.Context) (string, error) {
@@ -130,7 +155,7 @@
 }
 
 // startStream sends the request to one server and returns once the response
-// header has been read. If the status is a server error, it also reads the body.
+// header has been read. If the response is no stream of events, it also reads the body.
 func (c *requestState) startStream(ctx context.Context, s *fleet.Server, last int) *attempt {
 	startedAt := c.proxy.Clock.Now()
 	a := &attempt{server: s}
@@ -145,29 +170,29 @@
 		a.notExecuted = true
 		a.response.Body.Close()
 		outcome = pick.Refused
-	case a.response.Status >= http.StatusInternalServerError:
+	case !hasEvents(a.response):
 		c.readBody(ctx, a)
-		outcome = pick.Failed
+		if !a.isFinal() {
+			outcome = pick.Failed
+		}
 	}
 	c.endAttempt(a, startedAt, outcome)
 	return a
 }
 
 // copyEvents forwards complete events and returns the ID of the last one. The
-// error is nil if the stream is complete. The function is called before each event.
-func copyEvents(w http.ResponseWriter, body io.Reader, held listen.Held, last int, beforeEvent func()) (int, error) {
-	r := bufio.NewReader(body)
+// error is nil if the stream is complete: it ends after an event, or with the length that its
+// header states. The function is called before each event.
+func copyEvents(w http.ResponseWriter, resp *plat.Response, held listen.Held, last int, beforeEvent func()) (int, error) {
+	r := bufio.NewReader(resp.Body)
 	controller := http.NewResponseController(w)
 	event := eventBuffer{held: held}
 	defer event.release()
 	id := last
 	for {
 		line, err := event.readLine(r)
-		if err == io.EOF && len(bytes.TrimSpace(event.b)) == 0 {
-			return last, nil
-		}
 		if err == io.EOF {
-			return last, io.ErrUnexpectedEOF
+			return last, copyRest(w, event.b, resp.ContentLength, beforeEvent)
 		}
 		if err != nil {
 			return last, errors.WithMessage(err, "stream")
@@ -191,6 +216,22 @@
 	}
 }
 
+// copyRest forwards what follows the last event of a stream. The rest is part of an event that
+// was cut off, unless it is blank or the header stated the length of the whole stream.
+func copyRest(w io.Writer, rest []byte, length int64, beforeEvent func()) error {
+	if len(rest) == 0 {
+		return nil
+	}
+	if length < 0 && len(bytes.TrimSpace(rest)) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	beforeEvent()
+	if _, err := w.Write(rest); err != nil {
+		return fmt.Errorf("%w: %w", errClientWrite, err)
+	}
+	return nil
+}
+
 // eventBuffer is an event that is held until it is complete. Its room is counted.
 type eventBuffer struct {
 	b    []byte
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -137,6 +137,7 @@
 			"internal/node/side TestSlowAndStalledStreams",
 			"internal/edge/dial TestRefusalWaitsForAnswerBefore",
 			"internal/edge/dial TestSendOnce",
+			"platform TestAnswersOfServers",
 			"platform TestBytesWithoutEnd",
 			"platform TestReadEvents",
 			"platform TestSecondCopyOfAnAnswer",
