front: a stream that breaks off before its first event is answered with an error

Callers saw: a connection closed without an answer, though no byte of one had been sent, where servers answered 200 on a streaming route and broke off, sent a truncated event or one beyond the size limit.

Cause: runStream counted the response as started once a server's header was read. The header isn't flushed before the first event, so nothing of it had left; Serve closed the connection all the same. A server's 5xx from a later attempt was lost with it.

Change: the response starts with the first event, by the server that made it, or at the end of a stream without one. Until then an attempt that breaks off ends like that of a plain request: the next server if the route allows it, then a server's own failure, or 502. The stamp and the version of the weights are now of the server that made the first event.

--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -34,8 +34,8 @@
 // runStream forwards the events of a stream as they arrive. It forwards only
 // complete events, so that another server can resume after the last one if the
 // route allows it. An answer that is no stream of events is forwarded like that of a plain
-// request. The error wraps errTruncated if the response has started and the
-// stream can't be completed.
+// request. The response starts with the first event, by the server that made it. The error
+// wraps errTruncated if the response has started and the stream can't be completed.
 func (c *requestState) runStream(ctx context.Context, w http.ResponseWriter) (string, error) {
 	if outcome, err := c.takeUp(ctx); err != nil {
 		return outcome, err
@@ -58,17 +58,21 @@
 			}
 			break
 		}
-		if !started {
-			started = true
-			c.startResponse(w, a.response)
+		start := func() { // Until then the client can still get an error.
+			if !started {
+				started = true
+				c.startResponse(w, a.response)
+			}
 		}
 		n, err := copyEvents(w, a.response, listen.HeldFor(ctx), last, func() {
 			c.begin(c.proxy.Clock.Now())
 			c.recordOrigin(ctx, s)
+			start()
 		})
 		a.response.Body.Close()
 		last = n
 		if err == nil {
+			start() // A stream may have no event.
 			c.quarantine.RecordAnswer(c.fingerprint)
 			return "served", nil
 		}
