front: event IDs that are no numbers don't end a stream that can't be resumed

Callers saw: the connection of a stream closed at the first event whose ID is no integer.

Cause: copyEvents needs the ID to resume the stream at another server, and read it on routes as well where no stream is resumed.

Change: there the event is forwarded as it is. On resumable routes such an event is still an error, and the stream goes on elsewhere after the last sound one.

Evidence: TestStream, "IDs that are no numbers", failed with the check as before.

--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -454,7 +454,7 @@
 			c := qt.New(t)
 			body := &endlessReader{}
 			w := httptest.NewRecorder()
-			_, err := copyEvents(w, streamOf(io.MultiReader(strings.NewReader(start), body)), listen.Held{}, 0, func() {})
+			_, err := copyEvents(w, streamOf(io.MultiReader(strings.NewReader(start), body)), listen.Held{}, 0, true, func() {})
 			c.Check(errors.Is(err, lines.ErrTooLong), qt.IsTrue, qt.Commentf("%v", err))
 			c.Check(body.n <= 2*plat.MaxEventBytes, qt.IsTrue, qt.Commentf("%d bytes read", body.n))
 			c.Check(w.Body.Len(), qt.Equals, 0)
@@ -491,6 +491,8 @@
 		"no event, not resumable":         {false, []scriptedReply{{status: 200, truncated: true}, okReply(events(1, 2))}, "", false, fault.BrokenAnswer},
 		"no event, then a server error":   {true, []scriptedReply{{status: 200, truncated: true}, {status: 200, body: "id: x\n\n"}, serverError}, "oops", false, ""},
 		"no event, then served":           {true, []scriptedReply{{status: 200, truncated: true}, okReply(events(1, 2))}, events(1, 2), false, ""},
+		"IDs that are no numbers":         {false, []scriptedReply{okReply("id: a\ndata: x\n\nid:\ndata: y\n\n")}, "id: a\ndata: x\n\nid:\ndata: y\n\n", false, ""},
+		"resumed after a malformed ID":    {true, []scriptedReply{okReply(events(1, 2) + "id: a\ndata: x\n\n"), okReply(events(3, 4))}, events(1, 4), false, ""},
 		"no event, whole":                 {true, []scriptedReply{okReply("")}, "", false, ""},
 	}
 	for name, test := range tests {
--- a/internal/node/front/room_test.go
+++ b/internal/node/front/room_test.go
@@ -36,7 +36,7 @@
 			c := qt.New(t)
 			errs := make(chan error, 1)
 			s := listen.New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				_, err := copyEvents(w, streamOf(strings.NewReader(test.stream)), listen.HeldFor(r.Context()), 0, func() {})
+				_, err := copyEvents(w, streamOf(strings.NewReader(test.stream)), listen.HeldFor(r.Context()), 0, true, func() {})
 				errs <- err
 			}), zerolog.Nop())
 			s.SetBounds(hold.Bounds{Bytes: 512 << 10}, func(hold.Reason) {})
@@ -56,7 +56,7 @@
 		})
 	}
 	t.Run("too long without bounds", func(t *testing.T) {
-		_, err := copyEvents(nil, streamOf(strings.NewReader(event(plat.MaxEventBytes))), listen.Held{}, 0, func() {})
+		_, err := copyEvents(nil, streamOf(strings.NewReader(event(plat.MaxEventBytes))), listen.Held{}, 0, true, func() {})
 		qt.Check(t, errors.Is(err, lines.ErrTooLong), qt.IsTrue, qt.Commentf("%v", err))
 	})
 }
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -64,7 +64,7 @@
 				c.startResponse(w, a.response)
 			}
 		}
-		n, err := copyEvents(w, a.response, listen.HeldFor(ctx), last, func() {
+		n, err := copyEvents(w, a.response, listen.HeldFor(ctx), last, c.route.Resumable, func() {
 			c.begin(c.proxy.Clock.Now())
 			c.recordOrigin(ctx, s)
 			start()
@@ -186,8 +186,11 @@
 
 // copyEvents forwards complete events and returns the ID of the last one. The
 // error is nil if the stream is complete: it ends after an event, or with the length that its
-// header states. The function is called before each event.
-func copyEvents(w http.ResponseWriter, resp *plat.Response, held listen.Held, last int, beforeEvent func()) (int, error) {
+// header states. An ID that is no number is an error only where the stream can be resumed. The
+// function is called before each event.
+func copyEvents(
+	w http.ResponseWriter, resp *plat.Response, held listen.Held, last int, resumable bool, beforeEvent func(),
+) (int, error) {
 	r := bufio.NewReader(resp.Body)
 	controller := http.NewResponseController(w)
 	event := eventBuffer{held: held}
@@ -202,7 +205,11 @@
 			return last, errors.WithMessage(err, "stream")
 		}
 		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			if id, err = strconv.Atoi(string(bytes.TrimSpace(rest))); err != nil {
+			n, err := strconv.Atoi(string(bytes.TrimSpace(rest)))
+			switch {
+			case err == nil:
+				id = n
+			case resumable:
 				return last, errors.Wrap(err, "event ID")
 			}
 		}
