origin: origins of streams are in the platform's store, and outlive all entries

Cause: which software began a stream was kept in the memory of entries only.

Change: behind the first event, the serving entry and one that keeps the origin queue it. Every 200 ms an entry sends its queue to a writer, one for 25 entries, which appends for all of them at most five times a second. What no entry knows, a writer looks up. Records are segments with 16 bytes for each stream; an append without an answer ends its segment, since the store may still apply it; segments are removed two minutes after their last change. Why it works: the origin is recorded where no kill of processes reaches, within about 0.4 s, without delaying an event or adding a call for each stream.

Evidence: TestStreamGoesOnWhereItBegan asks for all streams where it asked for none ("all are killed", "after a release"), and has 16 cases more; they, TestJournalIsCleaned and TestLateAppend fail if the lookup finds nothing. TestJournalCalls bounds the calls of the store.

--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -34,6 +34,9 @@
 	// models are assigned to engines, and under keys of their own releases.
 	PlansTopic = "plans"
 	DemandKey  = "demand"
+	// OriginsTopic is a compacted topic of segments, each of which tells where some streams of
+	// clients began.
+	OriginsTopic = "origins"
 	// NodesTopic is a compacted topic of heartbeats, with the node's name as the key.
 	NodesTopic = "nodes"
 )
--- a/internal/inner/resume/resume.go
+++ b/internal/inner/resume/resume.go
@@ -4,9 +4,11 @@
 // # Usage
 //
 //	mux.Handle(resume.RecordPath, resume.RecordHandler(store, log))
-//	err := resume.Record(ctx, client, "10.0.0.7:7660", []resume.Origin{...})
+//	err := resume.Record(ctx, client, "10.0.0.7:7660", []resume.Origin{...}, false)
 //	reply, err := resume.Find(ctx, client, "10.0.0.7:7660", resume.Query{...})
 //	held, err := resume.Hold(ctx, client, "10.0.0.7:7660", resume.HoldQuery{Node: self})
+//	reply, err := resume.LookUp(ctx, client, "10.0.0.7:7660", resume.Query{...})
+//	err := resume.Store(ctx, client, "10.0.0.7:7660", []resume.Stored{...})
 package resume
 
 import (
@@ -17,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
+	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/inner/post"
 )
 
@@ -25,6 +28,8 @@
 	RecordPath = "/stream-origins"
 	FindPath   = "/stream-origin"
 	HoldPath   = "/stream-origins-held"
+	StorePath  = "/stream-origins-stored"
+	LookUpPath = "/stream-origin-stored"
 )
 
 // Why the origin of a stream is not found.
@@ -50,6 +55,13 @@
 	Software string // version of the software of the server that made the first event
 }
 
+// Stored is an origin as it is written to the platform's store, of fixed size but for the names.
+type Stored struct {
+	Stream   index.StreamKey
+	Service  string
+	Software string
+}
+
 // Query asks where a stream began.
 type Query struct {
 	Stream  string
@@ -66,6 +78,13 @@
 	KnowsFor int64
 }
 
+// LookUpReply tells whether the platform's store has the origin of a stream. If Found is false,
+// Origin is empty.
+type LookUpReply struct {
+	Found  bool
+	Origin Origin
+}
+
 // HoldQuery asks an entry for the origins that it holds and that another entry, which has
 // started, is to keep as well.
 type HoldQuery struct {
@@ -86,9 +105,18 @@
 	Left int64
 }
 
-// Record sends origins to the node at an inner address.
-func Record(ctx context.Context, c *http.Client, addr string, origins []Origin) error {
-	return post.Send(ctx, c, "http://"+addr+RecordPath, origins, nil, maxBodyBytes)
+// storeParam is the query parameter of RecordPath by which the receiver is to write the origins
+// to the platform's store as well. Nodes of an older build ignore it.
+const storeParam = "store"
+
+// Record sends origins to the node at an inner address. That node also writes them to the
+// platform's store if store is set.
+func Record(ctx context.Context, c *http.Client, addr string, origins []Origin, store bool) error {
+	url := "http://" + addr + RecordPath
+	if store {
+		url += "?" + storeParam + "=1"
+	}
+	return post.Send(ctx, c, url, origins, nil, maxBodyBytes)
 }
 
 // Find asks the node at an inner address.
@@ -105,12 +133,54 @@
 	return reply, err
 }
 
+// Store asks the node at an inner address to write origins to the platform's store. The error
+// is nil once they are written.
+func Store(ctx context.Context, c *http.Client, addr string, origins []Stored) error {
+	return post.Send(ctx, c, "http://"+addr+StorePath, origins, nil, maxBodyBytes)
+}
+
+// LookUp asks the node at an inner address for an origin in the platform's store.
+func LookUp(ctx context.Context, c *http.Client, addr string, q Query) (LookUpReply, error) {
+	var reply LookUpReply
+	err := post.Send(ctx, c, "http://"+addr+LookUpPath, q, &reply, maxBodyBytes)
+	return reply, err
+}
+
+// LookUpHandler answers queries for origins in the platform's store by a function.
+func LookUpHandler(lookUp func(context.Context, Query) (LookUpReply, error), log zerolog.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		var q Query
+		if !post.Read(w, req, &q, maxBodyBytes, log) {
+			return
+		}
+		reply, err := lookUp(req.Context(), q)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		post.Reply(w, &reply, log)
+	})
+}
+
+// StoreHandler writes the origins of messages by a function.
+func StoreHandler(store func(context.Context, []Stored) error, log zerolog.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		var origins []Stored
+		if !post.Read(w, req, &origins, maxBodyBytes, log) {
+			return
+		}
+		if err := store(req.Context(), origins); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+}
+
 // RecordHandler passes the origins of messages to a function.
-func RecordHandler(record func([]Origin), log zerolog.Logger) http.Handler {
+func RecordHandler(record func(origins []Origin, store bool), log zerolog.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		var origins []Origin
 		if post.Read(w, req, &origins, maxBodyBytes, log) {
-			record(origins)
+			record(origins, req.URL.Query().Has(storeParam))
 		}
 	})
 }
--- a/internal/node/origin/look_test.go
+++ b/internal/node/origin/look_test.go
@@ -21,7 +21,7 @@
 		cluster.setServers("v1", "v2")
 		time.Sleep(time.Minute) // The entries have asked each other for origins.
 		began := resume.Origin{Stream: "stream", Service: "s", Software: "v2"}
-		cluster.stores["e-0"].Keep([]resume.Origin{began})
+		cluster.stores["e-0"].Keep([]resume.Origin{began}, false)
 		other := cluster.stores["e-1"]
 		for range 2 {
 			o, err := other.Look(ctx, "stream", "s")
--- a/internal/node/origin/origin.go
+++ b/internal/node/origin/origin.go
@@ -22,9 +22,12 @@
 //  6. Each release that is listed is recorded in the store, and the record is removed
 //     once an entry has not seen the release listed for the lifetime of a stream. Two
 //     entries by rank do so.
+//  7. Origins are also written to the platform's store, where they outlive all entries:
+//     behind the first event, gathered by a few entries that write for the others. If no
+//     entry knows an origin, one of these few looks it up there.
 //
-// Origins are kept in memory for the lifetime of a stream. A stream whose origin is
-// lost with all entries that knew it at once ends, unless only one release can have begun it; it
+// Origins are kept for the lifetime of a stream. A stream whose origin is lost, with all entries
+// that knew it before it was written, ends, unless only one release can have begun it; it
 // never goes on at other software.
 //
 // # Usage
@@ -50,6 +53,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/sets"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
+	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
 )
 
@@ -62,6 +66,9 @@
 	recordTimeout = 60 * clock.Milli
 	// findTimeout bounds the search for an origin.
 	findTimeout = 300 * clock.Milli
+	// lookUpDelay is how long a search waits for the entries that may know the origin before it
+	// is also looked up in the platform's store: one round trip between regions.
+	lookUpDelay = 30 * clock.Milli
 	// lifetime is longer than any stream that a client still takes up.
 	lifetime = 2 * clock.Minute
 	// handOverTimeout bounds the handing over of the origins of a stopping entry.
@@ -71,15 +78,20 @@
 // Params are the dependencies of a [Store].
 type Params struct {
 	Self ident.Node
+	Boot string // of this process, differs from those of earlier ones
 	// Peers returns the entries that live, including this one unless it is leaving. It
 	// returns false while they are not known.
 	Peers     func() ([]spread.Peer, bool)
 	Servers   func() *fleet.View
 	Resumable func() bool // whether any stream can be resumed, as far as is known
 	Releases  Releases
-	Transport http.RoundTripper
-	Clock     clock.Clock
-	Log       zerolog.Logger
+	// Platform is the platform's store, and Topic the compacted topic of origins.
+	Platform    plat.Store
+	Topic       string
+	DecodeKeyed func(offset int64, rec []byte) (plat.Keyed, error)
+	Transport   http.RoundTripper
+	Clock       clock.Clock
+	Log         zerolog.Logger
 }
 
 // kept is an origin with the time until which it is kept.
@@ -91,14 +103,17 @@
 // Store keeps the origins of streams.
 type Store struct {
 	Params
-	http *http.Client
-	wake chan struct{} // the listed releases have changed
+	http         *http.Client
+	wake         chan struct{} // the listed releases have changed
+	journal      *journal
+	unstoredWake chan struct{} // unstored has changed
 
 	mu         sync.Mutex
 	startedAt  clock.Millis
 	knowsSince clock.Millis                       // all origins recorded since then are known here
 	observedAt clock.Millis                       // when servers were first listed, 0 before
 	origins    map[string]kept                    // by stream
+	unstored   []string                           // streams that this entry is to write to the journal
 	listed     map[string]sets.Set[string]        // by service: versions of the software, as of the last observation
 	lastSeen   map[string]map[string]clock.Millis // by service and version: when it was last listed
 }
@@ -109,6 +124,7 @@
 	return &Store{
 		startedAt: now, knowsSince: now,
 		Params: p, http: &http.Client{Transport: p.Transport}, wake: make(chan struct{}, 1), origins: make(map[string]kept),
+		journal: newJournal(p), unstoredWake: make(chan struct{}, 1),
 		listed: make(map[string]sets.Set[string]), lastSeen: make(map[string]map[string]clock.Millis),
 	}
 }
@@ -175,8 +191,9 @@
 // holderKey is the key by which the entries that keep the origin of a stream are chosen.
 func holderKey(stream string) string { return "stream/" + stream }
 
-// Keep keeps origins that another entry recorded. The first origin of a stream counts.
-func (s *Store) Keep(origins []resume.Origin) {
+// Keep keeps origins that this or another entry recorded, and writes them to the platform's
+// store if store is set. The first origin of a stream counts.
+func (s *Store) Keep(origins []resume.Origin, store bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	until := s.Clock.Now() + lifetime
@@ -185,13 +202,26 @@
 			o = k.Origin
 		}
 		s.origins[o.Stream] = kept{o, until}
+		if store {
+			s.unstored = append(s.unstored, o.Stream)
+		}
+	}
+	if store {
+		select {
+		case s.unstoredWake <- struct{}{}:
+		default: // A wake-up is pending.
+		}
 	}
 }
 
-// Record records the origin of a stream (rule 1). It returns when another entry keeps
-// it as well, or after recordTimeout.
-func (s *Store) Record(ctx context.Context, o resume.Origin) {
-	s.Keep([]resume.Origin{o})
+// Record records the origin of a stream that begins here (rules 1 and 7). It returns when
+// another entry keeps it as well, or after recordTimeout.
+func (s *Store) Record(ctx context.Context, o resume.Origin) { s.record(ctx, o, true) }
+
+// record records the origin of a stream at the entries that keep it. If it is to be stored, this
+// entry and one of them write it to the platform's store, so that a crash of one is no loss.
+func (s *Store) record(ctx context.Context, o resume.Origin, store bool) {
+	s.Keep([]resume.Origin{o}, store)
 	// The origin is needed most if the client has left or this attempt has failed.
 	sendCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), findTimeout.Duration())
 	answers := make(chan error, copies)
@@ -199,8 +229,9 @@
 	sent := 0
 	for _, h := range s.holders(o.Stream, copies) {
 		if h.Name != s.Self {
+			store := store && sent == 0
 			sent++
-			sending.Go(func() { answers <- s.send(sendCtx, h, []resume.Origin{o}) })
+			sending.Go(func() { answers <- s.send(sendCtx, h, []resume.Origin{o}, store) })
 		}
 	}
 	go func() {
@@ -223,8 +254,8 @@
 	}
 }
 
-func (s *Store) send(ctx context.Context, to spread.Peer, origins []resume.Origin) error {
-	err := resume.Record(ctx, s.http, to.Addr, origins)
+func (s *Store) send(ctx context.Context, to spread.Peer, origins []resume.Origin, store bool) error {
+	err := resume.Record(ctx, s.http, to.Addr, origins, store)
 	if err != nil {
 		s.Log.Info().Str("to", string(to.Name)).Int("streams", len(origins)).Err(err).Msg("origin: origins of streams not recorded at an entry")
 	}
@@ -241,13 +272,13 @@
 	}
 }
 
-// Find returns the origin of a stream (rules 2 and 3). If no entry knows it, the given
+// Find returns the origin of a stream (rules 2, 3 and 7). If no entry knows it, the given
 // service is assumed. If the stream must not go on, the error is [resume.ErrUnknown] or
 // [resume.ErrNotBegun].
 func (s *Store) Find(ctx context.Context, stream, service string) (resume.Origin, error) {
 	o, found, err := s.look(ctx, stream, service, s.Log)
 	if found {
-		s.Record(ctx, o) // Entries that kept it may be gone.
+		s.record(ctx, o, false) // Entries that kept it may be gone.
 	}
 	return o, err
 }
@@ -258,7 +289,7 @@
 	return o, err
 }
 
-// look returns the origin of a stream, and whether another entry knew it.
+// look returns the origin of a stream, and whether another entry or the platform's store knew it.
 func (s *Store) look(ctx context.Context, stream, service string, log zerolog.Logger) (o resume.Origin, found bool, err error) {
 	q := resume.Query{Stream: stream, Service: service}
 	own := s.Answer(q)
@@ -288,18 +319,37 @@
 	}
 	_, peersKnown := s.Peers()
 	mixed, asked, knowing := own.Mixed, 0, 0
-	for range holders {
-		r := <-replies
-		if r.err == nil {
-			asked++
+	storedDelay := time.NewTimer(lookUpDelay.Duration())
+	defer storedDelay.Stop()
+	stored := make(chan resume.LookUpReply, 1)
+	lookUp := sync.OnceFunc(func() {
+		go func() { stored <- s.lookUpStored(ctx, q, log) }()
+	})
+	for pending, lookedUp := len(holders), false; pending > 0 || !lookedUp; {
+		if pending == 0 {
+			lookUp()
 		}
-		if r.err == nil && r.KnowsFor >= int64(lifetime) {
-			knowing++
-		}
-		if r.Known {
-			return r.Origin, true, nil
+		select {
+		case r := <-replies:
+			pending--
+			if r.err == nil {
+				asked++
+			}
+			if r.err == nil && r.KnowsFor >= int64(lifetime) {
+				knowing++
+			}
+			if r.Known {
+				return r.Origin, true, nil
+			}
+			mixed = mixed || r.Mixed
+		case <-storedDelay.C:
+			lookUp()
+		case r := <-stored:
+			lookedUp = true
+			if r.Found {
+				return r.Origin, true, nil
+			}
 		}
-		mixed = mixed || r.Mixed
 	}
 	versions, ok := s.possibleReleases(service, peersKnown && asked == len(holders))
 	if mixed || !ok || len(versions) != 1 { // rule 3
@@ -351,7 +401,7 @@
 	for h, origins := range byPeer {
 		wg.Go(func() {
 			for part := range slices.Chunk(origins, resume.MaxOrigins) {
-				if s.send(ctx, h, part) != nil {
+				if s.send(ctx, h, part, false) != nil {
 					return
 				}
 			}
@@ -367,6 +417,8 @@
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
 	maps.DeleteFunc(s.origins, func(_ string, k kept) bool { return now >= k.until })
+	s.unstored = slices.DeleteFunc(s.unstored, func(stream string) bool { _, ok := s.origins[stream]; return !ok })
+	s.journal.prune()
 	for service, versions := range s.lastSeen {
 		maps.DeleteFunc(versions, func(v string, at clock.Millis) bool { return !s.listed[service].Has(v) && now-at > lifetime })
 		if len(versions) == 0 {
--- a/internal/node/origin/origin_test.go
+++ b/internal/node/origin/origin_test.go
@@ -21,6 +21,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
 	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
+	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
 	"github.com/jujuberamp/jujuberamp/internal/stand/vnet"
 )
 
@@ -65,6 +66,8 @@
 	net          *vnet.Net
 	servers      *fleet.List
 	releases     *recordedReleases
+	platform     *topic.Store
+	boots        int
 	mu           sync.Mutex
 	listed       []spread.Peer // live entries
 	unknownPeers bool          // entries that start don't know each other
@@ -79,8 +82,8 @@
 func newCluster(ctx context.Context, entries int) *cluster {
 	c := &cluster{
 		ctx: ctx, clock: clock.NewSystem(), net: vnet.New(25 * time.Millisecond), servers: fleet.New(),
-		releases: &recordedReleases{byService: make(map[string]sets.Set[string])},
-		nodes:    make(map[string]*vnet.Node), stores: make(map[string]*Store), stops: make(map[string]context.CancelFunc),
+		releases: &recordedReleases{byService: make(map[string]sets.Set[string])}, platform: topic.New(),
+		nodes: make(map[string]*vnet.Node), stores: make(map[string]*Store), stops: make(map[string]context.CancelFunc),
 	}
 	c.startNew(entries)
 	return c
@@ -114,8 +117,9 @@
 	}
 	mux := http.NewServeMux()
 	c.nodes[name] = c.net.Start(name, mux)
+	c.boots++
 	s := New(Params{
-		Self: ident.Node(name), Peers: peers, Servers: servers, Releases: c.releases, Resumable: func() bool { return !c.notResumable.Load() },
+		Self: ident.Node(name), Boot: fmt.Sprint(c.boots), Platform: c.platform, Topic: "origins", DecodeKeyed: topic.DecodeKeyed, Peers: peers, Servers: servers, Releases: c.releases, Resumable: func() bool { return !c.notResumable.Load() },
 		Transport: c.nodes[name], Clock: c.clock, Log: zerolog.Nop(),
 	})
 	mux.Handle(resume.RecordPath, resume.RecordHandler(s.Keep, zerolog.Nop()))
@@ -124,6 +128,8 @@
 		c.holdQueries.Add(1)
 		return s.Hold(q)
 	}, zerolog.Nop()))
+	mux.Handle(resume.LookUpPath, resume.LookUpHandler(s.LookUp, zerolog.Nop()))
+	mux.Handle(resume.StorePath, resume.StoreHandler(s.StoreAll, zerolog.Nop()))
 	c.stores[name] = s
 	go s.Run(ctx)
 	s.ObserveServers()
@@ -228,7 +234,8 @@
 	const streams = 60
 	tests := map[string]struct {
 		entries int
-		alone   bool // the entries don't ask each other when they start
+		alone   bool             // the entries don't ask each other when they start
+		begin   func(c *cluster) // before the streams begin
 		fault   func(c *cluster)
 		share   float64 // of the streams that must go on
 	}{
@@ -275,15 +282,118 @@
 			c.start("new-1")
 			c.start("new-2")
 		}, share: 1},
-		"one is frozen": {entries: 7, fault: func(c *cluster) { c.nodes["e-2"].SetSilent(true) }, share: 1},
-		"all are killed": {entries: 7, fault: func(c *cluster) {
-			for i := range 7 {
-				c.start(fmt.Sprint("e-", i))
-			}
-		}, share: 0},
+		"one is frozen":         {entries: 7, fault: func(c *cluster) { c.nodes["e-2"].SetSilent(true) }, share: 1},
+		"all are killed":        {entries: 7, fault: (*cluster).startAll, share: 1},
+		"all of 133 are killed": {entries: 133, alone: true, fault: (*cluster).startAll, share: 1},
 		"all are killed after a release": {entries: 7, fault: func(c *cluster) {
 			c.setServers("v2")
 			c.startAll()
+		}, share: 1},
+		"all are killed, one after the other, faster than they start": {entries: 7, fault: func(c *cluster) {
+			c.killInTurn(40 * time.Millisecond)
+		}, share: 1},
+		"all are killed twice": {entries: 7, fault: func(c *cluster) {
+			c.startAll()
+			time.Sleep(300 * time.Millisecond)
+			c.startAll()
+		}, share: 1},
+		"all are killed and taken up before each of two kills": {entries: 7, fault: func(c *cluster) {
+			for range 2 {
+				c.startAll()
+				time.Sleep(time.Second)
+				c.found(streams)
+			}
+			c.startAll()
+		}, share: 1},
+		"all lose power for a minute": {entries: 7, fault: func(c *cluster) {
+			names := slices.Collect(maps.Keys(c.stores))
+			for _, name := range names {
+				c.kill(name)
+			}
+			time.Sleep(time.Minute)
+			for _, name := range names {
+				c.start(name)
+			}
+		}, share: 1},
+		"all are replaced at once": {entries: 7, fault: func(c *cluster) {
+			for i := range 7 {
+				c.kill(fmt.Sprint("e-", i))
+			}
+			for i := range 7 {
+				c.start(fmt.Sprint("new-", i))
+			}
+		}, share: 1},
+		"all but one are replaced at once": {entries: 7, fault: func(c *cluster) {
+			for i := range 6 {
+				c.kill(fmt.Sprint("e-", i))
+				c.start(fmt.Sprint("new-", i))
+			}
+		}, share: 1},
+		"all are stopped at once": {entries: 7, fault: func(c *cluster) {
+			for _, s := range c.stores {
+				s.HandOver(c.ctx)
+			}
+			c.startAll()
+		}, share: 1},
+		"all are killed, and the store forgets its history": {entries: 7, fault: func(c *cluster) {
+			c.platform.Expire("origins", 0)
+			c.startAll()
+		}, share: 1},
+		"all are killed, and some don't answer": {entries: 7, fault: func(c *cluster) {
+			c.startAll()
+			c.nodes["e-1"].SetSilent(true)
+			c.nodes["e-2"].SetSilent(true)
+		}, share: 1},
+		"all are killed, and the writers don't answer": {entries: 30, fault: func(c *cluster) {
+			c.startAll()
+			for _, w := range spread.TopPeers(writersKey, c.live(), 2) {
+				c.nodes[string(w.Name)].SetSilent(true)
+			}
+		}, share: 1},
+		"all are killed, and don't know each other": {entries: 7, fault: func(c *cluster) {
+			c.unknownPeers = true
+			c.startAll()
+		}, share: 1},
+		"all are killed after the store was down": {entries: 7, begin: func(c *cluster) {
+			c.platform.SetFaultMode(topic.Unresponsive)
+		}, fault: func(c *cluster) {
+			time.Sleep(5 * time.Second)
+			c.platform.SetFaultMode(topic.NoFault)
+			time.Sleep(3 * time.Second)
+			c.startAll()
+		}, share: 1},
+		"all are killed after the store refused": {entries: 7, begin: func(c *cluster) {
+			c.platform.SetFaultMode(topic.Busy)
+		}, fault: func(c *cluster) {
+			time.Sleep(5 * time.Second)
+			c.platform.SetFaultMode(topic.NoFault)
+			time.Sleep(2 * time.Second)
+			c.startAll()
+		}, share: 1},
+		"all are killed after answers of the store were lost": {entries: 7, begin: func(c *cluster) {
+			c.platform.SetFaultMode(topic.LostReplies)
+		}, fault: func(c *cluster) {
+			time.Sleep(2 * time.Second)
+			c.platform.SetFaultMode(topic.NoFault)
+			c.startAll()
+		}, share: 1},
+		"all are killed after the writer was lost": {entries: 7, begin: func(c *cluster) {
+			writer := string(spread.TopPeers(writersKey, c.live(), 1)[0].Name)
+			c.net.Stop(writer)
+		}, fault: func(c *cluster) {
+			time.Sleep(time.Second)
+			c.startAll()
+		}, share: 1},
+		"all are killed after the writer was frozen": {entries: 7, begin: func(c *cluster) {
+			writer := string(spread.TopPeers(writersKey, c.live(), 1)[0].Name)
+			c.nodes[writer].SetSilent(true)
+		}, fault: func(c *cluster) {
+			time.Sleep(3 * time.Second)
+			c.startAll()
+		}, share: 1},
+		"all are killed, and the store is down": {entries: 7, fault: func(c *cluster) {
+			c.startAll()
+			c.platform.SetFaultMode(topic.Unresponsive)
 		}, share: 0},
 	}
 	for name, test := range tests {
@@ -295,6 +405,9 @@
 				c.notResumable.Store(test.alone)
 				c.startNew(test.entries)
 				c.setServers("v1", "v2")
+				if test.begin != nil {
+					test.begin(c)
+				}
 				for i := range streams {
 					name := string(c.listed[i%len(c.listed)].Name)
 					c.stores[name].Record(ctx, resume.Origin{Stream: streamID(i), Service: "s", Software: softwareOf(i)})
--- a/internal/node/origin/releases.go
+++ b/internal/node/origin/releases.go
@@ -28,9 +28,12 @@
 	Remove(ctx context.Context, service, software string) error
 }
 
-// Run keeps the copies of origins complete (rule 5) and records releases (rule 6) until the
-// context ends.
+// Run keeps the copies of origins complete (rule 5), writes them to the platform's store (rule
+// 7) and records releases (rule 6) until the context ends.
 func (s *Store) Run(ctx context.Context) {
+	go s.journal.run(ctx)
+	go s.storeOrigins(ctx)
+	go clock.Every(ctx, cleanInterval, func() { s.cleanJournal(ctx) })
 	go s.restore(ctx)
 	go s.followPeers(ctx)
 	ticker := time.NewTicker(releaseInterval.Duration())
--- a/internal/node/origin/restore.go
+++ b/internal/node/origin/restore.go
@@ -188,7 +188,7 @@
 	for _, p := range now {
 		for part := range slices.Chunk(byName[p.Name], resume.MaxOrigins) {
 			sendCtx, cancel := context.WithTimeout(ctx, restoreTimeout.Duration())
-			err := s.send(sendCtx, p, part)
+			err := s.send(sendCtx, p, part, false)
 			cancel()
 			if err != nil {
 				break
--- a/internal/node/origin/restore_test.go
+++ b/internal/node/origin/restore_test.go
@@ -85,7 +85,7 @@
 		cl := newCluster(ctx, 2)
 		cl.setServers("v1", "v2")
 		for i := range streams {
-			cl.stores["e-1"].Keep([]resume.Origin{{Stream: streamID(i), Service: "s", Software: softwareOf(i)}})
+			cl.stores["e-1"].Keep([]resume.Origin{{Stream: streamID(i), Service: "s", Software: softwareOf(i)}}, false)
 		}
 		for range 3 {
 			time.Sleep((lifetime / 4).Duration())
--- a/internal/prod/roles/entry.go
+++ b/internal/prod/roles/entry.go
@@ -168,7 +168,8 @@
 		return p.conf.Servers().HasIncarnation(server)
 	}, func(ctx context.Context, c crash.Crash) error { return e.jobs.ReportCrash(ctx, c) })
 	origins := origin.New(origin.Params{
-		Self: ident.Node(p.self.Name), Peers: e.livePeers, Servers: p.conf.Servers,
+		Self: ident.Node(p.self.Name), Boot: p.self.Boot, Peers: e.livePeers, Servers: p.conf.Servers,
+		Platform: p.store, Topic: platform.KeyedTopic(index.OriginsTopic), DecodeKeyed: platform.DecodeKeyed,
 		Resumable: func() bool { cfg := p.conf.Config(); return cfg != nil && cfg.HasResumable() },
 		Releases:  conf.NewReleaseLog(p.conf, p.store), Transport: p.innerTransport, Clock: p.clock, Log: p.log,
 	})
@@ -235,6 +236,8 @@
 	mux.Handle(resume.RecordPath, resume.RecordHandler(origins.Keep, p.log))
 	mux.Handle(resume.FindPath, resume.FindHandler(origins.Answer, p.log))
 	mux.Handle(resume.HoldPath, resume.HoldHandler(origins.Hold, p.log))
+	mux.Handle(resume.LookUpPath, resume.LookUpHandler(origins.LookUp, p.log))
+	mux.Handle(resume.StorePath, resume.StoreHandler(origins.StoreAll, p.log))
 	if err := p.serveInner(mux); err != nil {
 		return err
 	}
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -122,6 +122,8 @@
 			"internal/node/front TestTruncatedAnswerOfOwnCall",
 			"internal/node/front TestCrashAnywhereInARequest",
 			"internal/node/front TestStreamThatCrashesEachServer",
+			"internal/node/origin TestCrashBehindTheFirstEvent",
+			"internal/node/origin TestLateAppend",
 			"internal/node/origin TestNobodyKnowsOrNobodyWasThere",
 			"internal/node/origin TestRestoreManyOrigins",
 			"internal/node/origin TestStreamGoesOnWhereItBegan",
