platform: an answer whose status is none of a final HTTP answer is a failed attempt

Callers saw: where a server answered with a status below 100, their connection ended without an answer, on routes of each kind, and no other server was asked even where the route allows it. 101, 600 and 999 reached them as answers.

Cause: http.ReadResponse accepts each three characters that parse as a number from 0 on. An entry took one below 500 for final, and http.ResponseWriter panics for one below 100.

Change: BackendClient.Send refuses statuses outside 200 to 599 and drops the connection. That is a failed attempt that may have run: the next server where the route allows it, else 502 without a server's stamp. It counts as no disconnect of the server.

--- a/internal/edge/plat/engine.go
+++ b/internal/edge/plat/engine.go
@@ -34,7 +34,7 @@
 // Response is a backend server's response. The caller must close Body; closing it
 // before its end also closes the connection.
 type Response struct {
-	Status        int
+	Status        int // from 200 to 599
 	Header        http.Header
 	Body          io.ReadCloser
 	ContentLength int64  // size of the body, -1 if unknown
@@ -63,6 +63,7 @@
 var (
 	ErrNotSent          = errors.New("no connection to the server; try another one")
 	ErrResponseMismatch = errors.New("the answer belongs to another request; the connection is dropped")
+	ErrInvalidStatus    = errors.New("the status is none of a final HTTP answer; the connection is dropped")
 )
 
 // Sender sends requests to backend servers.
--- a/internal/node/front/crash_test.go
+++ b/internal/node/front/crash_test.go
@@ -62,6 +62,7 @@
 		"in a large failure":                      {kind: router.NonIdempotent, replies: []scriptedReply{{status: 500, body: large, truncated: true}}, disconnects: 1},
 		"large body, whole":                       {kind: router.NonIdempotent, replies: []scriptedReply{okReply(large)}, answers: 1},
 		"large body, client is lost":              {kind: router.NonIdempotent, replies: []scriptedReply{okReply(large)}, clientLost: true},
+		"invalid status":                          {kind: router.NonIdempotent, replies: []scriptedReply{{err: plat.ErrInvalidStatus}}},
 		"refused":                                 {kind: router.NonIdempotent, replies: []scriptedReply{refused, refused, refused}},
 		"refused, then whole":                     {kind: router.NonIdempotent, replies: []scriptedReply{refused, okReply("x")}, answers: 1},
 		"failed":                                  {kind: router.NonIdempotent, replies: []scriptedReply{serverError}},
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -331,10 +331,11 @@
 }
 
 // handleSendError records whether an attempt without a response was executed, and
-// whether its server disconnected (rule 5).
+// whether its server disconnected (rule 5). A server that answers, if not as it should, has not.
 func (c *requestState) handleSendError(ctx context.Context, a *attempt) {
 	a.notExecuted = errors.Is(a.err, plat.ErrNotSent)
-	if !a.notExecuted && !errors.Is(a.err, plat.ErrResponseMismatch) {
+	answered := errors.Is(a.err, plat.ErrResponseMismatch) || errors.Is(a.err, plat.ErrInvalidStatus)
+	if !a.notExecuted && !answered {
 		c.recordBreak(ctx, a.server)
 	}
 }
--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -141,6 +141,7 @@
 			"internal/edge/dial TestSendOnce",
 			"platform TestAnswersOfServers",
 			"platform TestBytesWithoutEnd",
+			"platform TestInvalidStatus",
 			"platform TestReadEvents",
 			"platform TestSecondCopyOfAnAnswer",
 			"platform TestSecondCopyOfAnswerToSameID",
