front: an answer to HEAD states the length that the server stated

Cause: writeResponse sets the length of the body that it read, which HEAD doesn't have.

Change: it forwards the server's Content-Length there.

--- a/internal/node/front/answer.go
+++ b/internal/node/front/answer.go
@@ -38,9 +38,9 @@
 	if c.lastFailure != a {
 		c.closeLastFailure()
 	}
-	if a.complete {
+	if a.complete && c.req.Method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	} else if a.response.ContentLength >= 0 {
+	} else if a.response.ContentLength >= 0 { // To HEAD it is that of a body which isn't sent.
 		w.Header().Set("Content-Length", itoa(a.response.ContentLength))
 	}
 	c.startResponse(w, a.response)
