--- a/internal/node/origin/journal.go
+++ b/internal/node/origin/journal.go
@@ -45,6 +45,7 @@
 	log         zerolog.Logger
 	keyPrefix   string // of the segments of this process
 	wake        chan struct{}
+	readWake    chan struct{}
 
 	queueMu sync.Mutex
 	queue   []*addition
@@ -68,9 +69,10 @@
 	done    chan error
 }
 
-// readSegment is a segment with the time at which its last change was read.
+// readSegment is a segment with the offset of its record and the time at which that was read.
 type readSegment struct {
 	index.Segment
+	offset    int64
 	changedAt clock.Millis
 }
 
@@ -85,7 +87,7 @@
 	sum := sha256.Sum256([]byte(string(p.Self) + "\x00" + p.Boot))
 	return &journal{
 		store: p.Platform, topic: p.Topic, decodeKeyed: p.DecodeKeyed, clock: p.Clock, log: p.Log,
-		keyPrefix: hex.EncodeToString(sum[:8]) + "/", wake: make(chan struct{}, 1), next: -1,
+		keyPrefix: hex.EncodeToString(sum[:8]) + "/", wake: make(chan struct{}, 1), readWake: make(chan struct{}, 1), next: -1,
 	}
 }
 
@@ -207,24 +209,44 @@
 // request that needs it, since others wait for it as well. The caller holds the lock.
 func (j *journal) startRead() *reading {
 	if j.reading == nil {
-		r := &reading{done: make(chan struct{})}
-		j.reading = r
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), readTimeout.Duration())
-			defer cancel()
-			startedAt := j.clock.Now()
-			r.err = j.refresh(ctx)
-			j.mu.Lock()
-			defer j.mu.Unlock()
-			if j.reading = nil; r.err == nil {
-				j.lastRead = startedAt
-			}
-			close(r.done)
-		}()
+		j.reading = &reading{done: make(chan struct{})}
+		j.readWake <- struct{}{} // It has room, since one read is in progress at most.
 	}
 	return j.reading
 }
 
+// runReads reads the topic when a read is started, until the context ends.
+func (j *journal) runReads(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-j.readWake:
+		}
+		startedAt := j.clock.Now()
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+		err := j.refresh(readCtx)
+		cancel()
+		j.mu.Lock()
+		r := j.reading
+		if j.reading = nil; err == nil {
+			j.lastRead = startedAt
+		}
+		r.err = err
+		close(r.done)
+		j.mu.Unlock()
+	}
+}
+
+// readAhead starts a read unless the journal was read before.
+func (j *journal) readAhead() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.usedAt = j.clock.Now(); j.next < 0 {
+		j.startRead()
+	}
+}
+
 // refresh reads all segments, or what has changed since the last read.
 func (j *journal) refresh(ctx context.Context) error {
 	j.mu.Lock()
@@ -249,7 +271,7 @@
 			records = append(records, k)
 		}
 		next = page.From + int64(len(page.Records))
-		j.apply(records, next)
+		j.apply(records, next, false)
 		if next >= page.End || len(page.Records) == 0 {
 			return nil
 		}
@@ -258,31 +280,34 @@
 	if err != nil {
 		return err
 	}
-	j.mu.Lock()
-	j.read = nil
-	j.mu.Unlock()
-	j.apply(records, end)
+	j.apply(records, end, true)
 	return nil
 }
 
-// apply applies records that were read up to an offset.
-func (j *journal) apply(records []plat.Keyed, next int64) {
+// apply applies records that were read up to an offset. They replace what was read before if
+// they are all.
+func (j *journal) apply(records []plat.Keyed, next int64, all bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.read == nil {
-		j.read = make(map[string]readSegment)
+	before := j.read
+	if all {
+		j.read = make(map[string]readSegment, len(records))
 	}
 	for _, k := range records {
 		if k.Value == nil {
 			delete(j.read, k.Key)
 			continue
 		}
+		if b, ok := before[k.Key]; ok && b.offset == k.Offset {
+			j.read[k.Key] = b
+			continue
+		}
 		s, err := index.DecodeSegment(k.Value)
 		if err != nil {
 			j.log.Error().Err(err).Int64("offset", k.Offset).Msg("origin: undecodable segment skipped")
 			continue
 		}
-		j.read[k.Key] = readSegment{s, j.clock.Now()}
+		j.read[k.Key] = readSegment{s, k.Offset, j.clock.Now()}
 	}
 	j.next = next
 }
@@ -294,7 +319,11 @@
 	j.usedAt = j.clock.Now()
 	r := j.startRead()
 	j.mu.Unlock()
-	<-r.done
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+		return
+	}
 	if r.err != nil {
 		j.log.Info().Err(r.err).Msg("origin: journal not read, cleaned later")
 		return
--- a/internal/node/origin/journal_test.go
+++ b/internal/node/origin/journal_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/inner/index"
 	"github.com/jujuberamp/jujuberamp/internal/inner/resume"
 	"github.com/jujuberamp/jujuberamp/internal/stand/topic"
@@ -104,8 +105,12 @@
 		o, err := c.stores["e-1"].Find(ctx, "old7", "s")
 		check.Assert(err, qt.IsNil)
 		check.Check(o.Software, qt.Equals, "v1")
-		time.Sleep((lifetime + 3*cleanInterval).Duration())
-		c.prune()
+		for range (lifetime + 3*cleanInterval) / clock.Second {
+			time.Sleep(time.Second)
+			c.platform.Write("origins", "gone", nil)
+			c.platform.Expire("origins", 0) // Each read must then read all segments.
+			c.prune()
+		}
 		check.Check(c.segments(check), qt.HasLen, 0)
 		_, err = c.stores["e-1"].Find(ctx, "new7", "s")
 		check.Check(err, qt.IsNotNil)
--- a/internal/node/origin/outbox.go
+++ b/internal/node/origin/outbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/rs/zerolog"
 
@@ -23,6 +24,8 @@
 	// lookUpTimeout bounds the answer of a writer, so that there is time to read the journal
 	// here.
 	lookUpTimeout = findTimeout / 2
+	// readAheadInterval is the interval at which an entry checks whether it has become a writer.
+	readAheadInterval = clock.Second
 	// cleanInterval is the interval at which old segments are removed.
 	cleanInterval = 10 * clock.Second
 	// writersKey is the key by which the writers are chosen.
@@ -99,9 +102,23 @@
 // writers returns up to n of the entries that use the journal for others, by their rank for a
 // key.
 func (s *Store) writers(key string, n int) []spread.Peer {
+	return spread.TopPeers(writersKey+"/"+key, s.allWriters(), n)
+}
+
+// allWriters returns the entries that use the journal for others. The first one by rank cleans
+// it.
+func (s *Store) allWriters() []spread.Peer {
 	peers, _ := s.Peers()
-	all := spread.TopPeers(writersKey, peers, (len(peers)+entriesPerWriter-1)/entriesPerWriter)
-	return spread.TopPeers(writersKey+"/"+key, all, n)
+	return spread.TopPeers(writersKey, peers, (len(peers)+entriesPerWriter-1)/entriesPerWriter)
+}
+
+// readAhead reads the journal if this entry is a writer that has not read it yet, so that the
+// first search after a start does not wait for it.
+func (s *Store) readAhead() {
+	isSelf := func(p spread.Peer) bool { return p.Name == s.Self }
+	if s.Resumable() && slices.ContainsFunc(s.allWriters(), isSelf) {
+		s.journal.readAhead()
+	}
 }
 
 // StoreAll writes origins of other entries to the platform's store.
@@ -142,9 +159,7 @@
 	if !s.Resumable() && s.journal.isEmpty() {
 		return
 	}
-	peers, known := s.Peers()
-	first := spread.TopPeers(writersKey, peers, 1)
-	if known && len(first) > 0 && first[0].Name == s.Self {
+	if all := s.allWriters(); len(all) > 0 && all[0].Name == s.Self {
 		s.journal.clean(ctx)
 	}
 }
--- a/internal/node/origin/releases.go
+++ b/internal/node/origin/releases.go
@@ -32,7 +32,9 @@
 // 7) and records releases (rule 6) until the context ends.
 func (s *Store) Run(ctx context.Context) {
 	go s.journal.run(ctx)
+	go s.journal.runReads(ctx)
 	go s.storeOrigins(ctx)
+	go clock.Every(ctx, readAheadInterval, s.readAhead)
 	go clock.Every(ctx, cleanInterval, func() { s.cleanJournal(ctx) })
 	go s.restore(ctx)
 	go s.followPeers(ctx)
