origin: the origins of a burst of streams reach the store together

Cause: the first origin of a burst was sent and appended at once, the rest after the next interval of 200 ms on each of both ways, so a kill of all entries in the first 0.4 s lost most of the burst.

Change: sender and writer wait 20 ms for others that come with the first one.

Evidence: TestBurstIsStoredAtOnce, all entries killed 120 ms after 60 streams began: 9 of 60 found before, 60 now.

--- a/internal/node/origin/journal.go
+++ b/internal/node/origin/journal.go
@@ -19,6 +19,9 @@
 const (
 	// writeInterval is the minimum time between two appends of one entry.
 	writeInterval = 200 * clock.Milli
+	// gatherTime is how long the first of some origins waits for others that come with it.
+	// Without it the rest of a burst would wait for the interval to pass.
+	gatherTime = 20 * clock.Milli
 	// writeTimeout and readTimeout bound one call of the platform's store.
 	writeTimeout = clock.Second
 	readTimeout  = clock.Second
@@ -117,6 +120,7 @@
 			return
 		case <-j.wake:
 		}
+		clock.Sleep(ctx, gatherTime)
 		for batch := j.nextBatch(); len(batch) > 0; batch = j.nextBatch() {
 			err := j.write(ctx, batch)
 			for _, a := range batch {
--- a/internal/node/origin/journal_test.go
+++ b/internal/node/origin/journal_test.go
@@ -270,3 +270,27 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestBurstIsStoredAtOnce guards against streams that begin together and whose origins reach the
+// platform's store one interval after the other.
+func TestBurstIsStoredAtOnce(t *testing.T) {
+	const streams, entries = 60, 7
+	synctest.Test(t, func(t *testing.T) {
+		check := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		c := newCluster(ctx, 0)
+		c.notResumable.Store(true)
+		c.startNew(entries)
+		c.setServers("v1", "v2")
+		for i := range streams {
+			go c.stores[fmt.Sprint("e-", i%entries)].Record(ctx, resume.Origin{Stream: streamID(i), Service: "s", Software: softwareOf(i)})
+		}
+		time.Sleep(120 * time.Millisecond)
+		c.startAll()
+		right, wrong := c.found(streams)
+		check.Check(right, qt.Equals, streams)
+		check.Check(wrong, qt.Equals, 0)
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/node/origin/outbox.go
+++ b/internal/node/origin/outbox.go
@@ -67,6 +67,7 @@
 			return
 		case <-s.unstoredWake:
 		}
+		clock.Sleep(ctx, gatherTime)
 		for {
 			streams, origins := s.takeUnstored()
 			if len(origins) == 0 {
