--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -48,10 +48,11 @@
 			break
 		}
 		a := c.startStream(ctx, s, last)
-		if a.isFinal() && !hasEvents(a.response) && !started {
+		isStream := a.isFinal() && hasEvents(a.response)
+		if a.isFinal() && !isStream && !started {
 			return c.writeResponse(ctx, w, a)
 		}
-		if !a.isFinal() || !hasEvents(a.response) {
+		if !isStream {
 			c.recordFailure(a)
 			if a.notExecuted || c.route.IsRetryable() {
 				continue
--- a/internal/node/origin/origin.go
+++ b/internal/node/origin/origin.go
@@ -299,24 +299,7 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout.Duration())
 	defer cancel()
 	holders := s.holders(stream, searched)
-	type answer struct {
-		resume.Reply
-		err error
-	}
-	replies := make(chan answer, len(holders))
-	for _, h := range holders {
-		go func() {
-			if h.Name == s.Self {
-				replies <- answer{Reply: own}
-				return
-			}
-			r, err := resume.Find(ctx, s.http, h.Addr, q)
-			if err != nil && ctx.Err() == nil {
-				log.Info().Str("stream", stream).Str("from", string(h.Name)).Err(err).Msg("origin: an entry does not answer")
-			}
-			replies <- answer{r, err}
-		}()
-	}
+	replies := s.askHolders(ctx, holders, q, own, log)
 	_, peersKnown := s.Peers()
 	mixed, asked, knowing := own.Mixed, 0, 0
 	storedDelay := time.NewTimer(lookUpDelay.Duration())
@@ -364,6 +347,34 @@
 	return resume.Origin{Stream: stream, Service: service, Software: versions.Sorted()[0]}, false, nil
 }
 
+// holderReply is the reply of an entry that may know an origin.
+type holderReply struct {
+	resume.Reply
+	err error
+}
+
+// askHolders asks entries for an origin, and returns a channel with a reply of each. The reply of
+// this entry is given.
+func (s *Store) askHolders(
+	ctx context.Context, holders []spread.Peer, q resume.Query, own resume.Reply, log zerolog.Logger,
+) <-chan holderReply {
+	replies := make(chan holderReply, len(holders))
+	for _, h := range holders {
+		go func() {
+			if h.Name == s.Self {
+				replies <- holderReply{Reply: own}
+				return
+			}
+			r, err := resume.Find(ctx, s.http, h.Addr, q)
+			if err != nil && ctx.Err() == nil {
+				log.Info().Str("stream", q.Stream).Str("from", string(h.Name)).Err(err).Msg("origin: an entry does not answer")
+			}
+			replies <- holderReply{r, err}
+		}()
+	}
+	return replies
+}
+
 // possibleReleases returns the versions of a service's software that may have begun a stream
 // whose origin is not known, given whether all entries that may know it have answered. It
 // returns false if there may be others (rule 3).
