origin: entries try less often while the platform's store refuses

Cause: an entry whose origins weren't stored tried again every 200 ms, each third time by a call of its own: at 400 entries 667 calls/s to a store that refuses them. Found by reading.

Change: the interval doubles with each failure, up to 1.6 s.

--- a/internal/node/origin/journal_test.go
+++ b/internal/node/origin/journal_test.go
@@ -25,14 +25,16 @@
 	tests := map[string]struct {
 		entries     int
 		notResuming bool
-		begin, find int // streams a second at each entry
-		most        int // calls a second
+		begin, find int  // streams a second at each entry
+		refuses     bool // the store refuses all calls
+		most        int  // calls a second
 	}{
 		"no stream can be resumed":      {entries: 30, notResuming: true, most: 0},
 		"no stream begins":              {entries: 30, most: 1},
 		"streams begin at one entry":    {entries: 1, begin: 500, most: 6},
 		"streams begin at 25 entries":   {entries: 25, begin: 20, most: 6},
 		"streams begin at 100 entries":  {entries: 100, begin: 5, most: 4 * 6},
+		"the store refuses":             {entries: 100, begin: 5, refuses: true, most: 4 * 15},
 		"unknown streams at one entry":  {entries: 1, find: 200, most: 11},
 		"unknown streams at 30 entries": {entries: 30, find: 20, most: 2 * 11},
 	}
@@ -47,6 +49,9 @@
 				cl.startNew(test.entries)
 				cl.notResumable.Store(test.notResuming)
 				cl.setServers("v1", "v2")
+				if test.refuses {
+					cl.platform.SetFaultMode(topic.Busy)
+				}
 				before := cl.platform.Calls()
 				for tick := range 10 * seconds {
 					for name, s := range cl.stores {
--- a/internal/node/origin/outbox.go
+++ b/internal/node/origin/outbox.go
@@ -18,6 +18,8 @@
 	entriesPerWriter = 25
 	// sendInterval is the minimum time between two messages to a writer.
 	sendInterval = 200 * clock.Milli
+	// maxSendDoublings bounds how often the interval is doubled while messages fail.
+	maxSendDoublings = 3
 	// storeTimeout bounds a message to a writer: it waits for an append in progress and for
 	// its own.
 	storeTimeout = 2 * writeTimeout
@@ -81,7 +83,7 @@
 			} else {
 				failures = 0
 			}
-			if !clock.Sleep(ctx, sendInterval) {
+			if !clock.Sleep(ctx, sendInterval<<min(failures, maxSendDoublings)) {
 				return
 			}
 		}
