front: an answer of a vague type is a stream of events if it begins like one

Cause: took each success without a type for a stream of events, so that a body of JSON without a type and a length was lost as before, and none of type text/plain, which Go's net/http states for a server that sets none: such a stream came only when it was complete, and could not go on elsewhere. Found by reading; nothing of it has landed.

Change: without a type, as text/plain or as application/octet-stream, the first bytes decide.

--- a/internal/node/front/front_test.go
+++ b/internal/node/front/front_test.go
@@ -40,7 +40,8 @@
 	truncated   bool          // the connection breaks in the body
 	err         error         // instead of a response
 	delay       time.Duration // before the response
-	leaving     bool          // the response states that the server leaves
+	contentType string
+	leaving     bool // the response states that the server leaves
 }
 
 // scriptedSender returns one scripted reply for each attempt, in order.
@@ -128,6 +129,14 @@
 	return n, err
 }
 
+func (r scriptedReply) header(from string) http.Header {
+	h := http.Header{"X-From": {from}}
+	if r.contentType != "" {
+		h.Set("Content-Type", r.contentType)
+	}
+	return h
+}
+
 func (s *scriptedSender) Send(ctx context.Context, to plat.Target, r plat.Request) (*plat.Response, error) {
 	s.mu.Lock()
 	rep := scriptedReply{err: errors.New("no scripted reply left")}
@@ -151,7 +160,7 @@
 	}
 	return &plat.Response{
 		Status:        rep.status,
-		Header:        http.Header{"X-From": {to.ID}},
+		Header:        rep.header(to.ID),
 		Body:          &closableBody{Reader: body},
 		ContentLength: -1,
 		Stamp:         to.ID,
@@ -493,6 +502,9 @@
 		"no event, then served":           {true, []scriptedReply{{status: 200, truncated: true}, okReply(events(1, 2))}, events(1, 2), false, ""},
 		"IDs that are no numbers":         {false, []scriptedReply{okReply("id: a\ndata: x\n\nid:\ndata: y\n\n")}, "id: a\ndata: x\n\nid:\ndata: y\n\n", false, ""},
 		"resumed after a malformed ID":    {true, []scriptedReply{okReply(events(1, 2) + "id: a\ndata: x\n\n"), okReply(events(3, 4))}, events(1, 4), false, ""},
+		"text that begins like events":    {true, []scriptedReply{{status: 200, body: events(1, 2), contentType: "text/plain", truncated: true}, okReply(events(3, 4))}, events(1, 4), false, ""},
+		"resumed at the end":              {true, []scriptedReply{{status: 200, body: events(1, 2), truncated: true}, okReply("")}, events(1, 2), false, ""},
+		"resumed by no stream":            {true, []scriptedReply{{status: 200, body: events(1, 2), truncated: true}, {status: 200, body: "{}", contentType: "application/json"}, okReply(events(3, 4))}, events(1, 4), false, ""},
 		"no event, whole":                 {true, []scriptedReply{okReply("")}, "", false, ""},
 	}
 	for name, test := range tests {
@@ -536,3 +548,53 @@
 		c.Check(fault.Is(err, fault.Quarantined), qt.IsTrue)
 	})
 }
+
+// TestHasEvents guards against an answer that is read as a stream of events and is none, and
+// against a stream that is held until it is complete.
+func TestHasEvents(t *testing.T) {
+	one := events(1, 1)
+	tests := map[string]struct {
+		contentType, body string
+		truncated         bool
+		status            int // 200 by default
+		want              bool
+	}{
+		"events":                  {contentType: "text/event-stream", body: one, want: true},
+		"with a parameter":        {contentType: "Text/Event-Stream; charset=utf-8", body: one, want: true},
+		"with a bad parameter":    {contentType: "text/event-stream; =", body: one, want: true},
+		"events, no body":         {contentType: "text/event-stream", want: true},
+		"no type":                 {body: one, want: true},
+		"no type, data first":     {body: "data: x\n\n", want: true},
+		"no type, comment first":  {body: ": ping\n\n", want: true},
+		"no type, blank line":     {body: "\n" + one, want: true},
+		"no type, no body":        {want: true},
+		"no type, broken":         {truncated: true, want: true},
+		"no type, JSON":           {body: `{"id":1}`},
+		"no type, text":           {body: "identity unknown\n\n"},
+		"text like events":        {contentType: "text/plain; charset=utf-8", body: one, want: true},
+		"text":                    {contentType: "text/plain", body: "no"},
+		"bytes like events":       {contentType: "application/octet-stream", body: one, want: true},
+		"JSON":                    {contentType: "application/json", body: one},
+		"no media type":           {contentType: ";", body: one},
+		"rejection like events":   {contentType: "text/event-stream", body: one, status: 422},
+		"failure like events":     {contentType: "text/event-stream", body: one, status: 500},
+		"redirection like events": {body: one, status: 302},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			resp := streamOf(strings.NewReader(test.body))
+			if test.truncated {
+				resp = streamOf(truncatedBody{strings.NewReader(test.body)})
+			}
+			resp.Header = scriptedReply{contentType: test.contentType}.header("a")
+			if test.status > 0 {
+				resp.Status = test.status
+			}
+			c.Check(hasEvents(resp), qt.Equals, test.want)
+			b, err := io.ReadAll(resp.Body)
+			c.Check(err != nil, qt.Equals, test.truncated)
+			c.Check(string(b), qt.Equals, test.body)
+		})
+	}
+}
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"mime"
 	"net/http"
 	"slices"
 	"strconv"
@@ -48,11 +47,10 @@
 			break
 		}
 		a := c.startStream(ctx, s, last)
-		isStream := a.isFinal() && hasEvents(a.response)
-		if a.isFinal() && !isStream && !started {
+		if a.isFinal() && !a.hasEvents && !started {
 			return c.writeResponse(ctx, w, a)
 		}
-		if !isStream {
+		if !a.isFinal() || !a.hasEvents {
 			c.recordFailure(a)
 			if a.notExecuted || c.route.IsRetryable() {
 				continue
@@ -98,26 +96,6 @@
 	return c.respondFailure(ctx, w)
 }
 
-// eventsType is the media type of a stream of events.
-const eventsType = "text/event-stream"
-
-// hasEvents reports whether a response is a stream of events. A success without a type is
-// one, since the operator declares the route as streaming.
-func hasEvents(resp *plat.Response) bool {
-	if resp.Status/100 != 2 {
-		return false
-	}
-	header := resp.Header.Get("Content-Type")
-	if header == "" {
-		return true
-	}
-	mediaType, _, err := mime.ParseMediaType(header)
-	if err != nil && !errors.Is(err, mime.ErrInvalidMediaParameter) {
-		return false
-	}
-	return mediaType == eventsType
-}
-
 // takeUp restricts a stream that the client takes up again to the servers at which it may
 // go on, or refuses it.
 func (c *requestState) takeUp(ctx context.Context) (string, error) {
@@ -175,7 +153,9 @@
 		a.notExecuted = true
 		a.response.Body.Close()
 		outcome = pick.Refused
-	case !hasEvents(a.response):
+	case c.req.Method != http.MethodHead && hasEvents(a.response):
+		a.hasEvents = true
+	default:
 		c.readBody(ctx, a)
 		if !a.isFinal() {
 			outcome = pick.Failed
