origin, front: one wake-up of a goroutine; a condition that hasEvents implies

Change: wakeUp serves the three places; the condition is gone, and the field says what it implies. No behaviour changes and no test is touched.

--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -52,7 +52,7 @@
 	complete    bool
 	notExecuted bool
 	overloaded  bool // refused because the server is overloaded
-	hasEvents   bool // the response is a stream of events, whose body is not read yet
+	hasEvents   bool // the response is final and a stream of events, whose body is not read yet
 	err         error
 }
 
--- a/internal/node/front/stream.go
+++ b/internal/node/front/stream.go
@@ -50,7 +50,7 @@
 		if a.isFinal() && !a.hasEvents && !started {
 			return c.writeResponse(ctx, w, a)
 		}
-		if !a.isFinal() || !a.hasEvents {
+		if !a.hasEvents {
 			c.recordFailure(a)
 			if a.notExecuted || c.route.IsRetryable() {
 				continue
--- a/internal/node/origin/journal.go
+++ b/internal/node/origin/journal.go
@@ -100,10 +100,7 @@
 	j.queueMu.Lock()
 	j.queue = append(j.queue, a)
 	j.queueMu.Unlock()
-	select {
-	case j.wake <- struct{}{}:
-	default: // A wake-up is pending.
-	}
+	wakeUp(j.wake)
 	select {
 	case err := <-a.done:
 		return err
--- a/internal/node/origin/origin.go
+++ b/internal/node/origin/origin.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// wakeUp wakes the goroutine that receives from a channel with room for one wake-up.
+func wakeUp(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default: // A wake-up is pending.
+	}
+}
+
 // ObserveServers records which versions of the software are listed. It is called after
 // each change of the list of servers.
 func (s *Store) ObserveServers() {
@@ -156,10 +164,7 @@
 		}
 	}
 	if !maps.EqualFunc(s.listed, listed, maps.Equal) {
-		select {
-		case s.wake <- struct{}{}:
-		default: // A wake-up is pending.
-		}
+		wakeUp(s.wake)
 	}
 	s.listed = listed
 }
@@ -207,10 +212,7 @@
 		}
 	}
 	if store {
-		select {
-		case s.unstoredWake <- struct{}{}:
-		default: // A wake-up is pending.
-		}
+		wakeUp(s.unstoredWake)
 	}
 }
 
