dial: an answer that ends with a failed connection doesn't look complete

Callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The client got that part as a complete answer, with the engine's stamp, on routes of all kinds.

Cause: the kernel reports the error that ends a connection once, to the call that comes first. While a request is written that is the write, and the read returns the end of the stream without an error. An answer without a length has no other end. By a print in the connection: the read returned its end 4 to 16 us after the write had returned "connection reset by peer". A server that reads nothing for 1.5 s brings the same about by this side's TCP_USER_TIMEOUT, found on the way.

Change: a connection of edge/dial, where all answers are read, keeps the error that a write got, and a read that would return the end of the stream returns it instead. While a write is in progress, poll tells whether both directions are over, and only then the write is waited for: an early answer whose server has ended its own direction is whole at once. EPIPE doesn't count, since the kernel returns it after the server has ended its direction. The clients of the product's own door use these connections as well; Plain.Do had the same fault.

Why it works: the kernel gives the error to a read or to a write. Each of the two now ends the answer with an error, and no other end of a connection does.

Known and left: a whole answer that takes longer than 1.5 s while its server reads nothing is lost to TCP_USER_TIMEOUT, now as an error.

--- a/internal/edge/client/client.go
+++ b/internal/edge/client/client.go
@@ -29,6 +29,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/edge/codec"
+	"github.com/jujuberamp/jujuberamp/internal/edge/dial"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 )
 
@@ -42,7 +43,7 @@
 // limits the duration of a call.
 func NewHTTP() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:         dial.Checked((&net.Dialer{Timeout: connectTimeout}).DialContext),
 		MaxIdleConnsPerHost: maxIdlePerHost,
 	}}
 }
--- a/internal/edge/client/plain_test.go
+++ b/internal/edge/client/plain_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -33,3 +35,29 @@
 	_, err = p.Do(context.Background(), plat.ServiceCall{Body: []byte("x"), AtMostOnce: true})
 	c.Assert(fault.Is(err, fault.NoBackend), qt.IsTrue)
 }
+
+// TestPlainResetDuringUpload guards against the first part of an answer that counts as the whole:
+// a service answers before it has read a long body, and its connection is reset meanwhile.
+func TestPlainResetDuringUpload(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := io.ReadFull(conn, make([]byte, 64<<10)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(100 * time.Millisecond) // The client reads the head.
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}()
+	b, err := NewPlain("http://"+ln.Addr().String()).Do(context.Background(), plat.ServiceCall{Body: make([]byte, 32<<20)})
+	c.Check(err, qt.IsNotNil, qt.Commentf("%q", b))
+}
--- a/internal/edge/dial/conn.go
+++ b/internal/edge/dial/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -21,9 +22,11 @@
 
 var idSeed = maphash.MakeSeed()
 
-// conn is a connection that remembers the IDs of the requests that it has carried.
+// conn is a connection that remembers the IDs of the requests that it has carried, and on which
+// an answer that is cut off doesn't look complete.
 type conn struct {
 	net.Conn
+	writes writeState
 
 	mu      sync.Mutex
 	ids     []uint64      // hashes of the last IDs; a collision costs a new connection
@@ -79,7 +82,20 @@
 	if refused {
 		return 0, errCarriedID
 	}
-	return c.Conn.Write(b)
+	c.writes.mu.Lock()
+	defer c.writes.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.writes.record(err)
+	return n, err
+}
+
+// Read returns io.EOF only if the peer has ended its direction of the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err == io.EOF {
+		err = c.writes.endOfRead(c.Conn)
+	}
+	return n, err
 }
 
 // SendOnce sends a request over a connection that has not carried its ID before, so that a
--- a/internal/edge/dial/dial.go
+++ b/internal/edge/dial/dial.go
@@ -1,9 +1,13 @@
-// Package dial creates TCP connections that detect an unreachable peer, and sends requests
-// over connections that have not carried them before.
+// Package dial creates TCP connections that detect an unreachable peer and answers that are
+// broken, and sends requests over connections that have not carried them before.
 //
 // A network fault can stop a connection's packets without a reset. Only timeouts on this
 // side detect that.
 //
+// An answer without a length ends with its connection. If the connection is reset, the answer is
+// cut off, although the kernel may tell that only to a write of the request. A read then
+// returns the error of that write.
+//
 // A faulty server may send a second copy of an answer, late, where the next answer on the
 // connection is due. The ID of its request tells the copy apart, unless the next request
 // has the same ID. [SendOnce] never sends an ID twice over one connection.
@@ -42,11 +46,18 @@
 	idleConnTimeout = 20 * time.Second
 )
 
-// Dialer returns a dial function whose connections detect an unreachable peer.
-func Dialer() func(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := Unwrapped()
+// Func opens a connection.
+type Func func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Dialer returns a dial function whose connections detect an unreachable peer, and answers that
+// are broken; see [Checked].
+func Dialer() Func { return Checked(Unwrapped()) }
+
+// Checked returns a dial function whose connections remember the IDs of requests, and on which
+// an answer that is cut off doesn't look complete.
+func Checked(dial Func) Func {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := d(ctx, network, addr)
+		c, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
@@ -54,8 +65,8 @@
 	}
 }
 
-// Unwrapped is Dialer for connections that need not remember IDs of requests.
-func Unwrapped() func(ctx context.Context, network, addr string) (net.Conn, error) {
+// Unwrapped returns a dial function whose connections only detect an unreachable peer.
+func Unwrapped() Func {
 	d := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
