dial: an answer whose head has a line that is no field is no answer

Callers saw: an engine in trouble sent an answer in whose head the name of a field held a blank. The client got it as an answer, with that line passed on, with the sizes of chunks in its body, or cut off at the end of the connection, since the name hid the length. A control byte in a name got 502.

Cause: net/http refuses a name that is no token, but for one with blanks, which it keeps. It joins a line that begins with a blank with the line before. Nothing behind it checked.

Change: connections of edge/dial check the names of fields in the bytes of each head, also of interim answers, before net/http gets them. dial.Transport tells a connection when the next answer is due. BackendClient.Send returns plat.ErrMalformedHead: another server is asked where the route allows it, else the client gets 502, and nothing else in such an answer counts, as for an invalid status. The clients of the product's own door and the API for duties use these connections as well.

Why it works: the check sees the bytes before anything is joined or kept, and passes only tokens (RFC 9110, section 5.6.2), so no line can hide a field. It is where the bytes of all answers arrive.

A control byte held before: for clients nothing changes there, but the quarantine no longer counts such an answer as a disconnect.

--- a/internal/edge/client/client.go
+++ b/internal/edge/client/client.go
@@ -42,10 +42,10 @@
 // NewHTTP returns an HTTP client that limits the time to connect. Only the context
 // limits the duration of a call.
 func NewHTTP() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: &dial.Transport{Transport: &http.Transport{
 		DialContext:         dial.Checked((&net.Dialer{Timeout: connectTimeout}).DialContext),
 		MaxIdleConnsPerHost: maxIdlePerHost,
-	}}
+	}}}
 }
 
 // maxDrainBytes limits how much DrainAndClose reads of a body.
--- a/internal/edge/client/plain_test.go
+++ b/internal/edge/client/plain_test.go
@@ -1,15 +1,18 @@
 package client
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/fault"
+	"github.com/jujuberamp/jujuberamp/internal/edge/dial"
 	"github.com/jujuberamp/jujuberamp/internal/edge/plat"
 )
 
@@ -61,3 +64,27 @@
 	b, err := NewPlain("http://"+ln.Addr().String()).Do(context.Background(), plat.ServiceCall{Body: make([]byte, 32<<20)})
 	c.Check(err, qt.IsNotNil, qt.Commentf("%q", b))
 }
+
+// TestPlainMalformedHead guards against an answer of which a line of the head, which is no field,
+// hides the length.
+func TestPlainMalformedHead(t *testing.T) {
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length : 100\r\n\r\npart")
+	}()
+	_, err = NewPlain("http://"+ln.Addr().String()).Do(context.Background(), plat.ServiceCall{Body: []byte("x")})
+	c.Check(err, qt.ErrorIs, dial.ErrMalformedHead)
+}
--- a/internal/edge/dial/conn.go
+++ b/internal/edge/dial/conn.go
@@ -22,8 +22,8 @@
 
 var idSeed = maphash.MakeSeed()
 
-// conn is a connection that remembers the IDs of the requests that it has carried, and on which
-// an answer that is cut off doesn't look complete.
+// conn is a connection that remembers the IDs of the requests that it has carried, and that tells
+// broken answers.
 type conn struct {
 	net.Conn
 	writes writeState
@@ -33,6 +33,7 @@
 	next    int           // index of the oldest ID once rememberedIDs are kept
 	last    chan struct{} // closed when the sender of the last request has its answer
 	refused bool
+	head    headChecker // of the answer that is due
 }
 
 // acquire prepares the connection for a request with the ID. The sender closes the returned
@@ -89,15 +90,28 @@
 	return n, err
 }
 
-// Read returns io.EOF only if the peer has ended its direction of the connection.
+// Read returns io.EOF only if the peer has ended its direction of the connection, and an error
+// that wraps ErrMalformedHead instead of bytes of such a head.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err == io.EOF {
 		err = c.writes.endOfRead(c.Conn)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if headErr := c.head.check(b[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
+// expectAnswer prepares the connection for the answer to a request that is sent next.
+func (c *conn) expectAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headChecker{}
+}
+
 // SendOnce sends a request over a connection that has not carried its ID before, so that a
 // second copy of an answer to an earlier request with the ID can't be taken for the answer.
 // Kept connections that have carried the ID are closed without anything being sent on them.
--- a/internal/edge/dial/dial.go
+++ b/internal/edge/dial/dial.go
@@ -8,6 +8,9 @@
 // cut off, although the kernel may tell that only to a write of the request. A read then
 // returns the error of that write.
 //
+// A line of a head that is no field may hide one that says where the body ends. Such an answer
+// fails with [ErrMalformedHead].
+//
 // A faulty server may send a second copy of an answer, late, where the next answer on the
 // connection is due. The ID of its request tells the copy apart, unless the next request
 // has the same ID. [SendOnce] never sends an ID twice over one connection.
@@ -22,6 +25,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"syscall"
 	"time"
 
@@ -53,8 +57,9 @@
 // are broken; see [Checked].
 func Dialer() Func { return Checked(Unwrapped()) }
 
-// Checked returns a dial function whose connections remember the IDs of requests, and on which
-// an answer that is cut off doesn't look complete.
+// Checked returns a dial function whose connections remember the IDs of requests, and tell
+// answers that are cut off or whose head is malformed. They belong to a [Transport], or carry
+// one request each.
 func Checked(dial Func) Func {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
@@ -83,11 +88,26 @@
 	return d.DialContext
 }
 
+// Transport is an HTTP transport that tells its connections, which are those of [Checked], when
+// an answer is due.
+type Transport struct{ *http.Transport }
+
+// RoundTrip implements [http.RoundTripper].
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				c.expectAnswer()
+			}
+		},
+	})))
+}
+
 // NewTransport returns the HTTP transport that all clients use. It retains up to
 // idlePerHost idle connections to each address and opens at most maxPerHost; 0 means no
 // limit.
-func NewTransport(idlePerHost, maxPerHost int) *http.Transport {
-	return &http.Transport{
+func NewTransport(idlePerHost, maxPerHost int) *Transport {
+	return &Transport{&http.Transport{
 		DialContext:           Dialer(),
 		DisableCompression:    true,
 		MaxIdleConns:          0,
@@ -99,5 +119,5 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ReadBufferSize:         2 << 10,
 		WriteBufferSize:        2 << 10,
-	}
+	}}
 }
--- a/internal/edge/plat/engine.go
+++ b/internal/edge/plat/engine.go
@@ -64,6 +64,7 @@
 	ErrNotSent          = errors.New("no connection to the server; try another one")
 	ErrResponseMismatch = errors.New("the answer belongs to another request; the connection is dropped")
 	ErrInvalidStatus    = errors.New("the status is none of a final HTTP answer; the connection is dropped")
+	ErrMalformedHead    = errors.New("the head of the answer is malformed; the connection is dropped")
 )
 
 // Sender sends requests to backend servers.
--- a/internal/node/front/crash_test.go
+++ b/internal/node/front/crash_test.go
@@ -63,6 +63,7 @@
 		"large body, whole":                       {kind: router.NonIdempotent, replies: []scriptedReply{okReply(large)}, answers: 1},
 		"large body, client is lost":              {kind: router.NonIdempotent, replies: []scriptedReply{okReply(large)}, clientLost: true},
 		"invalid status":                          {kind: router.NonIdempotent, replies: []scriptedReply{{err: plat.ErrInvalidStatus}}},
+		"malformed head":                          {kind: router.NonIdempotent, replies: []scriptedReply{{err: plat.ErrMalformedHead}}},
 		"refused":                                 {kind: router.NonIdempotent, replies: []scriptedReply{refused, refused, refused}},
 		"refused, then whole":                     {kind: router.NonIdempotent, replies: []scriptedReply{refused, okReply("x")}, answers: 1},
 		"failed":                                  {kind: router.NonIdempotent, replies: []scriptedReply{serverError}},
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -335,7 +335,7 @@
 // whether its server disconnected (rule 5). A server that answers, if not as it should, has not.
 func (c *requestState) handleSendError(ctx context.Context, a *attempt) {
 	a.notExecuted = errors.Is(a.err, plat.ErrNotSent)
-	answered := errors.Is(a.err, plat.ErrResponseMismatch) || errors.Is(a.err, plat.ErrInvalidStatus)
+	answered := errors.Is(a.err, plat.ErrResponseMismatch) || errors.Is(a.err, plat.ErrInvalidStatus) || errors.Is(a.err, plat.ErrMalformedHead)
 	if !a.notExecuted && !answered {
 		c.recordBreak(ctx, a.server)
 	}
