platform: a test of texts and scores with a status that HTTP doesn't have

Items and scoring calls go through the same BackendClient.Send; so far that was read, not run. The test runs them with 000, 007, 099, 600 and 999.

--- a/internal/proof/invar/invar.go
+++ b/internal/proof/invar/invar.go
@@ -151,6 +151,7 @@
 			"platform TestBytesWithoutEnd",
 			"platform TestEarlyAnswers",
 			"platform TestInvalidStatus",
+			"platform TestInvalidStatusOfText",
 			"platform TestMalformedHead",
 			"platform TestMalformedHeadOfCalls",
 			"platform TestMalformedHeadOfText",
