--- a/internal/edge/client/plain_test.go
+++ b/internal/edge/client/plain_test.go
@@ -39,19 +39,26 @@
 	c.Assert(fault.Is(err, fault.NoBackend), qt.IsTrue)
 }
 
-// TestPlainResetDuringUpload guards against the first part of an answer that counts as the whole:
-// a service answers before it has read a long body, and its connection is reset meanwhile.
-func TestPlainResetDuringUpload(t *testing.T) {
-	c := qt.New(t)
+// acceptOne serves one connection and returns the URL of the server.
+func acceptOne(c *qt.C, serve func(conn net.Conn)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	defer ln.Close()
+	c.Cleanup(func() { ln.Close() })
 	go func() {
 		conn, err := ln.Accept()
-		if err != nil {
-			return
+		if err == nil {
+			serve(conn)
+			conn.Close()
 		}
-		defer conn.Close()
+	}()
+	return "http://" + ln.Addr().String()
+}
+
+// TestPlainResetDuringUpload guards against the first part of an answer that counts as the whole:
+// a service answers before it has read a long body, and its connection is reset meanwhile.
+func TestPlainResetDuringUpload(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlain(acceptOne(c, func(conn net.Conn) {
 		if _, err := io.ReadFull(conn, make([]byte, 64<<10)); err != nil {
 			return
 		}
@@ -60,31 +67,23 @@
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
-	}()
-	b, err := NewPlain("http://"+ln.Addr().String()).Do(context.Background(), plat.ServiceCall{Body: make([]byte, 32<<20)})
+	}))
+	b, err := p.Do(context.Background(), plat.ServiceCall{Body: make([]byte, 32<<20)})
 	c.Check(err, qt.IsNotNil, qt.Commentf("%q", b))
 }
 
-// TestPlainMalformedHead guards against an answer of which a line of the head, which is no field,
-// hides the length.
+// TestPlainMalformedHead guards against an answer of which a malformed line of the head hides the
+// length.
 func TestPlainMalformedHead(t *testing.T) {
 	c := qt.New(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer ln.Close()
-	go func() {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
+	p := NewPlain(acceptOne(c, func(conn net.Conn) {
 		req, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length : 100\r\n\r\npart")
-	}()
-	_, err = NewPlain("http://"+ln.Addr().String()).Do(context.Background(), plat.ServiceCall{Body: []byte("x")})
+	}))
+	_, err := p.Do(context.Background(), plat.ServiceCall{Body: []byte("x")})
 	c.Check(err, qt.ErrorIs, dial.ErrMalformedHead)
 }
--- a/internal/edge/dial/conn.go
+++ b/internal/edge/dial/conn.go
@@ -22,7 +22,7 @@
 
 var idSeed = maphash.MakeSeed()
 
-// conn is a connection that remembers the IDs of the requests that it has carried, and that tells
+// conn is a connection that remembers the IDs of the requests that it has carried, and detects
 // broken answers.
 type conn struct {
 	net.Conn
@@ -90,8 +90,8 @@
 	return n, err
 }
 
-// Read returns io.EOF only if the peer has ended its direction of the connection, and an error
-// that wraps ErrMalformedHead instead of bytes of such a head.
+// Read returns io.EOF only if the peer has ended its direction of the connection. If the head of
+// an answer is malformed, the error wraps ErrMalformedHead.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err == io.EOF {
@@ -109,7 +109,7 @@
 func (c *conn) expectAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = headChecker{}
+	c.head.expect()
 }
 
 // SendOnce sends a request over a connection that has not carried its ID before, so that a
--- a/internal/edge/dial/dial.go
+++ b/internal/edge/dial/dial.go
@@ -1,15 +1,15 @@
-// Package dial creates TCP connections that detect an unreachable peer and answers that are
-// broken, and sends requests over connections that have not carried them before.
+// Package dial creates TCP connections that detect an unreachable peer and broken answers, and
+// sends requests over connections that have not carried them before.
 //
 // A network fault can stop a connection's packets without a reset. Only timeouts on this
 // side detect that.
 //
 // An answer without a length ends with its connection. If the connection is reset, the answer is
-// cut off, although the kernel may tell that only to a write of the request. A read then
+// truncated, but the kernel may report the reset only to a write of the request. A read then
 // returns the error of that write.
 //
-// A line of a head that is no field may hide one that says where the body ends. Such an answer
-// fails with [ErrMalformedHead].
+// A malformed line in the head of an answer may hide the length of the body. Such an answer fails
+// with [ErrMalformedHead].
 //
 // A faulty server may send a second copy of an answer, late, where the next answer on the
 // connection is due. The ID of its request tells the copy apart, unless the next request
@@ -53,13 +53,13 @@
 // Func opens a connection.
 type Func func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Dialer returns a dial function whose connections detect an unreachable peer, and answers that
-// are broken; see [Checked].
+// Dialer returns a dial function whose connections detect an unreachable peer and broken answers;
+// see [Checked].
 func Dialer() Func { return Checked(Unwrapped()) }
 
-// Checked returns a dial function whose connections remember the IDs of requests, and tell
-// answers that are cut off or whose head is malformed. They belong to a [Transport], or carry
-// one request each.
+// Checked returns a dial function whose connections remember the IDs of requests, and detect
+// answers that are truncated or have a malformed head. A connection that carries several
+// requests must belong to a [Transport].
 func Checked(dial Func) Func {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
@@ -88,8 +88,8 @@
 	return d.DialContext
 }
 
-// Transport is an HTTP transport that tells its connections, which are those of [Checked], when
-// an answer is due.
+// Transport is an HTTP transport whose connections, which are those of [Checked], know when the
+// head of an answer is due.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements [http.RoundTripper].
--- a/internal/edge/dial/end.go
+++ b/internal/edge/dial/end.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// writeState is what the writes to a connection tell about its end.
+// writeState is what the writes to a connection reveal about its end.
 //
 // The kernel reports the error that ends a connection (a reset, a timeout) once, to the read or
 // the write that comes first. If that is a write, later reads return the bytes that arrived before
--- a/internal/edge/dial/head.go
+++ b/internal/edge/dial/head.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
+	"strings"
 
 	"github.com/pkg/errors"
 )
 
-// ErrMalformedHead is the error of an answer whose head has a line that is no field. It wraps
-// what is wrong.
+// ErrMalformedHead is wrapped by the error of an answer whose head has a line that isn't a header
+// field.
 var ErrMalformedHead = errors.New("malformed head of an answer")
 
 // maxStatusLineBytes bounds how much of a status line is kept to recognize an interim answer.
@@ -24,17 +25,20 @@
 	afterHead
 )
 
-// headChecker checks the names of the fields in the head of an answer and of the interim answers
-// before it, as their bytes arrive (RFC 9112, section 5). net/http refuses most names that are
-// no tokens. But it passes on those with blanks, and it takes a line that begins with a blank
-// for a part of the line before. Such a line can hide a field that says where the body ends.
+// headChecker checks the names of the header fields of an answer, and of the interim answers before
+// it, as their bytes arrive (RFC 9112, section 5). net/http rejects most names that aren't tokens.
+// But it keeps names with spaces, and appends a line that begins with whitespace to the value
+// of the field before. Both can hide a field that says where the body ends.
 //
-// A head that doesn't begin like one is left to net/http.
+// Bytes that don't begin like an HTTP answer are left to net/http.
 type headChecker struct {
 	part   headPart
 	status []byte // start of the status line
 }
 
+// expect prepares for the next head.
+func (h *headChecker) expect() { h.part, h.status = inStatusLine, h.status[:0] }
+
 // check checks the next bytes of an answer. An error wraps ErrMalformedHead.
 func (h *headChecker) check(b []byte) error {
 	for len(b) > 0 && h.part != afterHead {
@@ -52,12 +56,12 @@
 		case atLineStart:
 			switch b[0] {
 			case '\r':
-				b = b[1:] // Before the end of the head. In any other place net/http refuses it.
+				b = b[1:] // Part of the line break that ends the head; net/http rejects any other.
 			case '\n':
 				b = b[1:]
 				h.endHead()
 			case ':':
-				return errors.WithMessage(ErrMalformedHead, "a field without a name")
+				return errors.WithMessage(ErrMalformedHead, "empty field name")
 			default:
 				h.part = inName
 			}
@@ -67,7 +71,7 @@
 				return nil
 			}
 			if b[n] != ':' {
-				return errors.WithMessagef(ErrMalformedHead, "byte %#02x in the name of a field", b[n])
+				return errors.WithMessagef(ErrMalformedHead, "byte %#02x in a field name", b[n])
 			}
 			h.part, b = inValue, b[n+1:]
 		case inValue:
@@ -85,9 +89,8 @@
 func (h *headChecker) endHead() {
 	h.part = afterHead
 	if isInterim(h.status) {
-		h.part = inStatusLine
+		h.expect()
 	}
-	h.status = h.status[:0]
 }
 
 // isInterim reports whether a status line is that of an interim answer. After status 101 the
@@ -98,11 +101,11 @@
 	return len(status) > 0 && len(status[0]) == 3 && status[0][0] == '1' && string(status[0]) != "101"
 }
 
-// isTokenChar reports whether a byte may stand in the name of a field (RFC 9110, section 5.6.2).
+// isTokenChar reports whether a character may occur in a field name (RFC 9110, section 5.6.2).
 func isTokenChar(r rune) bool {
 	switch {
 	case '0' <= r && r <= '9', 'a' <= r && r <= 'z', 'A' <= r && r <= 'Z':
 		return true
 	}
-	return r < 0x80 && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), byte(r)) >= 0
+	return strings.ContainsRune("!#$%&'*+-.^_`|~", r)
 }
