--- a/review/stand3/main_test.go
+++ b/review/stand3/main_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -95,6 +96,7 @@
 		}
 	}()
 	s.logf("trouble: %v", s.trouble)
+	go s.abort()
 	run(s)
 	s.mu.Lock()
 	n := len(s.broken)
@@ -106,6 +108,24 @@
 	return 0
 }
 
+// playLimit is the time after which a play ends without a verdict.
+const playLimit = 115 * time.Second
+
+// abort ends the play without a verdict when it is told to stop or takes too long.
+func (s *stage) abort() {
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case got := <-sig:
+		s.logf("the case could not run: %v", got)
+	case <-time.After(playLimit):
+		s.logf("the case could not run: it took longer than %v", playLimit)
+	}
+	s.stopAll()
+	_ = os.RemoveAll(s.tmp)
+	os.Exit(2)
+}
+
 func (s *stage) logf(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,7 +175,6 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	done    chan struct{}
-	starts  int
 	ended   int // ends that nobody asked for, including kills for memory
 	peakMB  int
 	stopped bool
@@ -169,10 +188,10 @@
 	}
 	p := &proc{stage: s, name: settings.Node, role: role, settings: settings, file: filepath.Join(s.tmp, settings.Node+".toml")}
 	s.must(os.WriteFile(p.file, []byte(settings.TOML()), 0o600))
-	p.spawn()
 	s.mu.Lock()
 	s.procs = append(s.procs, p)
 	s.mu.Unlock()
+	p.spawn()
 	go p.supervise()
 	return p
 }
@@ -183,6 +202,13 @@
 	cmd := exec.Command("target/jujuberamp", "site", p.role)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.tmp, platform.SettingsVar + "=" + p.file}
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		out.Close()
+		return
+	}
 	p.must(cmd.Start())
 	done := make(chan struct{})
 	go func() {
@@ -190,10 +216,7 @@
 		out.Close()
 		close(done)
 	}()
-	p.mu.Lock()
 	p.cmd, p.done = cmd, done
-	p.starts++
-	p.mu.Unlock()
 	p.logf("%s (%s, process %d) started", p.name, p.role, cmd.Process.Pid)
 }
 
@@ -258,10 +281,11 @@
 	for _, p := range procs {
 		p.mu.Lock()
 		p.stopped = true
-		cmd, done := p.cmd, p.done
 		p.mu.Unlock()
-		_ = cmd.Process.Signal(syscall.SIGKILL)
-		<-done
+	}
+	for _, p := range procs {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		<-p.done
 	}
 	for _, srv := range s.servers {
 		srv.Close()
