--- a/review/stand3/flood_test.go
+++ b/review/stand3/flood_test.go
@@ -16,6 +16,13 @@
 
 func init() { cases["flood"] = flood }
 
+// smallConfig has the limits on bodies of the site file: 32 MB.
+const smallConfig = `{"version":3,"routes":[
+	{"name":"plain","host":"s.example","path_prefix":"/plain/","type":"idempotent","timeout_ms":5000,"slo_ms":200,"service":"app","max_attempts":3},
+	{"name":"jobs","host":"s.example","path_prefix":"/jobs/","type":"rollout","timeout_ms":10000,"slo_ms":400,"due_ms":7500,"retention_s":40,"service":"models","max_attempts":3}],
+	"services":[{"name":"app","max_conns":110},{"name":"models","max_conns":150,"backend":{"slots":8,"stride":1,"loaded_models":[{"name":"m"}]}}],
+	"limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
 // flooding is an engine whose answers to items don't end while it is in trouble: it sends
 // events until the caller closes, as fast as they are taken.
 type flooding struct {
