Judge what engines send for an item, and end the answer instead of the item

Small events without end held an item until its job's time was over; 100 events of an item that may have 20 tokens, then a reset, stood in a result that was done.

Cause: nothing compared what an engine sent with what the item may have. The claim's guess, the size of a record of the store, is the bound on which the first form ends; raising it would leave the two others. That bound decided about the item and not about the answer.

Change: decide/output judges an output by the parts that runs have added. An event has at least one token, so an item has no more events than tokens; the tokens in an event that the operator states make a closer bound, which three longer answers refute. All from the first event of the engine at fault on is dropped, runs that go on behind it end, and the item starts again at an engine that gave it no faulty answer. Malformed or misnumbered events are a faulty answer too. Worker.judge is the one place for frames of first runs, moves and resumed runs, and for checkpoints of earlier owners; what the store refuses as too large takes the same way. A checkpoint without events drops the ones before it, so that no later owner goes on from a faulty answer. An item is given up only when its job's time is over, and then tells the last reason.

Tests that asked for the fault: TestOutputAboveARecord asked that an item whose output no record takes is dead soon. RULES.md allows that no earlier than retention_s. It now asks that the item is not listed before its job's time is over, is listed with a reason then, has a bounded number of runs, and holds up no other item. TestRun expects the code "faulty" where events are misnumbered, TestReadEvents tells malformed from truncated, and Avoid of sched is a set.

--- a/internal/decide/joblog/joblog.go
+++ b/internal/decide/joblog/joblog.go
@@ -13,7 +13,7 @@
 //     still leaves one result for each item.
 //  5. The partial output of an item may be stored as a checkpoint, from which a
 //     later owner resumes. Each checkpoint holds the output from the start, and
-//     the one with the most events counts.
+//     the one with the most events counts. One without events drops those before it.
 //  6. A node is alive while its heartbeat records arrive. The first heartbeat of
 //     a new incarnation replaces the earlier incarnation. Heartbeats are in a topic
 //     of their own, see [Index.ApplyHeartbeat]. A node that owns open jobs sends them
@@ -27,6 +27,7 @@
 package joblog
 
 import (
+	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -57,10 +58,17 @@
 	Header      http.Header
 	Body        []byte
 	TokenBudget int // tokens of the prompt plus the maximum to generate
-	LengthHint  int // the client's estimate of the tokens to generate, 0 for none
-	Scorer      *Scorer
+	// OutputBudget is the maximum to generate alone, 0 if the client states no more than
+	// TokenBudget.
+	OutputBudget int
+	LengthHint   int // the client's estimate of the tokens to generate, 0 for none
+	Scorer       *Scorer
 }
 
+// MaxOutputTokens returns the most tokens that the output of the item may have, 0 if
+// nothing is known of that.
+func (it *Item) MaxOutputTokens() int { return cmp.Or(it.OutputBudget, it.TokenBudget) }
+
 // Spec is a job as a client submits it.
 type Spec struct {
 	ID         string          // see JobID
@@ -119,7 +127,7 @@
 type Checkpoint struct {
 	JobID    string
 	Item     int
-	Events   int      // number of events in the output
+	Events   int      // number of events in the output; 0 drops the checkpoints before (rule 5)
 	Software string   // version of the software of the engines that made them
 	OutputAt Location // of the stored record
 	Size     int      // of the stored record in bytes
@@ -333,10 +341,17 @@
 }
 
 // applyCheckpoint stores the checkpoint of an item if it has more events than the
-// stored one (rule 5).
+// stored one, or drops the stored one (rule 5).
 func (x *Index) applyCheckpoint(r Checkpoint) {
 	j := x.jobs[r.JobID]
-	if j == nil || !j.IsOpen() || r.Item < 0 || r.Item >= len(j.ItemIDs) || r.Events <= j.checkpoints[r.Item].Events {
+	if j == nil || !j.IsOpen() || r.Item < 0 || r.Item >= len(j.ItemIDs) {
+		return
+	}
+	if r.Events == 0 {
+		delete(j.checkpoints, r.Item)
+		return
+	}
+	if r.Events <= j.checkpoints[r.Item].Events {
 		return
 	}
 	if j.checkpoints == nil {
--- a/internal/decide/joblog/joblog_test.go
+++ b/internal/decide/joblog/joblog_test.go
@@ -247,6 +247,9 @@
 	}{
 		"none":                                {[]Record{twoItems}, 0},
 		"longest checkpoint counts":           {[]Record{twoItems, Checkpoint{JobID: "j", Events: 40}, Checkpoint{JobID: "j", Events: 90}, Checkpoint{JobID: "j", Events: 60}}, 90},
+		"dropped":                             {[]Record{twoItems, Checkpoint{JobID: "j", Events: 40}, Checkpoint{JobID: "j"}}, 0},
+		"shorter one after a dropped one":     {[]Record{twoItems, Checkpoint{JobID: "j", Events: 90}, Checkpoint{JobID: "j"}, Checkpoint{JobID: "j", Events: 40}}, 40},
+		"one of another item is dropped":      {[]Record{twoItems, Checkpoint{JobID: "j", Events: 40}, Checkpoint{JobID: "j", Item: 1}}, 40},
 		"checkpoint of another item":          {[]Record{twoItems, Checkpoint{JobID: "j", Item: 1, Events: 40}}, 0},
 		"item out of range or unknown job":    {[]Record{twoItems, Checkpoint{JobID: "j", Item: 2, Events: 40}, Checkpoint{JobID: "k", Events: 40}}, 0},
 		"result after the checkpoint":         {[]Record{twoItems, Checkpoint{JobID: "j", Events: 40}, Done{JobID: "j"}}, 0},
--- a/internal/decide/sched/move.go
+++ b/internal/decide/sched/move.go
@@ -4,6 +4,7 @@
 	"cmp"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/sets"
 )
 
 // MoveReason says why an item should leave its engine.
@@ -53,7 +54,7 @@
 	if !isLast && (m.Reason != SlowEngine || item.endsEarly(now+left)) {
 		return Move{}, false
 	}
-	item.Software, item.Avoid = from.Software, from.ID
+	item.Software, item.Avoid = from.Software, sets.Of(append(item.Avoid.Sorted(), from.ID)...)
 	m.To = p.best(item, true)
 	if m.To == nil || m.To == from || m.To.SlowNow || p.IsSlow(m.To) {
 		return Move{}, false
--- a/internal/decide/sched/sched.go
+++ b/internal/decide/sched/sched.go
@@ -32,8 +32,9 @@
 //     starts over as soon as any engine is free.
 //  8. No item migrates to an engine that limits the rate of requests: the request is
 //     better spent on an item that waits.
-//  9. An item avoids the engine that interrupted it while another engine suits the item:
-//     it answers, has the item's software, and is fast enough for what is left or may be.
+//  9. An item avoids the engines that interrupted it or gave it a faulty answer while
+//     another engine suits the item: it answers, has the item's software, and is fast
+//     enough for what is left or may be.
 //  10. An engine without a measurement of the moment is expected to be as fast as usual.
 //     Engines of one service may differ by a multiple, and between two training steps
 //     most of them are idle.
@@ -57,6 +58,7 @@
 	"slices"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
+	"github.com/jujuberamp/jujuberamp/internal/base/sets"
 )
 
 const (
@@ -130,19 +132,19 @@
 
 // Item is an item that needs an engine.
 type Item struct {
-	JobIndex       int          // index of its job in the caller's list
-	AcceptedAt     clock.Millis // when its job was accepted
-	DueAfter       clock.Millis // time from then until the results are due
-	Index          int          // in its job
-	ExpectedEvents int          // estimated number of events in total, 0 if not known
-	Received       int          // number of events received so far
-	PromptKB       float64      // size of what an engine has to be sent, in 1,024 bytes
-	Software       string       // that made these events
-	WaitingFor     clock.Millis // time since the last attempt with events ended, or the item was loaded
-	Stalled        bool         // it runs, and its engine generates no event of it
-	Ahead          int          // items that wait for engines of the pool and come before it
-	PendingFor     clock.Millis // time since it could have started
-	Avoid          string       // ID of the engine that interrupted it a short time ago, empty for none (rule 9)
+	JobIndex       int              // index of its job in the caller's list
+	AcceptedAt     clock.Millis     // when its job was accepted
+	DueAfter       clock.Millis     // time from then until the results are due
+	Index          int              // in its job
+	ExpectedEvents int              // estimated number of events in total, 0 if not known
+	Received       int              // number of events received so far
+	PromptKB       float64          // size of what an engine has to be sent, in 1,024 bytes
+	Software       string           // that made these events
+	WaitingFor     clock.Millis     // time since the last attempt with events ended, or the item was loaded
+	Stalled        bool             // it runs, and its engine generates no event of it
+	Ahead          int              // items that wait for engines of the pool and come before it
+	PendingFor     clock.Millis     // time since it could have started
+	Avoid          sets.Set[string] // IDs of the engines that failed it a short time ago (rule 9)
 }
 
 // runsOn reports whether an item can go on, or start, at an engine (rule 7).
--- a/internal/decide/sched/view.go
+++ b/internal/decide/sched/view.go
@@ -37,7 +37,7 @@
 	remaining float64
 	anyFast   bool // whether an engine on which the item can run, free or not, is not slow
 	fastest   speedClass
-	avoids    bool // whether the item avoids the engine that interrupted it
+	avoids    bool // whether the item avoids the engines that failed it
 }
 
 // View returns the pool as an item sees it.
@@ -47,8 +47,8 @@
 		v.fastest = p.fastestClass(item.runsOn)
 		v.anyFast = slices.ContainsFunc(p.engines, func(e *Engine) bool { return item.runsOn(e) && p.isFast(e) })
 	}
-	v.avoids = item.Avoid != "" && slices.ContainsFunc(p.engines, func(e *Engine) bool { // rule 9
-		return e.ID != item.Avoid && !e.Silent && item.runsOn(e) && (e.Outdated || !v.isTooSlow(e))
+	v.avoids = len(item.Avoid) > 0 && slices.ContainsFunc(p.engines, func(e *Engine) bool { // rule 9
+		return !item.Avoid.Has(e.ID) && !e.Silent && item.runsOn(e) && (e.Outdated || !v.isTooSlow(e))
 	})
 	return v
 }
@@ -86,7 +86,7 @@
 	switch {
 	case !v.item.runsOn(e):
 		return OtherSoftware
-	case v.avoids && e.ID == v.item.Avoid:
+	case v.avoids && v.item.Avoid.Has(e.ID):
 		return Avoided
 	case v.isTooSlow(e):
 		return TooSlow
--- a/internal/edge/plat/engine.go
+++ b/internal/edge/plat/engine.go
@@ -65,6 +65,7 @@
 	ErrResponseMismatch = errors.New("the answer belongs to another request; the connection is dropped")
 	ErrInvalidStatus    = errors.New("the status is none of a final HTTP answer; the connection is dropped")
 	ErrMalformedHead    = errors.New("the head of the answer is malformed; the connection is dropped")
+	ErrMalformedEvent   = errors.New("bytes of the stream are no event; the connection is dropped")
 )
 
 // Sender sends requests to backend servers.
@@ -85,8 +86,8 @@
 
 // EventReader reads the events of a response in order.
 type EventReader interface {
-	// Next returns io.EOF at the end of a complete stream. Any other error means
-	// that the stream is truncated.
+	// Next returns io.EOF at the end of a complete stream, and [ErrMalformedEvent] for
+	// bytes that are no event. Any other error means that the stream is truncated.
 	Next() (Event, error)
 }
 
--- a/internal/inner/index/index.go
+++ b/internal/inner/index/index.go
@@ -167,14 +167,15 @@
 
 // item is the JSON form of a [joblog.Item].
 type item struct {
-	ID          string      `json:"id"`
-	Group       string      `json:"group,omitempty"`
-	Path        string      `json:"path"`
-	Header      http.Header `json:"header,omitempty"`
-	Body        []byte      `json:"body,omitempty"`
-	TokenBudget int         `json:"tokens,omitempty"`
-	LengthHint  int         `json:"hint,omitempty"`
-	Scorer      *scorer     `json:"scorer,omitempty"`
+	ID           string      `json:"id"`
+	Group        string      `json:"group,omitempty"`
+	Path         string      `json:"path"`
+	Header       http.Header `json:"header,omitempty"`
+	Body         []byte      `json:"body,omitempty"`
+	TokenBudget  int         `json:"tokens,omitempty"`
+	OutputBudget int         `json:"output-tokens,omitempty"`
+	LengthHint   int         `json:"hint,omitempty"`
+	Scorer       *scorer     `json:"scorer,omitempty"`
 }
 
 // scorer is the JSON form of a [joblog.Scorer].
@@ -189,7 +190,7 @@
 func EncodeItem(it *joblog.Item) ([]byte, error) {
 	w := item{
 		ID: it.ID, Group: it.Group, Path: it.Path, Header: it.Header, Body: it.Body,
-		TokenBudget: it.TokenBudget, LengthHint: it.LengthHint,
+		TokenBudget: it.TokenBudget, OutputBudget: it.OutputBudget, LengthHint: it.LengthHint,
 	}
 	if s := it.Scorer; s != nil {
 		w.Scorer = &scorer{s.ID, s.Host, s.Path, s.Body}
@@ -206,7 +207,7 @@
 	}
 	out := joblog.Item{
 		ID: w.ID, Group: w.Group, Path: w.Path, Header: w.Header, Body: w.Body,
-		TokenBudget: w.TokenBudget, LengthHint: w.LengthHint,
+		TokenBudget: w.TokenBudget, OutputBudget: w.OutputBudget, LengthHint: w.LengthHint,
 	}
 	if s := w.Scorer; s != nil {
 		out.Scorer = &joblog.Scorer{ID: s.ID, Host: s.Host, Path: s.Path, Body: s.Body}
--- a/internal/inner/index/index_test.go
+++ b/internal/inner/index/index_test.go
@@ -1,6 +1,7 @@
 package index
 
 import (
+	"net/http"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -33,3 +34,18 @@
 		})
 	}
 }
+
+// TestItem guards against a limit of an item's output that a later owner of its job does
+// not know.
+func TestItem(t *testing.T) {
+	c := qt.New(t)
+	it := joblog.Item{
+		ID: "i", Group: "g", Path: "/p", Header: http.Header{"A": {"b"}}, Body: []byte("x"), TokenBudget: 940, OutputBudget: 400, LengthHint: 120,
+		Scorer: &joblog.Scorer{ID: "s", Host: "h", Path: "/q", Body: []byte("y")},
+	}
+	b, err := EncodeItem(&it)
+	c.Assert(err, qt.IsNil)
+	got, err := DecodeItem(b)
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.DeepEquals, it)
+}
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -108,6 +108,7 @@
 	Unproven      Code = "unproven" // the job may have ended; not executed
 	Done          Code = "done"     // the output is complete
 	Broken        Code = "broken"   // the output is truncated: a disconnect or timeout of the engine
+	Faulty        Code = "faulty"   // the engine's answer contains what is no event of the item
 	MixedVersions Code = "mixed"    // the version changed, but a single version is required
 	Failed        Code = "failed"   // the engine answered with status 500
 	Rejected      Code = "rejected" // the engine can never execute the item
--- a/internal/node/jobs/operations.go
+++ b/internal/node/jobs/operations.go
@@ -400,6 +400,12 @@
 	return s.appendRecord(ctx, cp)
 }
 
+// DropCheckpoint records that the checkpoints of an item so far contain a faulty answer,
+// so that no later owner of the job goes on from them.
+func (s *Service) DropCheckpoint(ctx context.Context, job string, item int) error {
+	return s.appendRecord(ctx, joblog.Checkpoint{JobID: job, Item: item})
+}
+
 // LoadCheckpoint reads a checkpoint.
 func (s *Service) LoadCheckpoint(ctx context.Context, cp joblog.Checkpoint) ([]runs.Event, error) {
 	page, err := s.Store.Read(ctx, index.BulkTopic, cp.OutputAt.Partition, cp.OutputAt.Offset, cp.Size>>10+1, 0)
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -322,6 +322,9 @@
 		if err == io.EOF {
 			return runs.Done, ""
 		}
+		if errors.Is(err, plat.ErrMalformedEvent) {
+			return runs.Faulty, err.Error()
+		}
 		if err != nil {
 			return runs.Broken, err.Error()
 		}
@@ -419,7 +422,7 @@
 // acceptEvent checks an event's number and version against the run and records them.
 func (x *run) acceptEvent(ev plat.Event) (runs.Code, string) {
 	if ev.ID != x.lastEvent+1 {
-		return runs.Broken, errors.Errorf("event %d after %d", ev.ID, x.lastEvent).Error()
+		return runs.Faulty, errors.Errorf("event %d after %d", ev.ID, x.lastEvent).Error()
 	}
 	if ev.Version > 0 {
 		if x.OneModel && x.version > 0 && ev.Version != x.version {
--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/option"
@@ -170,7 +171,7 @@
 	view := p.pool.View(it)
 	engines, unknown := view.Count()
 	w.Log.Info().Str("job", j.id).Str("item", j.items[it.Index].ID).Int64("waited-ms", int64(now-since)).Int("waiting", len(p.waiting)).
-		Interface("engines", engines).Int("unknown", unknown).Str("avoids", it.Avoid).Int("events", it.Received).Str("software", it.Software).
+		Interface("engines", engines).Int("unknown", unknown).Str("avoids", strings.Join(it.Avoid.Sorted(), ", ")).Int("events", it.Received).Str("software", it.Software).
 		Msg("work: item waits for an engine")
 }
 
@@ -206,6 +207,7 @@
 		return nil
 	}
 	models, tokensPerEvent := w.serviceOf(service)
+	j.tokensPerEvent = tokensPerEvent
 	p := &jobPlan{job: j, route: r, tokensPerEvent: tokensPerEvent}
 	engines := view.ByService(service)
 	if w.shares[service] == nil {
@@ -278,11 +280,11 @@
 		}
 		item := sched.Item{
 			AcceptedAt: j.acceptedAt, DueAfter: p.route.DueAfter, ExpectedEvents: j.items[i].LengthHint / p.tokensPerEvent, Received: st.eventCount(),
-			Stalled: st.current.stalled,
+			Stalled: st.current.stalled, Avoid: st.avoided(now),
 		}
 		m, ok := p.pool.Move(now, current, item, longest)
 		to := m.To
-		if !ok || p.isWantedByWaiting(to) {
+		if !ok || item.Avoid.Has(to.ID) || p.isWantedByWaiting(to) {
 			continue
 		}
 		if !to.Fresh {
--- a/internal/node/work/checkpoint.go
+++ b/internal/node/work/checkpoint.go
@@ -24,11 +24,12 @@
 
 // checkpoint is the partial output of an item.
 type checkpoint struct {
-	job      *job
-	item     int
-	events   []runs.Event
-	software string // version of the software that made them
-	previous int    // number of events in the checkpoint before
+	job        *job
+	item       int
+	events     []runs.Event
+	software   string // version of the software that made them
+	previous   int    // number of events in the checkpoint before
+	generation int    // see itemState
 }
 
 // dueCheckpoints returns checkpoints of the items in the given phases that have at
@@ -44,7 +45,7 @@
 			if !slices.Contains(phases, st.phase) || st.eventCount()-st.checkpointed < minEvents {
 				continue
 			}
-			cp := checkpoint{j, i, st.events(), st.outputSoftware(), st.checkpointed}
+			cp := checkpoint{j, i, st.events(), st.outputSoftware(), st.checkpointed, st.generation}
 			st.checkpointed = len(cp.events)
 			out = append(out, cp)
 		}
@@ -77,13 +78,18 @@
 	ctx, cancel := context.WithTimeout(ctx, jobs.FailureTimeout.Duration())
 	defer cancel()
 	err := w.Jobs.SaveCheckpoint(ctx, cp.job.id, cp.item, cp.events, cp.software)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	st := &cp.job.states[cp.item]
+	if st.generation != cp.generation { // It may be stored behind the record that drops it.
+		go w.dropCheckpoint(cp.job, cp.item)
+		return
+	}
 	if err == nil {
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	var large *logs.TooLargeError // It grows further, so the next pass can't store it either.
-	if st := &cp.job.states[cp.item]; st.checkpointed == len(cp.events) && !errors.As(err, &large) {
+	if st.checkpointed == len(cp.events) && !errors.As(err, &large) {
 		st.checkpointed = cp.previous // The next pass stores it again.
 	}
 	if cp.job.ctx.Err() == nil {
@@ -91,6 +97,14 @@
 	}
 }
 
+// dropCheckpoint records that the checkpoints of an item are of no use.
+func (w *Worker) dropCheckpoint(j *job, i int) {
+	err := w.storeWithRetry(j, i, func() error { return w.Jobs.DropCheckpoint(j.ctx, j.id, i) })
+	if err != nil {
+		w.Log.Warn().Str("job", j.id).Str("item", j.items[i].ID).Err(err).Msg("work: dropping a checkpoint failed")
+	}
+}
+
 // loadedCheckpoint is a partial output that was read from the store.
 type loadedCheckpoint struct {
 	events   []runs.Event
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -9,6 +9,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/option"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
+	"github.com/jujuberamp/jujuberamp/internal/decide/output"
 	"github.com/jujuberamp/jujuberamp/internal/decide/sched"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/front"
@@ -26,8 +27,9 @@
 // itemState is the progress of one item.
 type itemState struct {
 	phase    phase
-	received []runs.Event // events before those of the current attempt
-	software string       // version of the software of the engines that made them
+	received []runs.Event  // events before those of the current attempt
+	parts    []output.Part // the runs that made them
+	software string        // version of the software of the engines that made them
 	current  *attempt
 	// successor runs the rest of the item on a faster engine. It replaces the
 	// current attempt when its first event arrives, so that a refusal by the
@@ -43,6 +45,10 @@
 	migrations    int
 	refusals      int // by engines that were full, loading or had outdated weights
 	checkpointed  int // number of events in the last checkpoint
+	// generation is the number of times that the checkpoints were dropped. One of an
+	// earlier generation contains a faulty answer.
+	generation int
+	faults     faults
 }
 
 // attempt is one execution of an item on one engine.
@@ -52,7 +58,7 @@
 	cancel      func()
 	resumeAfter int // number of events received before it started
 	events      []runs.Event
-	textBytes   int        // size of the output so far, from its start
+	bytes       int        // of the events, as in [output.Part]
 	stalled     bool       // no event for at least stallTimeout
 	move        sched.Move // of a successor
 }
@@ -85,12 +91,14 @@
 	if len(st.current.events) > 0 {
 		st.software = st.current.server.Software
 	}
-	st.received = st.events()
+	st.received, st.parts = st.events(), st.allParts()
 	st.current = nil
 }
 
 // dropOutput removes the events received so far, so that the item starts over.
-func (st *itemState) dropOutput() { st.received, st.software, st.checkpointed = nil, "", 0 }
+func (st *itemState) dropOutput() {
+	st.received, st.parts, st.software, st.checkpointed = nil, nil, "", 0
+}
 
 // outputSoftware returns the version of the software that made the events so far.
 func (st *itemState) outputSoftware() string {
@@ -108,21 +116,12 @@
 	return append(st.received[:st.current.resumeAfter:st.current.resumeAfter], st.current.events...)
 }
 
-// textSize returns the size of the text that events make.
-func textSize(evs []runs.Event) int {
-	size := max(0, len(evs)-1) // line feeds
-	for i := range evs {
-		size += len(evs[i].Data)
-	}
-	return size
-}
-
 // promoteSuccessor makes the successor the current attempt. The output continues
 // after the event at which the successor was started, and later events of the
 // old attempt are dropped.
 func (st *itemState) promoteSuccessor() {
 	st.endCurrent()
-	st.received = st.received[:st.successor.resumeAfter]
+	st.truncate(st.successor.resumeAfter)
 	st.current, st.successor = st.successor, nil
 }
 
@@ -152,10 +151,12 @@
 	waitLoggedAt clock.Millis
 	urgency      option.Option[front.Urgency] // of its scoring calls, absent until it was planned
 	items        []joblog.Item
-	states       []itemState
-	candidates   []*fleet.Server          // that can run its items, as of the last pass
-	byID         map[string]*fleet.Server // the candidates
-	positions    map[string]int           // by ID: index in candidates
+	// tokensPerEvent is that of the service that runs the items, 0 until it was planned.
+	tokensPerEvent int
+	states         []itemState
+	candidates     []*fleet.Server          // that can run its items, as of the last pass
+	byID           map[string]*fleet.Server // the candidates
+	positions      map[string]int           // by ID: index in candidates
 }
 
 func newJob(ctx context.Context, j *joblog.Job) *job {
@@ -225,14 +226,10 @@
 			if out == nil {
 				out = make([]sched.Item, 0, len(j.states)-i)
 			}
-			avoid := st.avoidEngine
-			if now-st.retryAt >= avoidTimeout {
-				avoid = ""
-			}
 			out = append(out, sched.Item{
 				Index: i, ExpectedEvents: j.items[i].LengthHint / tokensPerEvent, Received: len(st.received), Software: st.software,
-				WaitingFor: now - st.progressAt, PendingFor: now - j.waitsSince(i), Avoid: avoid,
-				PromptKB: float64(len(j.items[i].Body)+textSize(st.received)) / 1024,
+				WaitingFor: now - st.progressAt, PendingFor: now - j.waitsSince(i), Avoid: st.avoided(now),
+				PromptKB: float64(len(j.items[i].Body)+eventBytes(st.received)) / 1024,
 			})
 		}
 	}
--- a/internal/node/work/reconcile.go
+++ b/internal/node/work/reconcile.go
@@ -8,6 +8,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/ident"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
+	"github.com/jujuberamp/jujuberamp/internal/decide/output"
 	"github.com/jujuberamp/jujuberamp/internal/decide/spread"
 	"github.com/jujuberamp/jujuberamp/internal/node/jobs"
 )
@@ -137,7 +138,11 @@
 	for i, cp := range checkpoints {
 		if st := &owned.states[i]; st.phase == pending && len(cp.events) > len(st.received) {
 			st.received, st.software, st.checkpointed = cp.events, cp.software, len(cp.events)
+			st.parts = []output.Part{partOf("", cp.events)}
 			st.progressAt = owned.startedAt
+			if defect, ok := w.judge(owned, i, 0); ok {
+				w.rejectOutput(owned, i, defect)
+			}
 		}
 	}
 	w.Log.Info().Str("job", j.JobID).Int("items", len(items)).Int("listed", len(j.Results)).Int("texts", len(checkpoints)).Msg("work: job started from the store")
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/option"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/joblog"
+	"github.com/jujuberamp/jujuberamp/internal/decide/output"
 	"github.com/jujuberamp/jujuberamp/internal/decide/router"
 	"github.com/jujuberamp/jujuberamp/internal/decide/sched"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
@@ -56,7 +56,7 @@
 func (w *Worker) startAttempt(j *job, i int, r *router.Route, s *fleet.Server) *attempt {
 	st, it := &j.states[i], &j.items[i]
 	ctx, cancel := context.WithCancel(j.ctx)
-	a := &attempt{server: s, startedAt: w.Clock.Now(), cancel: cancel, resumeAfter: st.eventCount(), textBytes: textSize(st.events())}
+	a := &attempt{server: s, startedAt: w.Clock.Now(), cancel: cancel, resumeAfter: st.eventCount()}
 	w.engine(s).runStarted(w.Clock.Now())
 	run := &runs.Run{
 		Job: j.id, Item: it.ID, Instance: s.ID, StartedAt: s.StartedAt, Model: j.model, MinVersion: j.minVersion, OneModel: r.SingleVersion,
@@ -97,7 +97,9 @@
 			return agentLost, err.Error()
 		}
 		timeout.Reset(frameTimeout.Duration())
-		w.handleFrame(j, i, a, f)
+		if !w.handleFrame(j, i, a, f) {
+			return runs.Faulty, ""
+		}
 		if f.Code != runs.InProgress {
 			return f.Code, f.Detail
 		}
@@ -105,8 +107,9 @@
 }
 
 // handleFrame records a frame of an attempt. The first event of a successor
-// completes the migration to its engine.
-func (w *Worker) handleFrame(j *job, i int, a *attempt, f *runs.Frame) {
+// completes the migration to its engine. It returns false if it has ended the attempt,
+// since the output contains a faulty answer.
+func (w *Worker) handleFrame(j *job, i int, a *attempt, f *runs.Frame) bool {
 	w.observeLeaving(a.server, f)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -123,22 +126,20 @@
 		st.current.cancel()
 		st.promoteSuccessor()
 	}
-	if st.current == a {
-		a.events = append(a.events, f.Events...)
-		a.textBytes += textSize(f.Events)
-		if len(f.Events) > 0 && len(a.events)+a.resumeAfter > len(f.Events) {
-			a.textBytes++ // the line feed before these events
-		}
-		if limit := w.Jobs.MaxTextBytes(); a.textBytes > limit {
-			st.cancelAttempts()
-			w.giveUpTooLarge(j, i, a.textBytes, limit)
-			return
-		}
-		a.stalled = f.Since >= stallTimeout && !f.Loading
-		if a.stalled {
-			w.Wake()
-		}
+	if st.current != a {
+		return true
+	}
+	a.events = append(a.events, f.Events...)
+	a.bytes += eventBytes(f.Events)
+	if defect, ok := w.judge(j, i, st.faults.overruns); ok {
+		w.rejectOutput(j, i, defect)
+		return false
+	}
+	a.stalled = f.Since >= stallTimeout && !f.Loading
+	if a.stalled {
+		w.Wake()
 	}
+	return true
 }
 
 // attemptEnded updates an item after the end of an attempt.
@@ -168,6 +169,9 @@
 		st.successor = nil
 		st.migrateAt = now + migrationInterval
 		e.backoffUntil = now + engineBackoff
+		if code == runs.Faulty {
+			st.faults.record(now, output.Defect{Engine: s.ID, Reason: detail})
+		}
 		return
 	}
 	st.endCurrent()
@@ -175,6 +179,12 @@
 	if len(a.events) > 0 {
 		st.progressAt = now
 	}
+	if code != runs.Done && code != runs.Faulty && st.faults.overruns > 0 { // rule 2 of output
+		if d, ok := w.judge(j, i, 0); ok {
+			w.rejectOutput(j, i, d)
+			return
+		}
+	}
 	if successor := st.successor; successor != nil {
 		if code == agentLost || code == runs.Broken || code == runs.Leaving {
 			st.promoteSuccessor()
@@ -196,6 +206,8 @@
 		e.staleUntil[j.model] = now + engineBackoff
 	case runs.MixedVersions:
 		st.dropOutput()
+	case runs.Faulty:
+		w.rejectOutput(j, i, output.Blame(st.parts, s.ID, detail))
 	case runs.Rejected:
 		w.giveUp(j, i, "the engine rejected it")
 	case runs.Failed:
@@ -209,23 +221,19 @@
 		st.avoidEngine = s.ID
 		e.backoffUntil = now + engineBackoff
 		// The delay counts from the start of the attempt, which may have taken most of it.
-		st.retryAt = max(now+minBackoff, a.startedAt+min(maxBackoff, minBackoff<<min(st.interruptions-1, 10)))
+		st.retryAt = max(now+minBackoff, a.startedAt+backoff(st.interruptions))
 	}
 }
 
+// backoff returns the delay after the nth run of an item that had no outcome, from 1 on.
+func backoff(n int) clock.Millis { return min(maxBackoff, minBackoff<<min(n-1, 10)) }
+
 // giveUp records that an item is given up for a reason that its client knows. The caller
 // holds the lock.
 func (w *Worker) giveUp(j *job, i int, why string) {
 	w.recordGivenUp(j, i, why, "")
 }
 
-// giveUpTooLarge records that an item is given up because its output is larger than a
-// record of the store. The client is told the reason. The caller holds the lock.
-func (w *Worker) giveUpTooLarge(j *job, i, size, limit int) {
-	why := fmt.Sprintf("the output has %d bytes or more; at most %d bytes can be stored", size, limit)
-	w.recordGivenUp(j, i, why, why)
-}
-
 func (w *Worker) recordGivenUp(j *job, i int, why, reason string) {
 	j.states[i].phase = finishing
 	w.Log.Warn().Str("job", j.id).Str("item", j.items[i].ID).Str("why", why).Msg("work: item given up")
@@ -240,7 +248,7 @@
 		st := &j.states[i]
 		if st.phase != finishing && st.phase != recorded {
 			st.cancelAttempts()
-			w.giveUp(j, i, "the time of the job is over")
+			w.recordGivenUp(j, i, "the time of the job is over", st.faults.reason())
 		}
 	}
 }
@@ -276,11 +284,8 @@
 	if j.ctx.Err() != nil {
 		return
 	}
-	var large *logs.TooLargeError
-	if errors.As(err, &large) {
-		w.mu.Lock()
-		w.giveUpTooLarge(j, i, large.Size, large.Limit)
-		w.mu.Unlock()
+	if err != nil {
+		w.rejectStored(j, i, err)
 		return
 	}
 	if !ok {
@@ -355,9 +360,7 @@
 func (w *Worker) recordResult(j *job, d joblog.Done) {
 	err := w.storeWithRetry(j, d.Item, func() error { return w.Jobs.RecordResult(j.ctx, j.id, d) })
 	if err != nil && !d.GivenUp {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.recordGivenUp(j, d.Item, err.Error(), "what is to be recorded with the output can't be stored: "+err.Error())
+		w.rejectStored(j, d.Item, err)
 	}
 }
 
--- a/internal/prod/roles/explain.go
+++ b/internal/prod/roles/explain.go
@@ -192,7 +192,7 @@
 	}
 	items := &codec.ExplainedItems{
 		Job: x.Job, Owner: x.Owner.Name, OwnerAddr: x.OwnerAddr, Own: x.Own, Open: x.Open, Left: x.Left, Running: x.Running, Service: x.Service, Model: x.Model,
-		Item: x.Item, Events: x.Progress.Received, WaitedMS: int64(x.Waited), Avoids: x.Progress.Avoid, Best: x.Best, StartsOver: x.StartsOver,
+		Item: x.Item, Events: x.Progress.Received, WaitedMS: int64(x.Waited), Avoids: strings.Join(x.Progress.Avoid.Sorted(), ", "), Best: x.Best, StartsOver: x.StartsOver,
 		Counts: make(map[string]int),
 	}
 	for _, e := range x.Engines {
