Test outputs whose events are smaller than the operator states

Guards the bound by stated tokens of decide/output against cutting sound outputs: with 10 tokens stated for events of one token, each item is done with its whole text in its fourth run, at one engine and at three.

--- a/internal/node/work/faulty_test.go
+++ b/internal/node/work/faulty_test.go
@@ -125,13 +125,13 @@
 	faultyItems = 5
 )
 
-// startFaultyFleet starts a node, and three engines of which some give faulty answers. It
+// startFaultyFleet starts a node, and engines of which some give faulty answers. It
 // submits a job whose items have a number of tokens at most.
-func startFaultyFleet(ctx context.Context, c *qt.C, f *faultyFleet, tokens int, change func(*router.Route, *router.Service)) *Worker {
+func startFaultyFleet(ctx context.Context, c *qt.C, f *faultyFleet, engines, tokens int, change func(*router.Route, *router.Service)) *Worker {
 	store := topic.New()
 	f.unevenFleet = &unevenFleet{clock: clock.NewSystem(), engines: make(map[string]*unevenEngine), store: store, ctx: ctx, lengths: make(map[string]int)}
 	f.starts = make(map[string]int)
-	for i := range 3 {
+	for i := range engines {
 		f.add(fmt.Sprintf("i-%d", i), fmt.Sprintf("10.0.0.%d", i), &unevenEngine{interval: 40 * time.Millisecond})
 	}
 	w := startNodeWith(ctx, store, store, f, "a", change)
@@ -196,7 +196,7 @@
 					if test.unlimited {
 						tokens = 0
 					}
-					w := startFaultyFleet(ctx, c, f, tokens, func(_ *router.Route, s *router.Service) { s.TokensPerEvent = test.perEvent })
+					w := startFaultyFleet(ctx, c, f, 3, tokens, func(_ *router.Route, s *router.Service) { s.TokensPerEvent = test.perEvent })
 					time.Sleep(7 * time.Second) // the time until results are due
 					page, err := w.Jobs.Results(ctx, "j", 0, 0)
 					c.Assert(err, qt.IsNil)
@@ -216,6 +216,31 @@
 	}
 }
 
+// TestEventsSmallerThanStated guards against sound outputs that never end because the
+// operator states more tokens for an event than the engines send.
+func TestEventsSmallerThanStated(t *testing.T) {
+	for _, engines := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d engines", engines), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer time.Sleep(time.Minute)
+				defer cancel()
+				f := &faultyFleet{}
+				w := startFaultyFleet(ctx, c, f, engines, soundEvents, func(_ *router.Route, s *router.Service) { s.TokensPerEvent = 10 })
+				time.Sleep(7 * time.Second)
+				page, err := w.Jobs.Results(ctx, "j", 0, 0)
+				c.Assert(err, qt.IsNil)
+				c.Assert(page.Results, qt.HasLen, faultyItems)
+				for _, r := range page.Results {
+					c.Check(string(r.Text), qt.Equals, soundText, qt.Commentf(r.ItemID))
+					c.Check(f.starts[r.ItemID], qt.Equals, 4) // three runs show that the statement is wrong
+				}
+			})
+		})
+	}
+}
+
 // TestAllAnswersFaulty guards against an item that is listed as dead before its job's time
 // is over because no engine gives it a usable answer, against runs of it without a pause,
 // and against harm to the items beside it.
@@ -235,7 +260,7 @@
 				defer time.Sleep(time.Minute)
 				defer cancel()
 				f := &faultyFleet{answer: answer, item: "item-0", left: map[string]int{"10.0.0.0": 1 << 30, "10.0.0.1": 1 << 30, "10.0.0.2": 1 << 30}}
-				w := startFaultyFleet(ctx, c, f, soundEvents, func(r *router.Route, _ *router.Service) { r.ItemTimeout = clock.FromDuration(retention) })
+				w := startFaultyFleet(ctx, c, f, 3, soundEvents, func(r *router.Route, _ *router.Service) { r.ItemTimeout = clock.FromDuration(retention) })
 				time.Sleep(retention - time.Second)
 				page, err := w.Jobs.Results(ctx, "j", 0, 0)
 				c.Assert(err, qt.IsNil)
