Test that no item moves to an engine that gave it a faulty answer

Without the check in migrate, the item of TestNoMoveToFaultyEngine moves from the slow engine back to the faulty one and is not done in 5 s; with it, it is done in its second run.

--- a/internal/node/work/faulty_test.go
+++ b/internal/node/work/faulty_test.go
@@ -241,6 +241,28 @@
 	}
 }
 
+// TestNoMoveToFaultyEngine guards against an item that moves from a slow engine back to
+// the fast one that has just given it a faulty answer.
+func TestNoMoveToFaultyEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Minute)
+		defer cancel()
+		f := &faultyFleet{answer: faultyAnswer{bytes: 1, interval: 2 * time.Millisecond}, item: "item-0", left: map[string]int{"10.0.0.0": 1 << 30}}
+		w := startFaultyFleet(ctx, c, f, 1, soundEvents, func(*router.Route, *router.Service) {})
+		f.add("slow", "10.0.0.9", &unevenEngine{interval: 100 * time.Millisecond})
+		time.Sleep(5 * time.Second)
+		page, err := w.Jobs.Results(ctx, "j", 0, 0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(page.Results, qt.HasLen, faultyItems)
+		for _, r := range page.Results {
+			c.Check(string(r.Text), qt.Equals, soundText, qt.Commentf(r.ItemID))
+		}
+		c.Check(f.starts["item-0"], qt.Equals, 2)
+	})
+}
+
 // TestAllAnswersFaulty guards against an item that is listed as dead before its job's time
 // is over because no engine gives it a usable answer, against runs of it without a pause,
 // and against harm to the items beside it.
