Bound a faulty answer at the agent, and events by the size of their tokens

Cause: the first event goes to the entry at once, is within the item's limits, and the next frame holds all that came in 150 ms. It is too large, so the run counts as lost and not as faulty, and the item goes on behind the first event. A reset right behind such an event has the same effect.

Change: a run names the tokens and the bytes that its output may have, and the agent ends an answer beyond them as faulty, by the same judgement. An event with more than 4 KiB for each stated token counts as faulty as the stated number of events does: until three answers were so.

Evidence: the cases "more events than tokens" and "larger than a result" of TestRun and "larger events" of TestJudge fail without the change (the fields and the rule are new).

--- a/internal/decide/output/output.go
+++ b/internal/decide/output/output.go
@@ -4,10 +4,11 @@
 //
 //  1. An event has at least one token. An output with more events than the item may have
 //     tokens contains a faulty answer.
-//  2. The operator states how many tokens an event of a service has. An output with more
-//     events than that allows counts as faulty too, until maxOverruns answers were longer:
-//     events may have fewer tokens than stated. From then on rule 1 alone holds for an
-//     answer that is in progress or ended as it should.
+//  2. The operator states how many tokens an event of a service has, and a token has few
+//     bytes. An output with more events than its tokens make, or with larger ones, counts as
+//     faulty too, until MaxOverruns answers were so: the events may have fewer tokens than
+//     stated, or longer ones. From then on the other rules alone hold for an answer that is
+//     in progress or ended as it should.
 //  3. An output that is larger than a result may be contains a faulty answer.
 //  4. At fault is the engine whose answer exceeds the number of events, or that sent most
 //     of an output that is too large. All from its first event on is dropped: it may have
@@ -24,9 +25,14 @@
 
 import "fmt"
 
-// maxOverruns is the number of answers to an item after which the stated number of tokens
-// in an event counts as refuted (rule 2): more than the engines that are in trouble at once.
-const maxOverruns = 3
+const (
+	// MaxOverruns is the number of answers to an item after which rule 2 no longer holds
+	// for it: more than the engines that are usually in trouble at once.
+	MaxOverruns = 3
+	// maxTokenBytes is the size of a token that is still plausible: the longest ones of
+	// common vocabularies have a few hundred bytes.
+	maxTokenBytes = 4 << 10
+)
 
 // Part is what one run has added to an output. Parts are in the order of the output.
 type Part struct {
@@ -37,18 +43,20 @@
 
 // Limits bounds the output of an item.
 type Limits struct {
-	tokens       int // that an output may have, 0 if not known
-	statedEvents int // that these tokens make by the operator's statement
-	bytes        int // that a result may have, 0 for no limit
+	tokens   int // that an output may have, 0 if not known
+	perEvent int // tokens in an event by the operator's statement
+	bytes    int // that a result may have, 0 for no limit
 }
 
 // NewLimits returns the limits of an item that may have a number of tokens, 0 if that is
 // not known, and whose result may have maxBytes bytes, 0 for no limit.
 func NewLimits(tokens, tokensPerEvent, maxBytes int) Limits {
-	perEvent := max(1, tokensPerEvent)
-	return Limits{tokens: tokens, statedEvents: (tokens + perEvent - 1) / perEvent, bytes: maxBytes}
+	return Limits{tokens: tokens, perEvent: max(1, tokensPerEvent), bytes: maxBytes}
 }
 
+// statedEvents returns the number of events that the tokens of the output make (rule 2).
+func (l Limits) statedEvents() int { return (l.tokens + l.perEvent - 1) / l.perEvent }
+
 // Defect is a faulty answer in an output.
 type Defect struct {
 	Engine  string // at fault, empty if it is not known
@@ -68,14 +76,18 @@
 	for _, p := range parts {
 		events, bytes = events+p.Events, bytes+p.Bytes
 	}
-	last := parts[len(parts)-1].Engine
+	last := parts[len(parts)-1]
 	switch {
 	case l.tokens > 0 && events > l.tokens:
-		return Blame(parts, last, fmt.Sprintf("the output has %d events; the item may have %d tokens", events, l.tokens)), true
-	case l.tokens > 0 && events > l.statedEvents && overruns < maxOverruns:
-		f := Blame(parts, last, fmt.Sprintf("the output has %d events; %d tokens make %d of this service", events, l.tokens, l.statedEvents))
-		f.Overrun = true
-		return f, true
+		return Blame(parts, last.Engine, fmt.Sprintf("the output has %d events; the item may have %d tokens", events, l.tokens)), true
+	case l.tokens > 0 && events > l.statedEvents() && overruns < MaxOverruns:
+		d := Blame(parts, last.Engine, fmt.Sprintf("the output has %d events; %d tokens make %d of this service", events, l.tokens, l.statedEvents()))
+		d.Overrun = true
+		return d, true
+	case last.Bytes > last.Events*(l.perEvent*maxTokenBytes+1) && overruns < MaxOverruns:
+		d := Blame(parts, last.Engine, fmt.Sprintf("the output has %d events of %d bytes; an event of this service has %d tokens", last.Events, last.Bytes, l.perEvent))
+		d.Overrun = true
+		return d, true
 	case l.bytes > 0 && bytes > l.bytes:
 		return TooLarge(parts, bytes, l.bytes), true
 	}
@@ -97,12 +109,12 @@
 // Blame returns the fault of an output to which an engine gave a faulty answer (rules 4
 // and 5).
 func Blame(parts []Part, engine, reason string) Defect {
-	f := Defect{Engine: engine, Reason: reason}
+	d := Defect{Engine: engine, Reason: reason}
 	for _, p := range parts {
 		if p.Engine == engine || p.Engine == "" {
 			break
 		}
-		f.Keep += p.Events
+		d.Keep += p.Events
 	}
-	return f
+	return d
 }
--- a/internal/decide/output/output_test.go
+++ b/internal/decide/output/output_test.go
@@ -22,6 +22,10 @@
 	}{
 		"nothing yet":                          {limits: NewLimits(20, 1, 1000), engine: "-"},
 		"no limits":                            {limits: NewLimits(0, 0, 0), parts: []Part{part("a", 1<<30, 1<<40)}, engine: "-"},
+		"events as large as their tokens":      {limits: NewLimits(20, 2, 1e6), parts: []Part{part("a", 2, 16386)}, engine: "-"},
+		"larger events":                        {limits: NewLimits(20, 2, 1e6), parts: []Part{part("a", 2, 16387)}, engine: "a", overrun: true},
+		"larger events, no token limit":        {limits: NewLimits(0, 1, 1e6), parts: []Part{part("a", 1, 100000)}, engine: "a", overrun: true},
+		"larger events of many answers":        {limits: NewLimits(20, 1, 1e6), parts: []Part{part("a", 1, 100000)}, overruns: 3, engine: "-"},
 		"as many events as tokens":             {limits: NewLimits(20, 1, 1000), parts: []Part{part("a", 20, 200)}, engine: "-"},
 		"an event more":                        {limits: NewLimits(20, 1, 1000), parts: []Part{part("a", 21, 210)}, engine: "a"},
 		"an event more at the second engine":   {limits: NewLimits(20, 1, 1000), parts: []Part{part("a", 20, 200), part("b", 1, 10)}, engine: "b", keep: 20},
--- a/internal/inner/runs/runs.go
+++ b/internal/inner/runs/runs.go
@@ -61,6 +61,11 @@
 	After      int             // number of events already received, after which to resume
 	Version    int64           // weight version of the last of these events
 	OpenAt     permit.Stamp    // the job was open at this time or later, by the clock of the agent
+	// MaxTokens and MaxTextBytes bound the output, 0 for no limit; see package output. The
+	// agent ends an answer beyond them: frames of all that an engine in trouble may send
+	// would be too large for the connection and for the memory of both sides.
+	MaxTokens    int
+	MaxTextBytes int
 }
 
 // The codecs are made when the program starts: processes of one build then have the same
--- a/internal/node/side/side.go
+++ b/internal/node/side/side.go
@@ -24,6 +24,7 @@
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/option"
 	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
+	"github.com/jujuberamp/jujuberamp/internal/decide/output"
 	"github.com/jujuberamp/jujuberamp/internal/decide/permit"
 	"github.com/jujuberamp/jujuberamp/internal/decide/rate"
 	"github.com/jujuberamp/jujuberamp/internal/decide/speed"
@@ -248,7 +249,7 @@
 	defer cancel()
 	x := &run{
 		agent: a, Run: r, events: make(chan plat.Event, 16), done: make(chan outcome, 1), frameDue: make(chan struct{}, 1),
-		version: r.Version, lastEvent: r.After,
+		version: r.Version, lastEvent: r.After, limits: output.NewLimits(r.MaxTokens, 1, r.MaxTextBytes),
 	}
 	a.addRun(x)
 	defer a.removeRun(x)
@@ -266,6 +267,8 @@
 	stream    speed.Stream  // guarded by the mutex of the agent
 	lastEvent int           // number of the last event
 	version   int64         // weight version of that event
+	limits    output.Limits // of the item's output
+	bytes     int           // of the events, as in [output.Part]
 }
 
 // outcome is how a run ended.
@@ -419,11 +422,16 @@
 	}
 }
 
-// acceptEvent checks an event's number and version against the run and records them.
+// acceptEvent checks an event's number, size and version against the run and records them.
 func (x *run) acceptEvent(ev plat.Event) (runs.Code, string) {
 	if ev.ID != x.lastEvent+1 {
 		return runs.Faulty, errors.Errorf("event %d after %d", ev.ID, x.lastEvent).Error()
 	}
+	x.bytes += len(ev.Data) + 1
+	answer := output.Part{Engine: x.Instance, Events: ev.ID, Bytes: x.bytes}
+	if d, ok := x.limits.Judge([]output.Part{answer}, output.MaxOverruns); ok { // The entry knows the tokens in an event.
+		return runs.Faulty, d.Reason
+	}
 	if ev.Version > 0 {
 		if x.OneModel && x.version > 0 && ev.Version != x.version {
 			return runs.MixedVersions, "the version changed"
--- a/internal/node/side/side_test.go
+++ b/internal/node/side/side_test.go
@@ -271,6 +271,26 @@
 		},
 		"an event is missing":  {item, func(e *fakeEngine) { e.events = []plat.Event{event(1, 1), event(3, 0)} }, runs.Faulty, []int64{1}},
 		"an event comes twice": {item, func(e *fakeEngine) { e.events = []plat.Event{event(1, 1), event(1, 0)} }, runs.Faulty, []int64{1}},
+		"as many events as tokens": {
+			runs.Run{Item: "x", Instance: "i-1", Model: "m", MinVersion: 1, After: 2, Version: 1, MaxTokens: 4},
+			func(e *fakeEngine) { e.events = []plat.Event{event(3, 1), event(4, 0)} }, runs.Done,
+			[]int64{1, 1},
+		},
+		"more events than tokens": {
+			runs.Run{Item: "x", Instance: "i-1", Model: "m", MinVersion: 1, After: 2, Version: 1, MaxTokens: 3},
+			func(e *fakeEngine) { e.events = []plat.Event{event(3, 1), event(4, 0), event(5, 0)} }, runs.Faulty,
+			[]int64{1},
+		},
+		"as large as a result": {
+			runs.Run{Item: "x", Instance: "i-1", Model: "m", MinVersion: 1, MaxTextBytes: 3},
+			func(e *fakeEngine) { e.events = []plat.Event{event(1, 1), event(2, 0)} }, runs.Done,
+			[]int64{1, 1},
+		},
+		"larger than a result": {
+			runs.Run{Item: "x", Instance: "i-1", Model: "m", MinVersion: 1, MaxTextBytes: 2},
+			func(e *fakeEngine) { e.events = []plat.Event{event(1, 1), event(2, 0), event(3, 0)} }, runs.Faulty,
+			[]int64{1},
+		},
 		"no version is proven": {item, func(e *fakeEngine) { e.events = []plat.Event{event(1, 0)} }, runs.StaleWeights, nil},
 		"truncated":            {item, func(e *fakeEngine) { e.events, e.truncated = []plat.Event{event(1, 1)}, true }, runs.Broken, []int64{1}},
 		"no event at all":      {item, func(*fakeEngine) {}, runs.Broken, nil},
--- a/internal/node/work/run.go
+++ b/internal/node/work/run.go
@@ -61,7 +61,7 @@
 	run := &runs.Run{
 		Job: j.id, Item: it.ID, Instance: s.ID, StartedAt: s.StartedAt, Model: j.model, MinVersion: j.minVersion, OneModel: r.SingleVersion,
 		Host: j.host, Path: it.Path, Header: it.Header, Body: it.Body, Workspace: j.workspace, After: a.resumeAfter, Version: st.lastVersion(),
-		OpenAt: w.engine(s).evidence.Stamp(),
+		OpenAt: w.engine(s).evidence.Stamp(), MaxTokens: it.MaxOutputTokens(), MaxTextBytes: w.Jobs.MaxTextBytes(),
 	}
 	go func() {
 		defer cancel()
