Judge stored events by the limits that hold without the configuration

A node that takes a job over doesn't know the tokens in an event before the job is planned, and judged a checkpoint as if they were one: a sound event of more than 4 KiB dropped the checkpoint, and the item began anew. TestStoredEventsAreJudged failed with such an event before, and passes now.

--- a/internal/node/work/faulty_test.go
+++ b/internal/node/work/faulty_test.go
@@ -458,11 +458,12 @@
 		s, network := topic.New(), &fakeNetwork{nodes: make(map[string]*Worker)}
 		a, b := startTestNode(ctx, s, network, "a"), startTestNode(ctx, s, network, "b")
 		time.Sleep(time.Second)
-		c.Assert(a.Jobs.Submit(ctx, &joblog.Spec{ID: "j", Host: "h", Path: "/p/", Items: []joblog.Item{{ID: "i", OutputBudget: 20}, {ID: "k", OutputBudget: 20}}}), qt.IsNil)
+		c.Assert(a.Jobs.Submit(ctx, &joblog.Spec{ID: "j", Host: "h", Path: "/p/", Items: []joblog.Item{{ID: "i", OutputBudget: 20}, {ID: "k", OutputBudget: 20}, {ID: "l", OutputBudget: 2000}}}), qt.IsNil)
 		time.Sleep(time.Second)
 		a.mu.Lock()
 		a.jobs["j"].states[0].received = faultyEvents(100)
 		a.jobs["j"].states[1].received = faultyEvents(20)
+		a.jobs["j"].states[2].received = []runs.Event{{Version: 1, Data: make([]byte, 5000)}} // of many tokens
 		a.mu.Unlock()
 		a.StopAssigning()
 		a.Checkpoint(ctx)
@@ -472,6 +473,7 @@
 		states := b.jobs["j"].states
 		c.Check(states[0].received, qt.HasLen, 0)
 		c.Check(states[1].received, qt.HasLen, 20)
+		c.Check(states[2].received, qt.HasLen, 1)
 		b.mu.Unlock()
 		b.Jobs.View(func(ix *joblog.Index, _ bool) {
 			_, stored := ix.Job("j").Checkpoint(0)
--- a/internal/node/work/reconcile.go
+++ b/internal/node/work/reconcile.go
@@ -140,7 +140,8 @@
 			st.received, st.software, st.checkpointed = cp.events, cp.software, len(cp.events)
 			st.parts = []output.Part{partOf("", cp.events)}
 			st.progressAt = owned.startedAt
-			if defect, ok := w.judge(owned, i, 0); ok {
+			// The tokens in an event are not known before the job is planned.
+			if defect, ok := w.judge(owned, i, output.MaxOverruns); ok {
 				w.rejectOutput(owned, i, defect)
 			}
 		}
