Avoid the engines with the most faulty answers when all have given some

Cause: an item to which all engines had given a faulty answer avoided none, and went on to the two faulty ones while the third, sound by then, was full.

Change: it avoids the engines with more faulty answers than another candidate has, and so waits for that one. The test and its bound stay as they were; calls of avoided in tests name the candidates. The code runs only after a faulty answer.

--- a/internal/node/work/assign.go
+++ b/internal/node/work/assign.go
@@ -280,7 +280,7 @@
 		}
 		item := sched.Item{
 			AcceptedAt: j.acceptedAt, DueAfter: p.route.DueAfter, ExpectedEvents: j.items[i].LengthHint / p.tokensPerEvent, Received: st.eventCount(),
-			Stalled: st.current.stalled, Avoid: st.avoided(now),
+			Stalled: st.current.stalled, Avoid: st.avoided(now, j.candidates),
 		}
 		m, ok := p.pool.Move(now, current, item, longest)
 		to := m.To
--- a/internal/node/work/faulty_test.go
+++ b/internal/node/work/faulty_test.go
@@ -263,7 +263,7 @@
 				c.Check(st.phase, qt.Equals, pending)
 				c.Check(st.current == nil && st.successor == nil, qt.IsTrue)
 				c.Check(st.received, qt.HasLen, test.kept)
-				c.Check(st.avoided(w.Clock.Now()).Sorted(), qt.DeepEquals, []string{test.avoided})
+				c.Check(st.avoided(w.Clock.Now(), []*fleet.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}).Sorted(), qt.DeepEquals, []string{test.avoided})
 				parts := 0
 				for _, p := range st.parts {
 					parts += p.Events
@@ -369,7 +369,7 @@
 		w.finish(j, 0, []runs.Event{{Version: 1, Data: make([]byte, maxTestRecord+1)}})
 		time.Sleep(time.Second)
 		c.Check(st.phase, qt.Equals, pending)
-		c.Check(st.avoided(w.Clock.Now()).Has("a"), qt.IsTrue)
+		c.Check(st.avoided(w.Clock.Now(), []*fleet.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}).Has("a"), qt.IsTrue)
 		c.Assert(w.Jobs.Sync(ctx), qt.IsNil)
 		w.Jobs.View(func(ix *joblog.Index, _ bool) { c.Check(ix.Job("j").Results, qt.HasLen, 0) })
 	})
--- a/internal/node/work/job.go
+++ b/internal/node/work/job.go
@@ -228,7 +228,7 @@
 			}
 			out = append(out, sched.Item{
 				Index: i, ExpectedEvents: j.items[i].LengthHint / tokensPerEvent, Received: len(st.received), Software: st.software,
-				WaitingFor: now - st.progressAt, PendingFor: now - j.waitsSince(i), Avoid: st.avoided(now),
+				WaitingFor: now - st.progressAt, PendingFor: now - j.waitsSince(i), Avoid: st.avoided(now, j.candidates),
 				PromptKB: float64(len(j.items[i].Body)+eventBytes(st.received)) / 1024,
 			})
 		}
--- a/internal/node/work/output.go
+++ b/internal/node/work/output.go
@@ -5,6 +5,7 @@
 
 	"github.com/jujuberamp/jujuberamp/internal/base/clock"
 	"github.com/jujuberamp/jujuberamp/internal/base/sets"
+	"github.com/jujuberamp/jujuberamp/internal/decide/fleet"
 	"github.com/jujuberamp/jujuberamp/internal/decide/output"
 	"github.com/jujuberamp/jujuberamp/internal/inner/runs"
 	"github.com/jujuberamp/jujuberamp/internal/node/logs"
@@ -64,7 +65,9 @@
 }
 
 // avoided returns the engines that the item should not go to while another one suits it.
-func (st *itemState) avoided(now clock.Millis) sets.Set[string] {
+// Of candidates that have all given it faulty answers it avoids those with more of them
+// than others.
+func (st *itemState) avoided(now clock.Millis, candidates []*fleet.Server) sets.Set[string] {
 	var out sets.Set[string]
 	avoid := func(id string) {
 		if out == nil {
@@ -75,8 +78,15 @@
 	if st.avoidEngine != "" && now-st.retryAt < avoidTimeout {
 		avoid(st.avoidEngine)
 	}
+	if len(st.faults.byEngine) == 0 {
+		return out
+	}
+	least := st.faults.answers
+	for _, s := range candidates {
+		least = min(least, st.faults.byEngine[s.ID].answers)
+	}
 	for id, f := range st.faults.byEngine {
-		if now-f.lastAt < avoidFaultyTimeout {
+		if f.answers > least && now-f.lastAt < avoidFaultyTimeout {
 			avoid(id)
 		}
 	}
